--- /dev/null
+++ b/Makefile
@@ -0,0 +1,40 @@
+PYTHON ?= python3.11
+VENV ?= .venv
+BIN = $(VENV)/bin
+STAMP = $(VENV)/installed
+MEMBERS = packages/pumicestand packages/pumicestand-node \
+	packages/pumicestandctl packages/pumicestand-standins
+SOURCES = packages benchmarks tests
+
+.PHONY: install demo test lint format lock capacity
+
+install: $(STAMP)
+
+$(STAMP): requirements.lock $(addsuffix /pyproject.toml,$(MEMBERS))
+	test -x $(BIN)/python || $(PYTHON) -m venv $(VENV)
+	$(BIN)/pip install --quiet --requirement requirements.lock
+	$(BIN)/pip install --quiet --no-deps --no-build-isolation \
+		$(addprefix --editable ,$(MEMBERS))
+	touch $(STAMP)
+
+demo: install
+	$(BIN)/python -m benchmarks.demo
+
+lint: install
+	$(BIN)/ruff format --check $(SOURCES)
+	$(BIN)/ruff check $(SOURCES)
+	$(BIN)/flake8 $(SOURCES)
+
+test: lint
+	$(BIN)/python -m pytest
+
+format: install
+	$(BIN)/ruff format $(SOURCES)
+	$(BIN)/ruff check --fix $(SOURCES)
+
+capacity: install
+	$(BIN)/python -m benchmarks.capacity
+
+# Writes the lock file anew from what the workspace needs now.
+lock:
+	$(BIN)/pip freeze --all --exclude-editable --exclude pip > requirements.lock
--- /dev/null
+++ b/benchmarks/__init__.py
@@ -0,0 +1,1 @@
+"""Benchmarks and the demo: they start real processes on loopback."""
--- /dev/null
+++ b/packages/pumicestand-node/pumicestand_node/__init__.py
@@ -0,0 +1,1 @@
+"""The process that runs beside each target."""
--- /dev/null
+++ b/packages/pumicestand-node/pumicestand_node/main.py
@@ -0,0 +1,72 @@
+"""The command `pumicestand-node`."""
+
+import argparse
+import signal
+import sys
+
+import loguru
+import trio
+
+from pumicestand import errors
+from pumicestand import log
+from pumicestand import settings as all_settings
+from pumicestand_node import node as nodes
+from pumicestand_node import settings as node_settings
+
+EXIT_SETTINGS = 2
+
+
+def _parse(arguments):
+    parser = argparse.ArgumentParser(
+        prog='pumicestand-node',
+        description='The process that runs beside each target.',
+    )
+    parser.add_argument('--settings', help='a YAML file')
+    parser.add_argument(
+        '--set',
+        action='append',
+        default=[],
+        metavar='NAME=VALUE',
+        help='one setting, before the file',
+    )
+    parser.add_argument(
+        '--show-settings',
+        action='store_true',
+        help='print all settings with their origins, then end',
+    )
+    return parser.parse_args(arguments)
+
+
+async def run(settings):
+    """Run a node until SIGTERM or SIGINT."""
+    with trio.open_signal_receiver(signal.SIGTERM, signal.SIGINT) as stops:
+        async with trio.open_nursery() as nursery:
+            node = nodes.Node(settings)
+            await node.start(nursery)
+            async for _ in stops:
+                break
+            await node.close()
+
+
+def main(arguments=None):
+    """Run the command; return its exit code."""
+    parsed = _parse(arguments)
+    try:
+        loaded = all_settings.load(
+            node_settings.NodeSettings, parsed.settings, parsed.set
+        )
+    except errors.SettingsError as error:
+        print(error, file=sys.stderr)
+        return EXIT_SETTINGS
+    if parsed.show_settings:
+        print(all_settings.show(loaded))
+        return 0
+    log.configure(loaded.values.name, loaded.values.log_level)
+    for warning in loaded.warnings:
+        loguru.logger.warning('{}', warning)
+    trio.run(run, loaded.values)
+    return 0
+
+
+if __name__ == '__main__':
+    sys.exit(main())
--- /dev/null
+++ b/packages/pumicestand-node/pumicestand_node/operator_api.py
@@ -0,0 +1,281 @@
+"""The node's endpoint for operators, targets and scrapers (ASGI).
+
+========================  ============================================
+``GET /v1/status``        what this node acts on, and its moves
+``GET /v1/members``       the fleet as this node sees it
+``GET /v1/timeline``      this process's events
+``GET /v1/explain``       which target would take a call, and why
+``PUT /v1/target``        a target announces itself
+``GET /metrics``          metrics for a scraper
+``GET /healthz``          200 while the node is not stale, else 503
+========================  ============================================
+"""
+
+import dataclasses
+import json
+import urllib.parse
+
+import pydantic
+
+from pumicestand import application
+from pumicestand import metrics
+from pumicestand import moves
+from pumicestand import refusals
+from pumicestand_node import announcements
+
+MAX_BODY_BYTES = 65_536
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Reply:
+    """An answer of the endpoint."""
+
+    status: int
+    body: bytes
+    content_type: str = 'application/json'
+
+
+def to_json(status, data):
+    """Return a `Reply` that holds data as JSON."""
+    return Reply(status, json.dumps(data).encode())
+
+
+def describe_moves(board, now):
+    """Return what operators are shown of each move in force."""
+    if board.in_force is None:
+        return []
+    described = []
+    for move in board.in_force.document.moves:
+        verdict = board.table.verdict(move.identity)
+        described.append(
+            {
+                'name': move.name,
+                'identity': move.identity,
+                'service': move.service,
+                'to': move.target,
+                'state': moves.state_of(board, move, now).value,
+                'share': moves.share_of(board, move, now),
+                'reason': verdict.reason if verdict else '',
+                'held_here': board.held_moves.get(move.identity, 0) > now,
+                'start': move.start,
+                'by': move.by,
+            }
+        )
+    return described
+
+
+def describe_status(board, now):
+    """Return what operators are shown of this node."""
+    stale = application.staleness(board, now)
+    identity = board.identity
+    return {
+        'name': identity.name,
+        'environment': identity.environment,
+        'zone': identity.zone,
+        'region': identity.region,
+        'incarnation': board.incarnation,
+        'acting': board.acting,
+        'digest': board.in_force.accepted.digest if board.in_force else '',
+        'accepted': board.accepted.generation,
+        'since': board.in_force.since if board.in_force else None,
+        'floor': board.floor,
+        'stale': stale.is_stale,
+        'stale_reason': stale.reason,
+        'store_confirmed_s': stale.confirmed_s,
+        'watching': board.watching,
+        'members': len(board.table.reachable()),
+        'targets': [
+            {
+                'service': local.target.service,
+                'version': local.target.version,
+                'address': f'{local.target.host}:{local.target.port}',
+                'state': local.target.state.name.lower(),
+            }
+            for local in board.local_targets.values()
+        ],
+        'moves': describe_moves(board, now),
+    }
+
+
+def describe_members(board):
+    """Return the fleet as this node sees it."""
+    return [
+        {
+            'name': member.name,
+            'status': member.status.name.lower(),
+            'zone': member.zone,
+            'region': member.region,
+            'address': f'{member.host}:{member.port}',
+            'operator': f'{member.host}:{member.operator_port}',
+            'acting': board.acting_of.get(member.name, 0),
+        }
+        for member in board.table.members()
+    ]
+
+
+def describe_events(board):
+    """Return this process's events, oldest first."""
+    return [
+        {**dataclasses.asdict(event), 'kind': event.kind.value}
+        for event in board.ring.events
+    ]
+
+
+class OperatorApi:
+    """The ASGI application.
+
+    :param board: the `blackboard.Blackboard`
+    :param router: the node's `routing.Router`
+    :param balancer: the node's `balancing.Balancer`
+    :param meters: the node's `metrics.Metrics`
+    :param clock: returns wall time in seconds
+    :param wake: called after a target's announcement
+    """
+
+    def __init__(self, board, router, balancer, meters, clock, wake):
+        self._board = board
+        self._router = router
+        self._balancer = balancer
+        self._meters = meters
+        self._clock = clock
+        self._wake = wake
+
+    async def __call__(self, scope, receive, send):
+        """Serve one request, as ASGI has it."""
+        if scope['type'] == 'lifespan':
+            await _follow_lifespan(receive, send)
+            return
+        body = await _read_body(receive)
+        query = urllib.parse.parse_qs(scope['query_string'].decode())
+        reply = self.reply(scope['method'], scope['path'], query, body)
+        await send(
+            {
+                'type': 'http.response.start',
+                'status': reply.status,
+                'headers': [(b'content-type', reply.content_type.encode())],
+            }
+        )
+        await send({'type': 'http.response.body', 'body': reply.body})
+
+    def reply(self, method, path, query, body):
+        """Return the `Reply` to a request."""
+        now = self._clock()
+        match method, path:
+            case 'GET', '/v1/status':
+                return to_json(200, describe_status(self._board, now))
+            case 'GET', '/v1/members':
+                return to_json(200, describe_members(self._board))
+            case 'GET', '/v1/timeline':
+                return to_json(200, describe_events(self._board))
+            case 'GET', '/v1/explain':
+                return self._explain(query, now)
+            case 'PUT', '/v1/target':
+                return self._take_announcement(body, now)
+            case 'GET', '/metrics':
+                text = self._meters.text()
+                return Reply(200, text, metrics.CONTENT_TYPE)
+            case 'GET', '/healthz':
+                stale = application.staleness(self._board, now)
+                status = 503 if stale.is_stale else 200
+                return to_json(status, {'stale_reason': stale.reason})
+        return to_json(404, {'code': 'not-found'})
+
+    def _take_announcement(self, body, now):
+        try:
+            parsed = announcements.Announcement.model_validate_json(body)
+        except pydantic.ValidationError as error:
+            first = error.errors()[0]
+            where = '.'.join(str(part) for part in first['loc'])
+            return to_json(
+                422,
+                {
+                    'code': 'announcement-invalid',
+                    'detail': f'{where}: {first["msg"]}',
+                },
+            )
+        announcements.take(self._board, parsed, now)
+        self._wake()
+        return to_json(200, {'name': self._board.identity.name})
+
+    def _explain(self, query, now):
+        host = query.get('host', ['*'])[0]
+        path = query.get('path', ['/'])[0]
+        method = query.get('method', ['GET'])[0]
+        route = self._router.match(self._board, host, path, method)
+        if isinstance(route, refusals.Refusal):
+            return to_json(200, dataclasses.asdict(route))
+        return to_json(
+            200,
+            {
+                'node': self._board.identity.name,
+                'generation': self._board.acting,
+                'route': route.name,
+                'services': [
+                    self._explain_service(route, backend, now)
+                    for backend in route.to
+                ],
+            },
+        )
+
+    def _explain_service(self, route, backend, now):
+        board = self._board
+        service = board.in_force.document.service(backend.service)
+        plan = moves.plan_of(board, service, now)
+        versions = {plan.base: 1.0 - plan.share}
+        if plan.move is not None:
+            versions[plan.move.target] = plan.share
+        return {
+            'service': service.name,
+            'weight': backend.weight,
+            'move': plan.move.identity if plan.move else None,
+            'versions': [
+                {
+                    'version': version,
+                    'share': share,
+                    'targets': self._explain_pool(
+                        service.name, version, route.resources, now
+                    ),
+                }
+                for version, share in versions.items()
+            ],
+        }
+
+    def _explain_pool(self, service, version, resources, now):
+        pool = self._balancer.pool(self._board, service, version, resources)
+        explained = []
+        for zone, target in pool:
+            state = self._balancer.state(target, now)
+            explained.append(
+                {
+                    'address': f'{target.host}:{target.port}',
+                    'zone': zone,
+                    'own_zone': zone == self._board.identity.zone,
+                    'in_flight': state.in_flight,
+                    'latency_ms': round(state.latency * 1000, 3),
+                    'ejected': state.ejected_until > now,
+                }
+            )
+        return explained
+
+
+async def _follow_lifespan(receive, send):
+    """Confirm start and end; there is nothing to prepare."""
+    while True:
+        message = await receive()
+        await send({'type': f'{message["type"]}.complete'})
+        if message['type'] == 'lifespan.shutdown':
+            return
+
+
+async def _read_body(receive):
+    parts = []
+    size = 0
+    while True:
+        message = await receive()
+        if message['type'] != 'http.request':
+            return b''
+        size += len(message.get('body', b''))
+        if size <= MAX_BODY_BYTES:
+            parts.append(message.get('body', b''))
+        if not message.get('more_body'):
+            return b''.join(parts)
--- /dev/null
+++ b/packages/pumicestand-standins/pumicestand_standins/__init__.py
@@ -0,0 +1,1 @@
+"""Stand-ins for the platform, its targets and its callers."""
--- /dev/null
+++ b/packages/pumicestand-standins/pumicestand_standins/caller.py
@@ -0,0 +1,232 @@
+"""A stand-in for callers: sends calls at a set rate and keeps the books."""
+
+import collections
+import dataclasses
+import hashlib
+import json
+
+import httptools
+import trio
+
+READ_BYTES = 65_536
+CALL_TIMEOUT_S = 15.0
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Answer:
+    """An answer, or what came instead of one.
+
+    :param status: 0 if the connection ended before the answer was whole
+    :param seconds: from the first byte sent to the last one read
+    """
+
+    status: int
+    headers: dict
+    body: bytes
+    seconds: float
+
+    @property
+    def outcome(self):
+        """What the node says became of the call, empty if nothing."""
+        return self.headers.get('pumicestand-outcome', '')
+
+
+class _AnswerReader:
+    def __init__(self):
+        self.headers = {}
+        self.body = []
+        self.is_complete = False
+        self.status = 0
+        self.parser = httptools.HttpResponseParser(self)
+
+    def on_header(self, name, value):
+        self.headers[name.decode().lower()] = value.decode('latin-1')
+
+    def on_headers_complete(self):
+        self.status = self.parser.get_status_code()
+
+    def on_body(self, data):
+        self.body.append(data)
+
+    def on_message_complete(self):
+        self.is_complete = True
+
+
+class Connection:
+    """One kept connection to a node or a target.
+
+    :param address: (host, port)
+    """
+
+    def __init__(self, address):
+        self._address = address
+        self._stream = None
+
+    async def call(self, method, path, headers=None, body=b''):
+        """Send one call and return its `Answer`."""
+        started = trio.current_time()
+        reader = _AnswerReader()
+        with trio.move_on_after(CALL_TIMEOUT_S):
+            try:
+                if self._stream is None:
+                    self._stream = await trio.open_tcp_stream(*self._address)
+                await self._stream.send_all(
+                    _write(method, path, headers or {}, body)
+                )
+                await self._read(reader)
+            except (OSError, trio.BrokenResourceError):
+                reader.is_complete = False
+        seconds = trio.current_time() - started
+        keep = reader.is_complete and reader.parser.should_keep_alive()
+        if not keep:
+            await self.close()
+        if not reader.is_complete:
+            return Answer(0, reader.headers, b'', seconds)
+        body = b''.join(reader.body)
+        return Answer(reader.status, reader.headers, body, seconds)
+
+    async def _read(self, reader):
+        while not reader.is_complete:
+            data = await self._stream.receive_some(READ_BYTES)
+            if not data:
+                return
+            reader.parser.feed_data(data)
+
+    async def close(self):
+        """Close the connection."""
+        if self._stream is not None:
+            await trio.aclose_forcefully(self._stream)
+            self._stream = None
+
+
+def _write(method, path, headers, body):
+    lines = [f'{method} {path} HTTP/1.1']
+    headers = {'host': 'mesh', **headers}
+    if body or method != 'GET':
+        headers['content-length'] = str(len(body))
+    lines += [f'{key}: {value}' for key, value in headers.items()]
+    return '\r\n'.join(lines).encode() + b'\r\n\r\n' + body
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Pattern:
+    """Calls of one kind.
+
+    :param rate: calls a second
+    """
+
+    method: str
+    path: str
+    rate: float
+    body: bytes = b''
+    host: str = 'mesh'
+
+
+@dataclasses.dataclass(slots=True)
+class Books:
+    """What became of all calls.
+
+    :param by_id: request id to outcome
+    """
+
+    by_id: dict = dataclasses.field(default_factory=dict)
+    counts: collections.Counter = dataclasses.field(
+        default_factory=collections.Counter
+    )
+    seconds: list = dataclasses.field(default_factory=list)
+    versions: list = dataclasses.field(default_factory=list)
+    refusals: collections.Counter = dataclasses.field(
+        default_factory=collections.Counter
+    )
+
+    def keep(self, identity, pattern, answer, now):
+        """Book one call.
+
+        :param now: seconds, kept with the version that answered
+        """
+        outcome = judge(identity, pattern, answer)
+        self.by_id[identity] = (outcome, pattern.method)
+        self.counts[outcome] += 1
+        self.seconds.append(answer.seconds)
+        if outcome == 'answered':
+            version = answer.headers.get('x-version', '')
+            self.versions.append((now, pattern.path, version))
+        elif outcome != 'failed':
+            code = answer.headers.get('pumicestand-code', 'none')
+            self.refusals[code] += 1
+
+
+def judge(identity, pattern, answer):
+    """Return what became of a call.
+
+    answered, failed (a target's own error), not-run, unknown, cut (no whole
+    answer), or wrong (the answer to another request).
+    """
+    if answer.status == 0:
+        return 'cut'
+    if answer.outcome:
+        return answer.outcome
+    if answer.status >= 500:
+        return 'failed'
+    if answer.status != 200:
+        return f'status-{answer.status}'
+    try:
+        data = json.loads(answer.body)
+    except ValueError:
+        return 'wrong'
+    digest = hashlib.sha256(pattern.body).hexdigest()
+    if data['id'] != identity or data['digest'] != digest:
+        return 'wrong'
+    return 'answered'
+
+
+class Caller:
+    """Sends calls of some patterns to a node in an open loop.
+
+    :param name: prefix of all request ids
+    :param address: the node's (host, port) for calls
+    :param books: the `Books` to keep
+    :param rng: a `random.Random`
+    """
+
+    def __init__(self, name, address, books, rng):
+        self._name = name
+        self._address = address
+        self._books = books
+        self._rng = rng
+        self._idle = []
+        self._count = 0
+        self.is_paused = False
+
+    async def run(self, patterns, until):
+        """Send calls until a time of trio's clock.
+
+        Calls that run then are waited for.
+        """
+        async with trio.open_nursery() as nursery:
+            for pattern in patterns:
+                nursery.start_soon(self._send, pattern, until, nursery)
+        for connection in self._idle:
+            await connection.close()
+
+    async def _send(self, pattern, until, nursery):
+        at = trio.current_time()
+        while at < until:
+            at += self._rng.expovariate(pattern.rate)
+            await trio.sleep_until(at)
+            if not self.is_paused:
+                self._count += 1
+                identity = f'{self._name}-{self._count}'
+                nursery.start_soon(self._call, pattern, identity)
+
+    async def _call(self, pattern, identity):
+        connection = None
+        if self._idle:
+            connection = self._idle.pop()
+        connection = connection or Connection(self._address)
+        headers = {'x-request-id': identity, 'host': pattern.host}
+        answer = await connection.call(
+            pattern.method, pattern.path, headers, pattern.body
+        )
+        self._idle.append(connection)
+        self._books.keep(identity, pattern, answer, trio.current_time())
--- /dev/null
+++ b/packages/pumicestand-standins/pumicestand_standins/http_server.py
@@ -0,0 +1,174 @@
+"""A small HTTP server that can also misbehave, for the stand-ins."""
+
+import dataclasses
+import json
+
+import httptools
+import trio
+
+READ_BYTES = 65_536
+BACKLOG = 512
+
+
+@dataclasses.dataclass(slots=True)
+class Request:
+    """A whole request.
+
+    :param body_bytes: length of the body; only its first part is kept
+    """
+
+    method: str = ''
+    url: str = ''
+    headers: dict = dataclasses.field(default_factory=dict)
+    body: bytes = b''
+    body_bytes: int = 0
+
+    @property
+    def path(self):
+        """The path without its query."""
+        return self.url.partition('?')[0]
+
+    def query(self, name, default=''):
+        """Return a value of the query."""
+        for pair in self.url.partition('?')[2].split('&'):
+            key, _, value = pair.partition('=')
+            if key == name:
+                return value
+        return default
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Reply:
+    """A whole answer."""
+
+    status: int = 200
+    body: bytes = b''
+    headers: tuple[tuple[str, str], ...] = ()
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Raw:
+    """Bytes to send as they are, then the connection is closed."""
+
+    data: bytes = b''
+
+
+def to_json(data, status=200):
+    """Return a `Reply` that holds data as JSON."""
+    return Reply(status, json.dumps(data).encode())
+
+
+class _Reader:
+    MAX_KEPT_BODY = 2_000_000
+
+    def __init__(self):
+        self.requests = []
+        self._request = None
+        self.parser = httptools.HttpRequestParser(self)
+
+    @property
+    def is_within_request(self):
+        return self._request is not None
+
+    def on_message_begin(self):
+        self._request = Request()
+
+    def on_url(self, url):
+        self._request.url += url.decode('latin-1')
+
+    def on_header(self, name, value):
+        key = name.decode('latin-1').lower()
+        self._request.headers[key] = value.decode('latin-1')
+
+    def on_body(self, data):
+        self._request.body_bytes += len(data)
+        if len(self._request.body) < self.MAX_KEPT_BODY:
+            self._request.body += data
+
+    def on_message_complete(self):
+        self._request.method = self.parser.get_method().decode()
+        self.requests.append(self._request)
+        self._request = None
+
+
+def write(reply, is_head=False):
+    """Return the bytes of a `Reply`."""
+    lines = [f'HTTP/1.1 {reply.status} Answer']
+    lines += [f'{key}: {value}' for key, value in reply.headers]
+    lines.append(f'content-length: {len(reply.body)}')
+    head = '\r\n'.join(lines).encode() + b'\r\n\r\n'
+    return head if is_head else head + reply.body
+
+
+class Server:
+    """Serves HTTP/1.1 at one port.
+
+    :param handle: coroutine function from `Request` to `Reply` or `Raw`
+    :param max_connections: further ones are closed at once
+    """
+
+    def __init__(self, host, port, handle, max_connections=10_000):
+        self._host = host
+        self._port = port
+        self._handle = handle
+        self._max_connections = max_connections
+        self._listeners = []
+        self._scope = trio.CancelScope()
+        self.connections = 0
+        self.most_connections = 0
+
+    async def start(self, nursery):
+        """Open the port and serve it in a nursery."""
+        self._listeners = await trio.open_tcp_listeners(
+            self._port, host=self._host, backlog=BACKLOG
+        )
+        self._port = self._listeners[0].socket.getsockname()[1]
+        nursery.start_soon(self._serve)
+
+    @property
+    def port(self):
+        """The port that is served."""
+        return self._port
+
+    async def close(self):
+        """Close the port and all connections."""
+        self._scope.cancel()
+        for listener in self._listeners:
+            await listener.aclose()
+
+    async def _serve(self):
+        with self._scope:
+            await trio.serve_listeners(self._serve_stream, self._listeners)
+
+    async def _serve_stream(self, stream):
+        if self.connections >= self._max_connections:
+            await trio.aclose_forcefully(stream)
+            return
+        self.connections += 1
+        self.most_connections = max(self.most_connections, self.connections)
+        try:
+            await self._serve_requests(stream)
+        except (trio.BrokenResourceError, trio.ClosedResourceError):
+            pass
+        finally:
+            self.connections -= 1
+            await trio.aclose_forcefully(stream)
+
+    async def _serve_requests(self, stream):
+        reader = _Reader()
+        while True:
+            data = await stream.receive_some(READ_BYTES)
+            if not data:
+                return
+            try:
+                reader.parser.feed_data(data)
+            except httptools.HttpParserError:
+                await stream.send_all(write(Reply(400)))
+                return
+            while reader.requests:
+                request = reader.requests.pop(0)
+                reply = await self._handle(request)
+                if isinstance(reply, Raw):
+                    await stream.send_all(reply.data)
+                    return
+                await stream.send_all(write(reply, request.method == 'HEAD'))
--- /dev/null
+++ b/packages/pumicestand-standins/pumicestand_standins/store.py
@@ -0,0 +1,258 @@
+"""A stand-in for the platform's store, with faults and counters.
+
+It speaks the protocol of docs/design/store.md. Faults are switched on by a
+table, in the process or through ``PUT /standin/faults``.
+"""
+
+import argparse
+import collections
+import dataclasses
+import json
+import signal
+import urllib.parse
+
+import trio
+
+from pumicestand_standins import http_server
+
+MAX_VALUE_BYTES = 1_000_000
+MAX_WATCH_S = 30.0
+LAG_POLL_S = 0.02
+
+
+@dataclasses.dataclass(slots=True)
+class Faults:
+    """What is wrong with the store at the moment.
+
+    :param down: every call is answered by 503
+    :param refusing: every connection is closed without an answer
+    :param hanging: no call is answered
+    :param slow_s: seconds that each call takes longer
+    :param lost_answers: so many writes take effect without an answer
+    :param watch_lag_s: watches learn of a write so much later
+    :param watch_skips: so many writes are not shown to watches
+    :param watch_closes: so many watches are closed at once
+    :param watch_expires: so many watches demand a new read
+    :param stale_lists: lists show what there was before the last writes
+    """
+
+    down: bool = False
+    refusing: bool = False
+    hanging: bool = False
+    slow_s: float = 0.0
+    lost_answers: int = 0
+    watch_lag_s: float = 0.0
+    watch_skips: int = 0
+    watch_closes: int = 0
+    watch_expires: int = 0
+    stale_lists: bool = False
+
+
+@dataclasses.dataclass(slots=True)
+class _Object:
+    version: int
+    value: str
+    written_at: float
+    shown: bool = True
+
+
+class Store:
+    """The store's objects and rules, without the network.
+
+    :param clock: returns seconds
+    :param reads_per_s: above it calls are answered by 429
+    :param writes_per_s: above it writes are answered by 429
+    """
+
+    def __init__(self, clock, reads_per_s=2000, writes_per_s=300):
+        self._clock = clock
+        self._objects = {}
+        self._stale = {}
+        self._revision = 0
+        self._changed = trio.Event()
+        self._ceilings = {'read': reads_per_s, 'write': writes_per_s}
+        self._windows = {}
+        self.faults = Faults()
+        self.counters = collections.Counter()
+
+    @property
+    def objects(self):
+        """Key to (version, value) of all objects."""
+        return {
+            key: (held.version, held.value)
+            for key, held in self._objects.items()
+        }
+
+    async def handle(self, request):
+        """Answer a `http_server.Request`."""
+        path = urllib.parse.unquote(request.path)
+        if path.startswith('/standin/'):
+            return self._control(request, path)
+        kind = _kind(request)
+        self.counters[kind] += 1
+        faults = self.faults
+        if faults.slow_s:
+            await trio.sleep(faults.slow_s)
+        if faults.hanging:
+            await trio.sleep_forever()
+        if faults.refusing:
+            return http_server.Raw()
+        if faults.down or not self._admit(kind):
+            return http_server.Reply(503 if faults.down else 429)
+        match kind:
+            case 'read':
+                return self._read(path.removeprefix('/v1/objects/'))
+            case 'list':
+                return self._list(
+                    urllib.parse.unquote(request.query('prefix'))
+                )
+            case 'write':
+                return self._write(path, request)
+            case 'watch':
+                return await self._watch(path, request)
+        return http_server.Reply(404)
+
+    def _admit(self, kind):
+        """Return whether a call is within its ceiling of this second."""
+        group = 'write' if kind == 'write' else 'read'
+        second = int(self._clock())
+        count = self._windows.get((group, second), 0) + 1
+        self._windows = {
+            key: value
+            for key, value in self._windows.items()
+            if key[1] == second
+        }
+        self._windows[(group, second)] = count
+        return count <= self._ceilings[group]
+
+    def _control(self, request, path):
+        match request.method, path:
+            case 'PUT', '/standin/faults':
+                self.faults = Faults(**json.loads(request.body))
+                self._notify()
+                return http_server.to_json(dataclasses.asdict(self.faults))
+            case 'GET', '/standin/counters':
+                return http_server.to_json(dict(self.counters))
+            case 'GET', '/standin/objects':
+                return http_server.to_json(self.objects)
+        return http_server.Reply(404)
+
+    def _read(self, key):
+        held = self._objects.get(key)
+        if held is None:
+            return http_server.to_json({'version': 0}, 404)
+        return _to_reply(key, held)
+
+    def _list(self, prefix):
+        objects = self._objects
+        if self.faults.stale_lists:
+            objects = self._stale
+        found = [
+            {'key': key, 'version': held.version, 'value': held.value}
+            for key, held in sorted(objects.items())
+            if key.startswith(prefix)
+        ]
+        return http_server.to_json({'objects': found})
+
+    def _write(self, path, request):
+        key = path.removeprefix('/v1/objects/')
+        if request.body_bytes > MAX_VALUE_BYTES:
+            return http_server.to_json({'limit': MAX_VALUE_BYTES}, 413)
+        held = self._objects.get(key)
+        version = held.version if held else 0
+        expected = request.headers.get('if-match', '')
+        if expected != str(version):
+            return http_server.to_json({'version': version}, 412)
+        self._stale = dict(self._objects)
+        self._revision += 1
+        shown = self.faults.watch_skips <= 0
+        if not shown:
+            self.faults.watch_skips -= 1
+        self._objects[key] = _Object(
+            self._revision, request.body.decode(), self._clock(), shown
+        )
+        self._notify()
+        if self.faults.lost_answers > 0:
+            self.faults.lost_answers -= 1
+            return http_server.Raw()
+        return http_server.to_json({'version': self._revision})
+
+    def _notify(self):
+        self._changed.set()
+        self._changed = trio.Event()
+
+    async def _watch(self, path, request):
+        key = path.removeprefix('/v1/watch/')
+        after = int(request.query('after', '0'))
+        seconds = min(MAX_WATCH_S, float(request.query('seconds', '5')))
+        if self.faults.watch_expires > 0:
+            self.faults.watch_expires -= 1
+            return http_server.to_json({}, 410)
+        if self.faults.watch_closes > 0:
+            self.faults.watch_closes -= 1
+            return http_server.Raw()
+        with trio.move_on_after(seconds):
+            while True:
+                faults = self.faults
+                if faults.down or faults.refusing:
+                    return http_server.Raw()
+                held = self._objects.get(key)
+                if held is not None and held.version > after and held.shown:
+                    lag = held.written_at + faults.watch_lag_s
+                    if self._clock() >= lag:
+                        return _to_reply(key, held)
+                    await trio.sleep(LAG_POLL_S)
+                    continue
+                await self._changed.wait()
+        return http_server.Reply(204)
+
+
+def _kind(request):
+    """Return what is counted: read, list, write or watch."""
+    if request.path.startswith('/v1/watch/'):
+        return 'watch'
+    if request.method == 'PUT':
+        return 'write'
+    if request.path == '/v1/objects':
+        return 'list'
+    return 'read'
+
+
+def _to_reply(key, held):
+    return http_server.to_json(
+        {'key': key, 'version': held.version, 'value': held.value}
+    )
+
+
+async def run(host, port, reads_per_s, writes_per_s):
+    """Serve a store until SIGTERM or SIGINT."""
+    with trio.open_signal_receiver(signal.SIGTERM, signal.SIGINT) as stops:
+        async with trio.open_nursery() as nursery:
+            store = Store(trio.current_time, reads_per_s, writes_per_s)
+            server = http_server.Server(host, port, store.handle)
+            await server.start(nursery)
+            async for _ in stops:
+                break
+            await server.close()
+            nursery.cancel_scope.cancel()
+
+
+def main():
+    """Run the stand-in as a process."""
+    parser = argparse.ArgumentParser()
+    parser.add_argument('--host', default='127.0.0.1')
+    parser.add_argument('--port', type=int, default=7000)
+    parser.add_argument('--reads-per-s', type=int, default=2000)
+    parser.add_argument('--writes-per-s', type=int, default=300)
+    parsed = parser.parse_args()
+    trio.run(
+        run,
+        parsed.host,
+        parsed.port,
+        parsed.reads_per_s,
+        parsed.writes_per_s,
+    )
+
+
+if __name__ == '__main__':
+    main()
--- /dev/null
+++ b/packages/pumicestand-standins/pumicestand_standins/target.py
@@ -0,0 +1,343 @@
+"""A stand-in for a target: it announces itself, serves, and misbehaves."""
+
+import argparse
+import collections
+import dataclasses
+import hashlib
+import json
+import random
+import signal
+
+import httpcore
+import trio
+
+from pumicestand_standins import http_server
+
+ANNOUNCE_PERIOD_S = 1.0
+DRAIN_NOTICE_S = 1.0
+DRAIN_LIMIT_S = 30.0
+CRASH_EXIT = 70
+
+
+@dataclasses.dataclass(slots=True)
+class Behaviour:
+    """How a target answers.
+
+    :param latency_s: mean time that a call takes
+    :param errors: fraction of calls that fail
+    :param slow_factor: factor on the time that a call takes
+    :param after_s: seconds after the start from which it errs or is slow
+    :param above_load: in-flight part of the slots from which it does so
+    :param only_path: path prefix on which it does so, empty for all
+    :param cold_s: seconds after the start in which calls take thrice as long
+    :param crash_path: path whose calls crash the process
+    :param truncate: fraction of answers that are cut off
+    :param drop: fraction of calls that run but get no answer
+    """
+
+    latency_s: float = 0.002
+    errors: float = 0.0
+    slow_factor: float = 1.0
+    after_s: float = 0.0
+    above_load: float = 0.0
+    only_path: str = ''
+    cold_s: float = 0.0
+    crash_path: str = ''
+    truncate: float = 0.0
+    drop: float = 0.0
+
+
+class Target:
+    """A target's answers and its ledger, without the network.
+
+    :param name: shown in the answers
+    :param version: shown in the answers
+    :param slots: calls above it are refused as not run
+    :param rng: a `random.Random`
+    :param clock: returns seconds
+    """
+
+    def __init__(self, name, version, slots, behaviour, rng, clock):
+        self._name = name
+        self._version = version
+        self._slots = slots
+        self._rng = rng
+        self._clock = clock
+        self._started = clock()
+        self.behaviour = behaviour
+        self.ledger = collections.Counter()
+        self.in_flight = 0
+        self.shed = 0
+        self.is_draining = False
+        self.drained_at = None
+        self.new_work_after_drain_s = 0.0
+        self.has_crashed = trio.Event()
+
+    async def handle(self, request):
+        """Answer a `http_server.Request`."""
+        if request.path.startswith('/standin/'):
+            return self._control(request)
+        if request.path == '/health':
+            return http_server.Reply(200, b'well')
+        if self.in_flight >= self._slots:
+            self.shed += 1
+            return _not_run('no slot is free')
+        if self.is_draining:
+            waited = self._clock() - self.drained_at
+            self.new_work_after_drain_s = max(
+                self.new_work_after_drain_s, waited
+            )
+        self.in_flight += 1
+        try:
+            return await self._run(request)
+        finally:
+            self.in_flight -= 1
+
+    async def _run(self, request):
+        identity = request.headers.get('x-request-id', '')
+        if identity:
+            self.ledger[identity] += 1
+        behaviour = self.behaviour
+        if behaviour.crash_path and request.path == behaviour.crash_path:
+            self.has_crashed.set()
+            await trio.sleep_forever()
+        is_bad = self._is_bad(request)
+        await trio.sleep(self._latency(is_bad))
+        if is_bad and self._rng.random() < behaviour.errors:
+            return http_server.Reply(500, b'failed')
+        if self._rng.random() < behaviour.drop:
+            return http_server.Raw()
+        body = self._body(request, identity)
+        if self._rng.random() < behaviour.truncate:
+            whole = http_server.write(http_server.Reply(200, body))
+            return http_server.Raw(whole[:-10])
+        headers = (('x-target', self._name), ('x-version', self._version))
+        return http_server.Reply(200, body, headers)
+
+    def _is_bad(self, request):
+        behaviour = self.behaviour
+        if self._clock() - self._started < behaviour.after_s:
+            return False
+        if self.in_flight < behaviour.above_load * self._slots:
+            return False
+        return request.path.startswith(behaviour.only_path)
+
+    def _latency(self, is_bad):
+        behaviour = self.behaviour
+        seconds = behaviour.latency_s * self._rng.lognormvariate(0, 0.3)
+        if is_bad:
+            seconds *= behaviour.slow_factor
+        if self._clock() - self._started < behaviour.cold_s:
+            seconds *= 3
+        return seconds
+
+    def _body(self, request, identity):
+        digest = hashlib.sha256(request.body).hexdigest()
+        return json.dumps(
+            {
+                'id': identity,
+                'target': self._name,
+                'version': self._version,
+                'path': request.path,
+                'bytes': request.body_bytes,
+                'digest': digest,
+            }
+        ).encode()
+
+    def _control(self, request):
+        match request.method, request.path:
+            case 'PUT', '/standin/behaviour':
+                self.behaviour = Behaviour(**json.loads(request.body))
+                return http_server.Reply(200)
+            case 'GET', '/standin/ledger':
+                return http_server.to_json(
+                    {
+                        'target': self._name,
+                        'version': self._version,
+                        'runs': dict(self.ledger),
+                        'shed': self.shed,
+                        'new_work_after_drain_s': self.new_work_after_drain_s,
+                    }
+                )
+            case 'PUT', '/standin/drain':
+                self.drain()
+                return http_server.Reply(200)
+        return http_server.Reply(404)
+
+    def drain(self):
+        """Announce from now on that this target is leaving."""
+        if not self.is_draining:
+            self.is_draining = True
+            self.drained_at = self._clock()
+
+
+def _not_run(detail):
+    return http_server.Reply(
+        503, detail.encode(), (('pumicestand-outcome', 'not-run'),)
+    )
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Options:
+    """How to run a target as a process."""
+
+    service: str
+    version: str
+    host: str
+    port: int
+    node: str
+    resources: tuple[str, ...]
+    slots: int
+    connections: int
+    behaviour: Behaviour
+    seed: int
+
+
+class Announcer:
+    """Tells the node beside a target of it, once a second.
+
+    :param options: the target's `Options`
+    :param target: the `Target`
+    """
+
+    def __init__(self, options, target):
+        self._options = options
+        self._target = target
+        self._pool = httpcore.AsyncConnectionPool(max_connections=1)
+        self.state = 'serving'
+
+    async def run(self):
+        """Announce until cancelled."""
+        while True:
+            if self._target.is_draining and self.state == 'serving':
+                self.state = 'draining'
+            await self.announce()
+            with trio.move_on_after(ANNOUNCE_PERIOD_S):
+                while not self._target.is_draining or (
+                    self.state != 'serving'
+                ):
+                    await trio.sleep(0.05)
+
+    async def announce(self):
+        """Announce once; a node that does not answer is asked again."""
+        options = self._options
+        body = json.dumps(
+            {
+                'service': options.service,
+                'version': options.version,
+                'host': options.host,
+                'port': options.port,
+                'resources': list(options.resources),
+                'slots': options.slots,
+                'connections': options.connections,
+                'state': self.state,
+            }
+        ).encode()
+        headers = {'host': 'node', 'content-length': str(len(body))}
+        try:
+            with trio.move_on_after(1.0):
+                await self._pool.request(
+                    'PUT',
+                    f'{options.node}/v1/target',
+                    headers=headers,
+                    content=body,
+                )
+        except (
+            httpcore.NetworkError,
+            httpcore.ProtocolError,
+            httpcore.TimeoutException,
+        ):
+            return
+
+
+async def run(options):
+    """Serve a target until SIGTERM, SIGINT or a crash.
+
+    :returns: the process's exit code
+    """
+    target = Target(
+        f'{options.service}-{options.port}',
+        options.version,
+        options.slots,
+        options.behaviour,
+        random.Random(options.seed),
+        trio.current_time,
+    )
+    code = 0
+    with trio.open_signal_receiver(signal.SIGTERM, signal.SIGINT) as stops:
+        async with trio.open_nursery() as nursery:
+            server = http_server.Server(
+                options.host,
+                options.port,
+                target.handle,
+                options.connections,
+            )
+            await server.start(nursery)
+            announcer = Announcer(options, target)
+            nursery.start_soon(announcer.run)
+            async with trio.open_nursery() as waiting:
+                waiting.start_soon(_wait_for_signal, stops, waiting)
+                waiting.start_soon(_wait_for_crash, target, waiting)
+            if target.has_crashed.is_set():
+                code = CRASH_EXIT
+            else:
+                await _leave(target, announcer)
+            nursery.cancel_scope.cancel()
+    return code
+
+
+async def _wait_for_signal(stops, nursery):
+    async for _ in stops:
+        nursery.cancel_scope.cancel()
+        return
+
+
+async def _wait_for_crash(target, nursery):
+    await target.has_crashed.wait()
+    nursery.cancel_scope.cancel()
+
+
+async def _leave(target, announcer):
+    """Drain: announce it, let calls in flight end, say goodbye."""
+    target.drain()
+    announcer.state = 'draining'
+    await announcer.announce()
+    await trio.sleep(DRAIN_NOTICE_S)
+    with trio.move_on_after(DRAIN_LIMIT_S):
+        while target.in_flight:
+            await trio.sleep(0.02)
+    announcer.state = 'gone'
+    await announcer.announce()
+
+
+def main():
+    """Run the stand-in as a process."""
+    parser = argparse.ArgumentParser()
+    parser.add_argument('--service', required=True)
+    parser.add_argument('--version', required=True)
+    parser.add_argument('--host', default='127.0.0.1')
+    parser.add_argument('--port', type=int, required=True)
+    parser.add_argument('--node', required=True)
+    parser.add_argument('--resources', default='')
+    parser.add_argument('--slots', type=int, default=20)
+    parser.add_argument('--connections', type=int, default=120)
+    parser.add_argument('--behaviour', default='{}')
+    parser.add_argument('--seed', type=int, default=0)
+    parsed = parser.parse_args()
+    options = Options(
+        service=parsed.service,
+        version=parsed.version,
+        host=parsed.host,
+        port=parsed.port,
+        node=parsed.node,
+        resources=tuple(filter(None, parsed.resources.split(','))),
+        slots=parsed.slots,
+        connections=parsed.connections,
+        behaviour=Behaviour(**json.loads(parsed.behaviour)),
+        seed=parsed.seed,
+    )
+    raise SystemExit(trio.run(run, options))
+
+
+if __name__ == '__main__':
+    main()
--- /dev/null
+++ b/packages/pumicestand/pumicestand/__init__.py
@@ -0,0 +1,1 @@
+"""Configuration distribution for a service mesh."""
--- /dev/null
+++ b/packages/pumicestand/pumicestand/answers.py
@@ -0,0 +1,21 @@
+"""What a node answers to the requests of its peers."""
+
+from pumicestand import dissemination
+from pumicestand import messages
+
+
+def answer(board, frame):
+    """Return the frame that answers a request.
+
+    :param board: the `blackboard.Blackboard`
+    :param frame: the request, already in the inbox
+    """
+    match frame.body:
+        case messages.Sync():
+            return board.frame(messages.Table(), board.table.entries.values())
+        case messages.Fetch() as fetch:
+            return board.frame(dissemination.answer_fetch(board, fetch))
+        case other:
+            return board.frame(
+                messages.Refused(f'no-request: {type(other).__name__}')
+            )
--- /dev/null
+++ b/packages/pumicestand/pumicestand/balancing.py
@@ -0,0 +1,226 @@
+"""Balancing: which target of a version takes a call.
+
+Calls themselves show how targets fare; what targets say of their health and
+load is not used, since it lags or misleads.
+"""
+
+import dataclasses
+
+from pumicestand import messages
+from pumicestand import ranking
+
+FAILURES_BEFORE_EJECTION = 3
+EJECTION_S = 2.0
+MAX_EJECTION_S = 60.0
+MAX_EJECTED_PART = 0.5
+SHED_PAUSE_S = 0.2
+SLOW_START_S = 10.0
+LATENCY_WEIGHT = 0.1
+SPILL_PART = 0.8
+MIN_SUBSET = 3
+FIRST_LATENCY_S = 0.005
+
+
+@dataclasses.dataclass(slots=True)
+class TargetState:
+    """What this node's own calls showed of a target.
+
+    :param latency: smoothed seconds to the answer's head
+    """
+
+    first_seen: float
+    in_flight: int = 0
+    latency: float = FIRST_LATENCY_S
+    failures: int = 0
+    ejections: int = 0
+    ejected_until: float = 0.0
+    paused_until: float = 0.0
+
+
+class Balancer:
+    """Chooses targets: own zone first, the less loaded of two.
+
+    :param rng: a `random.Random`
+    """
+
+    def __init__(self, rng):
+        self._rng = rng
+        self._states = {}
+        self._pools = {}
+        self._pools_of = None
+
+    def state(self, target, now):
+        """Return the `TargetState` of a target."""
+        state = self._states.get(target.key)
+        if state is None:
+            state = self._states[target.key] = TargetState(now)
+        return state
+
+    def pool(self, board, service, version, resources):
+        """Return (zone, target) pairs that serve a version.
+
+        :param resources: what each target must have
+        """
+        if self._pools_of != board.table.hash:
+            self._pools = {}
+            self._pools_of = board.table.hash
+        key = (service, version, resources)
+        found = self._pools.get(key)
+        if found is None:
+            found = self._pools[key] = _find_pool(
+                board, service, version, set(resources)
+            )
+        return found
+
+    def choose(self, board, now, choice, version, excluded=()):
+        """Return a target that may take a call now, or None.
+
+        :param choice: the `routing.Choice`
+        :param excluded: keys of targets that were tried already
+        """
+        pool = self.pool(
+            board, choice.service.name, version, choice.route.resources
+        )
+        usable = [
+            (zone, target)
+            for zone, target in self._without_ejected(pool, now)
+            if target.key not in excluded
+        ]
+        free = [pair for pair in usable if self._is_free(pair[1], now)]
+        if not free:
+            return None
+        zone = board.identity.zone
+        local = [
+            target
+            for where, target in free
+            if where == zone and self._is_below_spill(target, now)
+        ]
+        return self._less_loaded(local or [t for _, t in free], now)
+
+    def _without_ejected(self, pool, now):
+        """Leave out ejected targets, but never more than a part of all."""
+        kept = [
+            pair
+            for pair in pool
+            if self.state(pair[1], now).ejected_until <= now
+        ]
+        if len(kept) >= len(pool) * (1 - MAX_EJECTED_PART):
+            return kept
+        return pool
+
+    def _is_free(self, target, now):
+        state = self.state(target, now)
+        if state.paused_until > now:
+            return False
+        return state.in_flight < target.slots
+
+    def _is_below_spill(self, target, now):
+        in_flight = self.state(target, now).in_flight
+        return in_flight < max(1, target.slots * SPILL_PART)
+
+    def _less_loaded(self, targets, now):
+        if len(targets) == 1:
+            return targets[0]
+        first, second = self._rng.sample(targets, 2)
+        if self._load(second, now) < self._load(first, now):
+            return second
+        return first
+
+    def _load(self, target, now):
+        """Return the expected wait; a cold target counts as loaded more."""
+        state = self.state(target, now)
+        load = (state.in_flight + 1) * state.latency
+        age = now - state.first_seen
+        if age < SLOW_START_S:
+            load *= 1 + 3 * (1 - age / SLOW_START_S)
+        return load
+
+    def begin(self, target, now):
+        """Count a call that is about to be sent."""
+        self.state(target, now).in_flight += 1
+
+    def succeed(self, target, now, seconds):
+        """Count a call that was answered.
+
+        :param seconds: time to the answer's head
+        """
+        state = self.state(target, now)
+        state.in_flight -= 1
+        state.failures = 0
+        state.ejections = 0
+        state.latency += LATENCY_WEIGHT * (seconds - state.latency)
+
+    def cancel(self, target, now):
+        """Count a call that ended without saying anything of the target."""
+        self.state(target, now).in_flight -= 1
+
+    def shed(self, target, now):
+        """Count a call that the target refused as not run."""
+        state = self.state(target, now)
+        state.in_flight -= 1
+        state.paused_until = now + SHED_PAUSE_S * (0.5 + self._rng.random())
+
+    def fail(self, target, now):
+        """Count a call that failed; return whether it is ejected now."""
+        state = self.state(target, now)
+        state.in_flight -= 1
+        state.failures += 1
+        if state.failures < FAILURES_BEFORE_EJECTION:
+            return False
+        state.failures = 0
+        seconds = min(MAX_EJECTION_S, EJECTION_S * 2**state.ejections)
+        state.ejections += 1
+        state.ejected_until = now + seconds
+        return True
+
+    def forget(self, board):
+        """Drop the state of targets that are gone and have no call."""
+        known = {
+            target.key
+            for member in board.table.reachable()
+            for target in member.targets
+        }
+        self._states = {
+            key: state
+            for key, state in self._states.items()
+            if key in known or state.in_flight
+        }
+
+
+def _find_pool(board, service, version, resources):
+    """Return this node's subset of a version's targets.
+
+    A target takes only so many connections, so each node of a large fleet
+    uses some targets only: its own zone's first, by rendezvous.
+    """
+    found = {}
+    callers = 0
+    for member in board.table.reachable():
+        callers += 1
+        for target in member.targets:
+            if target.service != service or target.version != version:
+                continue
+            if target.state != messages.TargetState.SERVING:
+                continue
+            if resources <= set(target.resources):
+                found[f'{target.host}:{target.port}'] = (member.zone, target)
+    if not found:
+        return []
+    size = subset_size(found.values(), callers)
+    names = ranking.rank(f'subset/{board.identity.name}', found)
+    zone = board.identity.zone
+    names.sort(key=lambda name: found[name][0] != zone)
+    return [found[name] for name in names[:size]]
+
+
+def subset_size(pairs, callers):
+    """Return how many targets a node may keep connections to.
+
+    :param pairs: (zone, target) of all targets
+    :param callers: nodes that may call them
+    """
+    pairs = list(pairs)
+    connections = sum(target.connections for _, target in pairs)
+    # Half stays free for nodes that spill over and for rebalancing.
+    fair = int(connections / 2 / max(1, callers))
+    return max(MIN_SUBSET, min(len(pairs), fair))
--- /dev/null
+++ b/packages/pumicestand/pumicestand/evidence.py
@@ -0,0 +1,238 @@
+"""Evidence on a new version, and the test that may be read at any time.
+
+The test bets against the claim that the new version fails no more often
+than a bound. Its capital is a product over single calls that depends only
+on how many calls there were and how many of them failed, so counters that
+are summed over the fleet in any order give the same capital. Under the
+claim the capital exceeds 1/alpha with a probability of at most alpha, no
+matter how often it is read (Ville's inequality).
+"""
+
+import dataclasses
+import math
+
+from pumicestand import messages
+
+BETS = (0.01, 0.03, 0.1, 0.3, 0.9)
+FALSE_ALARM_PROBABILITY = 1e-6
+MIN_BOUND = 1e-4
+MAX_BOUND = 0.95
+OLD_SPREAD = 2.0
+SLOW_TOLERANCE = 0.02
+LATENCY_QUANTILE = 0.95
+QUANTILE_GAIN = 0.05
+WINDOWS_S = (5.0, 20.0, 60.0, 300.0)
+HISTORY_STEP_S = 1.0
+
+
+def log_capital(calls, failures, bound):
+    """Return the log of the capital after some calls.
+
+    :param calls: how many calls there were
+    :param failures: how many of them failed
+    :param bound: the failure probability that is still allowed
+
+    >>> log_capital(1000, 10, 0.02) < 0 < log_capital(10, 10, 0.02)
+    True
+    """
+    bound = min(max(bound, MIN_BOUND), MAX_BOUND)
+    logs = []
+    for bet in BETS:
+        stake = bet / bound
+        win = math.log1p(stake * (1 - bound))
+        loss = math.log1p(-bet)
+        logs.append(failures * win + (calls - failures) * loss)
+    top = max(logs)
+    mean = sum(math.exp(value - top) for value in logs) / len(logs)
+    return top + math.log(mean)
+
+
+def allowed_rate(old_calls, old_failures, tolerance):
+    """Return the failure rate that the new version is allowed.
+
+    It is the old version's rate over the same time, with a margin for how
+    little is known of it, and the tolerance on top.
+    """
+    if old_calls == 0:
+        return tolerance
+    rate = old_failures / old_calls
+    spread = math.sqrt(max(old_failures, 1)) / old_calls
+    margin = OLD_SPREAD * spread if old_failures else 0.0
+    return rate + margin + tolerance
+
+
+def add(first, second):
+    """Return the sum of two `messages.Counters` of one move and route."""
+    return messages.Counters(
+        first.move,
+        first.route,
+        *(
+            a + b
+            for a, b in zip(_numbers(first), _numbers(second), strict=True)
+        ),
+    )
+
+
+def maximum(first, second):
+    """Return the later of two states of counters that only grow."""
+    return messages.Counters(
+        first.move,
+        first.route,
+        *(
+            max(a, b)
+            for a, b in zip(_numbers(first), _numbers(second), strict=True)
+        ),
+    )
+
+
+def since(now, before):
+    """Return what was counted between two states."""
+    return messages.Counters(
+        now.move,
+        now.route,
+        *(
+            max(0, a - b)
+            for a, b in zip(_numbers(now), _numbers(before), strict=True)
+        ),
+    )
+
+
+def _numbers(counters):
+    return (
+        counters.new_calls,
+        counters.new_errors,
+        counters.new_slow,
+        counters.old_calls,
+        counters.old_errors,
+        counters.old_slow,
+    )
+
+
+class QuantileTracker:
+    """Follows one quantile of a stream of latencies, in constant memory.
+
+    A step of stochastic approximation on the logarithm for each value.
+
+    :param quantile: which quantile, from 0 to 1
+
+    >>> tracker = QuantileTracker(0.5)
+    >>> for value in [1.0, 3.0] * 500:
+    ...     tracker.add(value)
+    >>> 0.9 < tracker.value < 3.1
+    True
+    """
+
+    def __init__(self, quantile=LATENCY_QUANTILE):
+        self._quantile = quantile
+        self._log = None
+
+    @property
+    def value(self):
+        """The estimate in the unit of the values, None without any."""
+        return None if self._log is None else math.exp(self._log)
+
+    def add(self, value):
+        """Take a value into account."""
+        log = math.log(max(value, 1e-6))
+        if self._log is None:
+            self._log = log
+            return
+        if log > self._log:
+            self._log += QUANTILE_GAIN * self._quantile
+        else:
+            self._log -= QUANTILE_GAIN * (1 - self._quantile)
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Finding:
+    """What the test found against a version on one route."""
+
+    route: str
+    what: str
+    calls: int
+    failures: int
+    allowed: float
+    seconds: float
+
+    def __str__(self):
+        return (
+            f'{self.failures} of {self.calls} calls of the new version on '
+            f'route {self.route} {self.what} within {self.seconds:.0f} s, '
+            f'allowed are {self.allowed:.2%}'
+        )
+
+
+class History:
+    """The fleet's counters of one move over time.
+
+    Reads them from several starts, so that a version that turns bad late
+    is not protected by the good calls it answered before.
+    """
+
+    def __init__(self):
+        self._states = []
+
+    def add(self, now, totals):
+        """Keep a state of the totals: route name to counters."""
+        if self._states and now - self._states[-1][0] < HISTORY_STEP_S:
+            return
+        self._states.append((now, dict(totals)))
+        oldest = now - WINDOWS_S[-1] - HISTORY_STEP_S
+        while len(self._states) > 1 and self._states[1][0] < oldest:
+            self._states.pop(0)
+
+    def windows(self, now, totals):
+        """Yield (seconds, route, counters) from each start until now."""
+        first = self._states[0][0] if self._states else now
+        starts = {self._state_at(now - length) for length in WINDOWS_S}
+        starts.discard(None)
+        for route, counters in totals.items():
+            yield now - first, route, counters
+            for index in starts:
+                at, state = self._states[index]
+                before = state.get(route)
+                if before is not None:
+                    yield now - at, route, since(counters, before)
+
+    def _state_at(self, at):
+        """Return the index of the last state not after a time."""
+        found = None
+        for index, (stamp, _) in enumerate(self._states):
+            if stamp > at:
+                break
+            found = index
+        return found
+
+
+def find_bad(move, now, totals, history):
+    """Return the first `Finding` against a move's new version, or None.
+
+    :param move: the `documents.Move`
+    :param totals: route name to the fleet's counters
+    :param history: the `History` of these totals
+    """
+    tests = 2 * max(1, len(totals)) * (1 + len(WINDOWS_S))
+    threshold = math.log(tests / FALSE_ALARM_PROBABILITY)
+    for seconds, route, counters in history.windows(now, totals):
+        bad = move.bad_on(route)
+        for what, failures, old_failures, tolerance in (
+            ('failed', counters.new_errors, counters.old_errors, bad.errors),
+            (
+                f'were over {bad.latency:g}x as slow as the old version',
+                counters.new_slow,
+                counters.old_slow,
+                SLOW_TOLERANCE,
+            ),
+        ):
+            allowed = allowed_rate(counters.old_calls, old_failures, tolerance)
+            capital = log_capital(counters.new_calls, failures, allowed)
+            if capital >= threshold:
+                return Finding(
+                    route,
+                    what,
+                    counters.new_calls,
+                    failures,
+                    allowed,
+                    seconds,
+                )
+    return None
--- /dev/null
+++ b/packages/pumicestand/pumicestand/log.py
@@ -0,0 +1,50 @@
+"""Structured logs: one JSON object a line."""
+
+import json
+import sys
+
+import loguru
+
+LEVELS = ('DEBUG', 'INFO', 'WARNING', 'ERROR')
+
+
+def configure(process, level, stream=None):
+    """Send all logs as JSON lines to a stream.
+
+    :param process: name of this process, in each line
+    :param level: one of `LEVELS`
+    :param stream: a text stream, standard error by default
+    """
+    stream = stream or sys.stderr
+    loguru.logger.remove()
+    loguru.logger.add(
+        lambda message: stream.write(_to_line(process, message.record)),
+        level=level,
+        format='{message}',
+        catch=True,
+    )
+
+
+def _to_line(process, record):
+    line = {
+        'time': record['time'].isoformat(),
+        'level': record['level'].name,
+        'process': process,
+        'module': record['name'],
+        'message': record['message'],
+        **record['extra'],
+    }
+    if record['exception'] is not None:
+        line['exception'] = repr(record['exception'].value)
+    return json.dumps(line, default=str) + '\n'
+
+
+def log_event(board, event):
+    """Log an event of the time line; a listener of `event_emitted`."""
+    fields = {
+        name: value
+        for name in ('step', 'peer', 'generation', 'service', 'move')
+        if (value := getattr(event, name))
+    }
+    bound = loguru.logger.bind(event=event.kind.value, **fields)
+    bound.info('{}', event.detail or event.kind.value)
--- /dev/null
+++ b/packages/pumicestand/pumicestand/moves.py
@@ -0,0 +1,438 @@
+"""Moves traffic to a new version, or takes it back.
+
+Nobody holds a lease. Each node counts what it sees; the members that rank
+first for a move collect the counts and publish verdicts. A verdict's stage
+only rises, taken back is the highest, and merging keeps the highest: so a
+paused or second collector can repeat what is known but undo nothing.
+"""
+
+import dataclasses
+import enum
+
+from pumicestand import actions
+from pumicestand import blackboard as blackboards
+from pumicestand import events
+from pumicestand import evidence
+from pumicestand import messages
+from pumicestand import ranking
+from pumicestand import verdicts
+
+COLLECTORS_PER_MOVE = 2
+REPORT_PERIOD_S = 1.0
+URGENT_REPORT_PERIOD_S = 0.1
+ZONE_REPORT_PERIOD_S = 0.5
+FAILURES_BEFORE_HOLD = 3
+HOLD_S = 5.0
+
+
+class State(enum.StrEnum):
+    """How far a move is."""
+
+    SCHEDULED = 'scheduled'
+    RUNNING = 'running'
+    LATE = 'late'
+    DONE = 'done'
+    TAKEN_BACK = 'taken-back'
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Plan:
+    """Which versions of a service take traffic now.
+
+    :param base: the version that takes all but the share
+    :param move: the move that runs, or None
+    :param share: fraction of calls for the move's new version
+    """
+
+    base: str
+    move: object
+    share: float
+
+
+def state_of(board, move, now):
+    """Return the `State` of a move."""
+    verdict = board.table.verdict(move.identity)
+    stage = verdict.stage if verdict else messages.STAGE_UNPROVEN
+    if stage == messages.STAGE_TAKEN_BACK:
+        return State.TAKEN_BACK
+    if stage >= messages.STAGE_DONE:
+        return State.DONE
+    if now < move.start:
+        return State.SCHEDULED
+    return State.LATE if now > move.by else State.RUNNING
+
+
+def share_of(board, move, now):
+    """Return the fraction of calls that a move's new version gets.
+
+    A node that has not yet heard the fleet's verdicts gives it nothing.
+    """
+    verdict = board.table.verdict(move.identity)
+    stage = verdict.stage if verdict else messages.STAGE_UNPROVEN
+    if stage == messages.STAGE_TAKEN_BACK:
+        return 0.0
+    if stage >= messages.STAGE_DONE:
+        return 1.0
+    if now < move.start or not board.verdicts_known:
+        return 0.0
+    if board.held_moves.get(move.identity, 0.0) > now:
+        return 0.0
+    return max(move.unproven_share, stage / messages.STAGE_DONE)
+
+
+def plan_of(board, service, now):
+    """Return the `Plan` of a `documents.Service`."""
+    base = service.current
+    for move in board.in_force.document.moves_of(service.name):
+        match state_of(board, move, now):
+            case State.DONE:
+                base = move.target
+            case State.TAKEN_BACK:
+                continue
+            case State.SCHEDULED:
+                break
+            case State.RUNNING | State.LATE:
+                return Plan(base, move, share_of(board, move, now))
+    return Plan(base, None, 0.0)
+
+
+class SharePicker:
+    """Spreads a share evenly over the calls, never above it.
+
+    The share's fractions add up; a call goes to the new version when they
+    reach one. After n calls the new version had at most share * n of them.
+
+    >>> picker = SharePicker()
+    >>> [picker.pick(0.4) for _ in range(5)]
+    [False, False, True, False, True]
+    """
+
+    def __init__(self):
+        self._credit = 0.0
+
+    def pick(self, share):
+        """Return whether the next call goes to the new version."""
+        self._credit += share
+        # Five times 0.2 adds up to less than one in floating point.
+        if self._credit < 1.0 - 1e-9:
+            return False
+        self._credit -= 1.0
+        return True
+
+    def give_back(self):
+        """Take back a pick that could not be used."""
+        self._credit = min(self._credit + 1.0, 1.0)
+
+
+class Recorder:
+    """Counts what calls show of the versions of a move."""
+
+    def __init__(self):
+        self._old_latency = {}
+        self._failures_in_row = {}
+
+    def record(self, board, move, route, *, is_new, is_error, seconds, now):
+        """Count one call.
+
+        :param route: name of the route
+        :param is_new: whether the new version took the call
+        :param seconds: time to the answer's head, None to leave it out
+        """
+        key = (move.identity, route)
+        held = board.counters.get(key)
+        if held is None:
+            held = messages.Counters(move.identity, route)
+        is_slow = self._is_slow(key, move, route, is_new, is_error, seconds)
+        if is_new:
+            held = dataclasses.replace(
+                held,
+                new_calls=held.new_calls + 1,
+                new_errors=held.new_errors + is_error,
+                new_slow=held.new_slow + is_slow,
+            )
+            self._hold(board, move, key, is_error, now)
+        else:
+            held = dataclasses.replace(
+                held,
+                old_calls=held.old_calls + 1,
+                old_errors=held.old_errors + is_error,
+                old_slow=held.old_slow + is_slow,
+            )
+            if is_error:
+                # The old version fails as well: no reason to hold.
+                self._failures_in_row.pop(key, None)
+        board.counters[key] = held
+
+    def _is_slow(self, key, move, route, is_new, is_error, seconds):
+        if seconds is None or is_error:
+            return False
+        tracker = self._old_latency.get(key)
+        if tracker is None:
+            tracker = self._old_latency[key] = evidence.QuantileTracker()
+        usual = tracker.value
+        if not is_new:
+            tracker.add(seconds)
+        if usual is None:
+            return False
+        return seconds > usual * move.bad_on(route).latency
+
+    def _hold(self, board, move, key, is_error, now):
+        """Stop the new version at this node after failures in a row."""
+        if not is_error:
+            self._failures_in_row.pop(key, None)
+            return
+        count = self._failures_in_row.get(key, 0) + 1
+        self._failures_in_row[key] = count
+        if count < FAILURES_BEFORE_HOLD:
+            return
+        self._failures_in_row[key] = 0
+        board.held_moves[move.identity] = now + HOLD_S
+        board.emit(
+            events.Kind.MOVE_HELD,
+            now,
+            service=move.service,
+            move=move.identity,
+            detail=f'{count} calls in a row failed on route {key[1]}; held '
+            f'here for {HOLD_S:g} s',
+        )
+
+
+class MoveController:
+    """Reports what this node counted; collects and judges where it ranks.
+
+    :param rng: a `random.Random`
+    """
+
+    def __init__(self, rng):
+        self._next_report_at = 0.0
+        self._phase = rng.random()
+        self._reported = {}
+        self._next_zone_report_at = 0.0
+        self._by_member = {}
+        self._by_zone = {}
+        self._judges = {}
+        self._shares = {}
+
+    def step(self, board, now):
+        """Return reports, verdict pushes and status writes."""
+        for fact in board.inbox:
+            if isinstance(fact, blackboards.Received):
+                self._receive(board, fact.frame)
+        if board.in_force is None:
+            return []
+        running = self._running(board, now)
+        self._note_shares(board, now)
+        if not running:
+            return []
+        taken = self._report(board, now, running)
+        taken += self._report_zone(board, now, running)
+        return taken + self._judge(board, now, running)
+
+    def _running(self, board, now):
+        running = []
+        for service in board.in_force.document.services:
+            plan = plan_of(board, service, now)
+            if plan.move is not None:
+                running.append(plan.move)
+        return running
+
+    def _note_shares(self, board, now):
+        """Put a change of share into the time line."""
+        for move in board.in_force.document.moves:
+            share = share_of(board, move, now)
+            if self._shares.get(move.identity, 0.0) == share:
+                continue
+            self._shares[move.identity] = share
+            board.emit(
+                events.Kind.SHARE_CHANGED,
+                now,
+                service=move.service,
+                move=move.identity,
+                detail=f'{move.target} gets {share:.1%}',
+            )
+
+    def _receive(self, board, frame):
+        if not isinstance(frame.body, messages.Evidence):
+            return
+        zone = frame.body.zone
+        for counters in frame.body.counters:
+            key = (counters.move, counters.route)
+            if zone:
+                held = self._by_zone.setdefault(key, {})
+                source = zone
+            else:
+                held = self._by_member.setdefault(key, {})
+                source = (frame.sender, frame.incarnation)
+            if source in held:
+                counters = evidence.maximum(held[source], counters)
+            held[source] = counters
+
+    def _changed(self, board, move):
+        return [
+            counters
+            for key, counters in board.counters.items()
+            if key[0] == move.identity and self._reported.get(key) != counters
+        ]
+
+    def _has_new_errors(self, changed):
+        for counters in changed:
+            key = (counters.move, counters.route)
+            before = self._reported.get(key)
+            if counters.new_errors > (before.new_errors if before else 0):
+                return True
+        return False
+
+    def _report(self, board, now, running):
+        """Send what this node counted to its zone's collectors."""
+        changed = [c for move in running for c in self._changed(board, move)]
+        if not changed:
+            return []
+        period = REPORT_PERIOD_S
+        if self._has_new_errors(changed):
+            period = URGENT_REPORT_PERIOD_S
+        last = self._next_report_at - REPORT_PERIOD_S
+        if now - last < period:
+            return []
+        self._next_report_at = now + REPORT_PERIOD_S
+        for counters in changed:
+            self._reported[(counters.move, counters.route)] = counters
+        taken = []
+        for move in running:
+            mine = tuple(c for c in changed if c.move == move.identity)
+            if mine:
+                names = zone_collectors(board, move, board.identity.zone)
+                body = messages.Evidence('', mine)
+                taken += self._send(board, names, body)
+        return taken
+
+    def _send(self, board, names, body):
+        taken = []
+        for name in names:
+            if name == board.identity.name:
+                self._receive(board, board.frame(body))
+                continue
+            member = board.table.member(name)
+            taken.append(
+                actions.SendDatagram(member.address, board.frame(body))
+            )
+        return taken
+
+    def _report_zone(self, board, now, running):
+        """Send the zone's sums to the fleet's collectors."""
+        if now < self._next_zone_report_at:
+            return []
+        taken = []
+        zone = board.identity.zone
+        for move in running:
+            if board.identity.name not in zone_collectors(board, move, zone):
+                continue
+            sums = self._zone_sums(move)
+            if sums:
+                body = messages.Evidence(zone, sums)
+                taken += self._send(board, collectors(board, move), body)
+                self._next_zone_report_at = now + self._zone_period(sums)
+        return taken
+
+    def _zone_period(self, sums):
+        if any(counters.new_errors for counters in sums):
+            return URGENT_REPORT_PERIOD_S
+        return ZONE_REPORT_PERIOD_S
+
+    def _zone_sums(self, move):
+        sums = []
+        for (identity, route), held in self._by_member.items():
+            if identity != move.identity:
+                continue
+            total = messages.Counters(identity, route)
+            for counters in held.values():
+                total = evidence.add(total, counters)
+            sums.append(total)
+        return tuple(sums)
+
+    def _totals(self, move):
+        totals = {}
+        for (identity, route), held in self._by_zone.items():
+            if identity != move.identity:
+                continue
+            total = messages.Counters(identity, route)
+            for counters in held.values():
+                total = evidence.add(total, counters)
+            totals[route] = total
+        return totals
+
+    def _judge(self, board, now, running):
+        taken = []
+        for move in running:
+            if board.identity.name not in collectors(board, move):
+                continue
+            judge = self._judges.get(move.identity)
+            if judge is None:
+                judge = self._judges[move.identity] = verdicts.Judge(move)
+            stage = verdicts.stage_of(board, move)
+            decision = judge.decide(now, stage, self._totals(move))
+            taken += self._carry_out(board, now, move, decision)
+        return taken
+
+    def _carry_out(self, board, now, move, decision):
+        match decision:
+            case None:
+                return []
+            case verdicts.AtRisk(reason):
+                board.emit(
+                    events.Kind.MOVE_AT_RISK,
+                    now,
+                    service=move.service,
+                    move=move.identity,
+                    detail=reason,
+                )
+                return []
+            case verdicts.Raise(stage, reason):
+                return self._publish(board, now, move, stage, reason)
+            case verdicts.TakeBack(reason):
+                stage = messages.STAGE_TAKEN_BACK
+                return self._publish(board, now, move, stage, reason)
+
+    def _publish(self, board, now, move, stage, reason):
+        verdict = messages.MoveVerdict(
+            move.identity, stage, reason, now, board.identity.name
+        )
+        board.spread(verdict, now)
+        if stage in _FINAL_EVENTS:
+            board.emit(
+                _FINAL_EVENTS[stage],
+                now,
+                service=move.service,
+                move=move.identity,
+                detail=reason,
+            )
+        return [verdicts.write_action(board.identity.environment, verdict)]
+
+
+_FINAL_EVENTS = {
+    messages.STAGE_DONE: events.Kind.MOVE_DONE,
+    messages.STAGE_TAKEN_BACK: events.Kind.MOVE_TAKEN_BACK,
+}
+
+
+def collectors(board, move):
+    """Return names of the members that judge a move, zones apart."""
+    members = _reachable_with_self(board)
+    ranked = ranking.rank(f'move/{move.identity}', members)
+    chosen = ranked[:1]
+    zones = {members[name] for name in chosen}
+    # The second one stands in another zone, if there is another.
+    rest = sorted(ranked[1:], key=lambda name: members[name] in zones)
+    return chosen + rest[: COLLECTORS_PER_MOVE - 1]
+
+
+def zone_collectors(board, move, zone):
+    """Return names of the members that sum up a zone's counters."""
+    members = _reachable_with_self(board)
+    names = [name for name, where in members.items() if where == zone]
+    return ranking.rank(f'zone/{move.identity}', names)[:COLLECTORS_PER_MOVE]
+
+
+def _reachable_with_self(board):
+    members = {m.name: m.zone for m in board.table.reachable()}
+    members[board.identity.name] = board.identity.zone
+    return members
--- /dev/null
+++ b/packages/pumicestand/pumicestand/units.py
@@ -0,0 +1,81 @@
+"""Values with units, as operators write them."""
+
+import re
+
+_SECONDS_PER_UNIT = {'ms': 0.001, 's': 1.0, 'm': 60.0, 'h': 3600.0}
+_DURATION = re.compile(r'(\d+(?:\.\d+)?)(ms|s|m|h)')
+_PERCENT = re.compile(r'(\d+(?:\.\d+)?)%')
+_FACTOR = re.compile(r'(\d+(?:\.\d+)?)x')
+
+
+def parse_duration(text):
+    """Return the seconds that a text such as ``250ms`` stands for.
+
+    :raises ValueError: if the text has no unit or isn't a duration
+
+    >>> parse_duration('250ms')
+    0.25
+    >>> parse_duration('10m')
+    600.0
+    >>> parse_duration('3')
+    Traceback (most recent call last):
+    ...
+    ValueError: '3' needs a unit: ms, s, m or h
+    """
+    match = _DURATION.fullmatch(str(text).strip())
+    if match is None:
+        raise ValueError(f'{text!r} needs a unit: ms, s, m or h')
+    return float(match[1]) * _SECONDS_PER_UNIT[match[2]]
+
+
+def parse_share(text):
+    """Return the fraction that a text such as ``2.5%`` stands for.
+
+    :raises ValueError: if the text isn't a share from 0% to 100%
+
+    >>> parse_share('2.5%')
+    0.025
+    """
+    match = _PERCENT.fullmatch(str(text).strip())
+    if match is None:
+        raise ValueError(f'{text!r} needs a unit: %')
+    percent = float(match[1])
+    if percent > 100:
+        raise ValueError(f'{text!r} is above 100%')
+    return percent / 100
+
+
+def parse_factor(text):
+    """Return the factor that a text such as ``2x`` stands for.
+
+    :raises ValueError: if the text isn't a factor
+
+    >>> parse_factor('1.5x')
+    1.5
+    """
+    match = _FACTOR.fullmatch(str(text).strip())
+    if match is None:
+        raise ValueError(f'{text!r} needs a unit: x')
+    return float(match[1])
+
+
+def format_duration(seconds):
+    """Return the shortest text that `parse_duration` reads back.
+
+    >>> format_duration(0.25), format_duration(600.0), format_duration(90.0)
+    ('250ms', '10m', '90s')
+    """
+    for unit in ('h', 'm', 's'):
+        count = seconds / _SECONDS_PER_UNIT[unit]
+        if count >= 1 and count == int(count):
+            return f'{int(count)}{unit}'
+    return f'{seconds * 1000:g}ms'
+
+
+def format_share(fraction):
+    """Return the text that `parse_share` reads back.
+
+    >>> format_share(0.025)
+    '2.5%'
+    """
+    return f'{fraction * 100:.10g}%'
--- /dev/null
+++ b/packages/pumicestand/pumicestand/wire.py
@@ -0,0 +1,342 @@
+"""Turns messages into Cap'n Proto frames and back.
+
+A datagram holds one packed frame. A stream holds frames behind a length of
+four bytes. Both are bounded; whatever can't be read is refused whole.
+"""
+
+import pathlib
+import struct
+import zlib
+
+import capnp
+
+from pumicestand import documents
+from pumicestand import errors
+from pumicestand import messages
+
+PROTOCOL = 1
+OLDEST_PROTOCOL = 1
+MAX_DATAGRAM_BYTES = 1400
+MAX_STREAM_FRAME_BYTES = 4_000_000
+_TRAVERSAL_WORDS = MAX_STREAM_FRAME_BYTES
+_LENGTH = struct.Struct('>I')
+_CHECKSUM = struct.Struct('>I')
+LENGTH_BYTES = _LENGTH.size
+
+_schema = capnp.load(str(pathlib.Path(__file__).with_name('wire.capnp')))
+
+
+def _write_accepted(builder, accepted):
+    builder.generation = accepted.generation
+    builder.digest = bytes.fromhex(accepted.digest)
+
+
+def _read_accepted(reader):
+    return documents.Accepted(reader.generation, reader.digest.hex())
+
+
+def _write_target(builder, target):
+    builder.service = target.service
+    builder.version = target.version
+    builder.host = target.host
+    builder.port = target.port
+    builder.resources = list(target.resources)
+    builder.slots = target.slots
+    builder.connections = target.connections
+    builder.state = int(target.state)
+
+
+def _read_target(reader):
+    return messages.Target(
+        service=reader.service,
+        version=reader.version,
+        host=reader.host,
+        port=reader.port,
+        resources=tuple(reader.resources),
+        slots=reader.slots,
+        connections=reader.connections,
+        state=messages.TargetState(reader.state),
+    )
+
+
+def _write_member(builder, member):
+    builder.name = member.name
+    builder.incarnation = member.incarnation
+    builder.revision = member.revision
+    builder.status = int(member.status)
+    builder.zone = member.zone
+    builder.region = member.region
+    builder.host = member.host
+    builder.port = member.port
+    builder.operatorPort = member.operator_port
+    targets = builder.init('targets', len(member.targets))
+    for index, target in enumerate(member.targets):
+        _write_target(targets[index], target)
+
+
+def _read_member(reader):
+    return messages.Member(
+        name=reader.name,
+        incarnation=reader.incarnation,
+        revision=reader.revision,
+        status=messages.Status(reader.status),
+        zone=reader.zone,
+        region=reader.region,
+        host=reader.host,
+        port=reader.port,
+        operator_port=reader.operatorPort,
+        targets=tuple(_read_target(target) for target in reader.targets),
+    )
+
+
+def _write_rumour(builder, rumour):
+    match rumour:
+        case messages.Member():
+            _write_member(builder.init('member'), rumour)
+        case documents.Accepted():
+            _write_accepted(builder.init('accepted'), rumour)
+        case messages.MoveVerdict():
+            verdict = builder.init('verdict')
+            verdict.move = rumour.move
+            verdict.stage = rumour.stage
+            verdict.reason = rumour.reason
+            verdict.decidedAt = rumour.decided_at
+            verdict.decidedBy = rumour.decided_by
+        case messages.Quarantine():
+            quarantine = builder.init('quarantine')
+            quarantine.fingerprint = rumour.fingerprint
+            quarantine.route = rumour.route
+            quarantine.until = rumour.until
+
+
+def _read_rumour(reader):
+    match reader.which():
+        case 'member':
+            return _read_member(reader.member)
+        case 'accepted':
+            return _read_accepted(reader.accepted)
+        case 'verdict':
+            verdict = reader.verdict
+            return messages.MoveVerdict(
+                move=verdict.move,
+                stage=verdict.stage,
+                reason=verdict.reason,
+                decided_at=verdict.decidedAt,
+                decided_by=verdict.decidedBy,
+            )
+        case 'quarantine':
+            quarantine = reader.quarantine
+            return messages.Quarantine(
+                quarantine.fingerprint, quarantine.route, quarantine.until
+            )
+        case other:
+            raise ValueError(f'unknown rumour {other}')
+
+
+def _write_counters(builder, counters):
+    builder.move = counters.move
+    builder.route = counters.route
+    builder.newCalls = counters.new_calls
+    builder.newErrors = counters.new_errors
+    builder.newSlow = counters.new_slow
+    builder.oldCalls = counters.old_calls
+    builder.oldErrors = counters.old_errors
+    builder.oldSlow = counters.old_slow
+
+
+def _read_counters(reader):
+    return messages.Counters(
+        reader.move,
+        reader.route,
+        reader.newCalls,
+        reader.newErrors,
+        reader.newSlow,
+        reader.oldCalls,
+        reader.oldErrors,
+        reader.oldSlow,
+    )
+
+
+def _write_floor(builder, body):
+    builder.name = body.name
+    builder.generation = body.generation
+
+
+def _write_body(frame, body):
+    match body:
+        case None:
+            frame.none = None
+        case messages.Ping(sequence):
+            frame.ping = sequence
+        case messages.Ack(sequence):
+            frame.ack = sequence
+        case messages.IndirectPing(sequence, target):
+            indirect = frame.init('indirectPing')
+            indirect.sequence = sequence
+            indirect.target = target
+        case messages.Fetch(accepted):
+            _write_accepted(frame.init('fetch'), accepted)
+        case messages.Content(accepted, compressed):
+            content = frame.init('content')
+            _write_accepted(content.accepted, accepted)
+            content.compressed = compressed
+        case messages.Sync():
+            frame.sync = None
+        case messages.Table():
+            frame.table = None
+        case messages.FloorNotice():
+            _write_floor(frame.init('floorNotice'), body)
+        case messages.FloorAck():
+            _write_floor(frame.init('floorAck'), body)
+        case messages.FloorQuery(name):
+            frame.floorQuery = name
+        case messages.FloorAnswer():
+            _write_floor(frame.init('floorAnswer'), body)
+        case messages.Evidence(zone, counters):
+            evidence = frame.init('evidence')
+            evidence.zone = zone
+            items = evidence.init('counters', len(counters))
+            for index, item in enumerate(counters):
+                _write_counters(items[index], item)
+        case messages.Refused(code):
+            frame.refused = code
+
+
+def _read_floor(kind, reader):
+    return kind(reader.name, reader.generation)
+
+
+def _read_body(frame):
+    match frame.which():
+        case 'none':
+            return None
+        case 'ping':
+            return messages.Ping(frame.ping)
+        case 'ack':
+            return messages.Ack(frame.ack)
+        case 'indirectPing':
+            indirect = frame.indirectPing
+            return messages.IndirectPing(indirect.sequence, indirect.target)
+        case 'fetch':
+            return messages.Fetch(_read_accepted(frame.fetch))
+        case 'content':
+            content = frame.content
+            accepted = _read_accepted(content.accepted)
+            return messages.Content(accepted, content.compressed)
+        case 'sync':
+            return messages.Sync()
+        case 'table':
+            return messages.Table()
+        case 'floorNotice':
+            return _read_floor(messages.FloorNotice, frame.floorNotice)
+        case 'floorAck':
+            return _read_floor(messages.FloorAck, frame.floorAck)
+        case 'floorQuery':
+            return messages.FloorQuery(frame.floorQuery)
+        case 'floorAnswer':
+            return _read_floor(messages.FloorAnswer, frame.floorAnswer)
+        case 'evidence':
+            evidence = frame.evidence
+            counters = [_read_counters(item) for item in evidence.counters]
+            return messages.Evidence(evidence.zone, tuple(counters))
+        case 'refused':
+            return messages.Refused(frame.refused)
+        case other:
+            raise ValueError(f'unknown body {other}')
+
+
+def encode(frame):
+    """Return a `messages.Frame` as packed bytes behind their CRC-32."""
+    builder = _schema.Frame.new_message()
+    builder.protocol = PROTOCOL
+    builder.environment = frame.environment
+    builder.sender = frame.sender
+    builder.incarnation = frame.incarnation
+    builder.stamp = frame.stamp
+    builder.acting = frame.acting
+    if frame.accepted.generation:
+        _write_accepted(builder.init('accepted'), frame.accepted)
+    builder.tableHash = frame.table_hash
+    builder.confirmed = frame.confirmed
+    builder.informed = frame.informed
+    if frame.rumours:
+        rumours = builder.init('rumours', len(frame.rumours))
+        for index, rumour in enumerate(frame.rumours):
+            _write_rumour(rumours[index], rumour)
+    _write_body(builder, frame.body)
+    packed = builder.to_bytes_packed()
+    return _CHECKSUM.pack(zlib.crc32(packed)) + packed
+
+
+def _check(data, peer):
+    """Return the packed bytes behind the checksum, if it fits them."""
+    packed = data[_CHECKSUM.size :]
+    if packed and _CHECKSUM.unpack_from(data)[0] == zlib.crc32(packed):
+        return packed
+    raise errors.FrameRefused(
+        errors.Code.FRAME_INVALID,
+        f'the checksum does not fit the {len(data)} bytes',
+        peer=peer,
+    )
+
+
+def decode(data, peer):
+    """Read packed bytes.
+
+    :param data: what a datagram or a stream frame held
+    :param peer: the sender's address, for the error
+    :returns: a `messages.Frame`
+    :raises errors.FrameRefused: if the bytes can't be read whole
+    """
+    packed = _check(data, peer)
+    try:
+        reader = _schema.Frame.from_bytes_packed(
+            packed, traversal_limit_in_words=_TRAVERSAL_WORDS
+        )
+        protocol = reader.protocol
+        if protocol < OLDEST_PROTOCOL:
+            raise errors.FrameRefused(
+                errors.Code.PROTOCOL_VERSION,
+                f'protocol {protocol}, the oldest read is {OLDEST_PROTOCOL}',
+                peer=peer,
+            )
+        return messages.Frame(
+            environment=reader.environment,
+            sender=reader.sender,
+            incarnation=reader.incarnation,
+            stamp=reader.stamp,
+            acting=reader.acting,
+            accepted=_read_accepted(reader.accepted),
+            table_hash=reader.tableHash,
+            confirmed=reader.confirmed,
+            informed=reader.informed,
+            rumours=tuple(_read_rumour(rumour) for rumour in reader.rumours),
+            body=_read_body(reader),
+        )
+    except (capnp.KjException, ValueError, UnicodeDecodeError) as error:
+        raise errors.FrameRefused(
+            errors.Code.FRAME_INVALID,
+            f'{len(data)} bytes are no frame: {str(error).splitlines()[0]}',
+            peer=peer,
+        ) from error
+
+
+def write_length(data):
+    """Return stream bytes: the length, then the frame."""
+    return _LENGTH.pack(len(data)) + data
+
+
+def read_length(head, peer):
+    """Return the length that a stream announces.
+
+    :raises errors.FrameRefused: if it is above `MAX_STREAM_FRAME_BYTES`
+    """
+    length = _LENGTH.unpack(head)[0]
+    if length > MAX_STREAM_FRAME_BYTES:
+        raise errors.FrameRefused(
+            errors.Code.FRAME_TOO_LARGE,
+            f'a frame of {length} bytes, the bound is '
+            f'{MAX_STREAM_FRAME_BYTES}',
+            peer=peer,
+        )
+    return length
--- /dev/null
+++ b/packages/pumicestandctl/pumicestandctl/__init__.py
@@ -0,0 +1,1 @@
+"""The command line of the operators."""
--- /dev/null
+++ b/tests/pumicestand/test_readers.py
@@ -0,0 +1,155 @@
+"""Tests of reading documents."""
+
+import pytest
+
+from pumicestand import errors
+from pumicestand import readers
+
+GOOD = """\
+schema: pumicestand/v1
+services:
+  till:
+    versions: [v1, v2]
+    current: v1
+    resources: [ledger]
+    limits: {slots: 20, connections: 120, queue: 40}
+  passdesk:
+    versions: [v1]
+    current: v1
+    calls: [till]
+routes:
+  - name: sale
+    path: /sales
+    methods: [POST]
+    to: [{service: till}]
+    resources: [ledger]
+    timeout: 2s
+moves:
+  - name: till-v2
+    service: till
+    to: v2
+    start: 2026-12-04T10:00:00Z
+    by: 2026-12-04T10:10:00Z
+    unproven_share: 2%
+    bad: {errors: 1%, latency: 2x}
+    routes:
+      sale: {errors: 0.5%, latency: 3x}
+"""
+
+
+def test_a_good_document_survives_the_store():
+    document, content = readers.read_yaml(GOOD)
+    assert readers.read_content(content) == document
+    assert document.service('till').limits.connections == 120
+    assert document.moves[0].bad_on('sale').errors == 0.005
+    assert document.moves[0].bad_on('other').errors == 0.01
+
+
+# Each case: what is replaced, by what, then code, line and column.
+REFUSALS = {
+    'unknown key': ('current: v1\n    res', 'curent: v1\n    res', None),
+    'wrong version': ('current: v1\n    res', 'current: v9\n    res', None),
+    'no unit': ('timeout: 2s', 'timeout: 2', ('document-unit', 18, 5)),
+    'share without unit': (
+        'unproven_share: 2%',
+        'unproven_share: 2',
+        ('document-unit', 25, 5),
+    ),
+    'no offset': (
+        'start: 2026-12-04T10:00:00Z',
+        'start: 2026-12-04T10:00:00',
+        ('document-unit', 23, 5),
+    ),
+    'missing service': (
+        '[{service: till}]',
+        '[{service: tilt}]',
+        ('document-reference', 16, 11),
+    ),
+    'missing resource': (
+        'resources: [ledger]\n    timeout',
+        'resources: [ledgre]\n    timeout',
+        ('document-reference', 17, 17),
+    ),
+    'missing version of a move': (
+        'to: v2',
+        'to: v3',
+        ('document-reference', 22, 5),
+    ),
+    'missing route of a move': (
+        'sale: {errors',
+        'sail: {errors',
+        ('document-reference', 28, 7),
+    ),
+    'cycle': (
+        'resources: [ledger]\n    limits',
+        'resources: [ledger]\n    calls: [passdesk]\n    limits',
+        ('document-cycle', 7, 5),
+    ),
+    'move too short': (
+        'by: 2026-12-04T10:10:00Z',
+        'by: 2026-12-04T10:00:05Z',
+        ('document-move-time', 24, 5),
+    ),
+    'move that can not be proven': (
+        'unproven_share: 2%',
+        'unproven_share: 0%',
+        ('document-move-time', 25, 5),
+    ),
+    'duplicate key': (
+        'routes:\n  - name',
+        'services: {}\nroutes:\n  - name',
+        ('document-duplicate-key', 12, 1),
+    ),
+    'duplicate version': (
+        '[v1, v2]',
+        '[v1, v2, v1]',
+        ('document-duplicate', 4, 24),
+    ),
+    'syntax': ('routes:', 'routes: [', None),
+    'not a mapping': (GOOD, 'just a text', ('document-value', 1, 1)),
+    'empty': (GOOD, '', ('document-value', 1, 1)),
+    'other schema': (
+        'pumicestand/v1',
+        'pumicestand/v2',
+        ('document-value', 1, 1),
+    ),
+}
+
+
+@pytest.mark.parametrize('name', REFUSALS)
+def test_a_bad_document_is_refused_with_its_place(name):
+    old, new, expected = REFUSALS[name]
+    assert old in GOOD
+    with pytest.raises(errors.DocumentRefused) as caught:
+        readers.read_yaml(GOOD.replace(old, new, 1))
+    error = caught.value
+    assert error.remedy
+    if expected is not None:
+        assert (error.code.value, error.line, error.column) == expected
+
+
+def test_a_document_above_the_stores_limit_is_refused():
+    many = ''.join(
+        f'  service-{number}:\n    versions: [v1]\n    current: v1\n'
+        for number in range(9000)
+    )
+    text = GOOD.replace('services:\n', f'services:\n{many}', 1)
+    with pytest.raises(errors.DocumentRefused) as caught:
+        readers.read_yaml(text)
+    assert caught.value.code == errors.Code.DOCUMENT_TOO_LARGE
+
+
+def test_calls_may_be_six_deep_and_no_deeper():
+    def chain(count):
+        lines = ['schema: pumicestand/v1', 'services:']
+        for number in range(count):
+            calls = f'[s{number + 1}]' if number + 1 < count else '[]'
+            lines.append(
+                f'  s{number}: {{versions: [v], current: v, calls: {calls}}}'
+            )
+        return '\n'.join(lines)
+
+    readers.read_yaml(chain(6))
+    with pytest.raises(errors.DocumentRefused) as caught:
+        readers.read_yaml(chain(7))
+    assert caught.value.code == errors.Code.DOCUMENT_CYCLE
