--- a/packages/pumicestand-node/pumicestand_node/node.py
+++ b/packages/pumicestand-node/pumicestand_node/node.py
@@ -40,7 +40,7 @@
 
 SWEEP_S = 1.0
 LISTEN_BACKLOG = 512
-LEAVE_NOTICE_S = 0.3
+LEAVE_NOTICE_S = 3.0
 GC_THRESHOLD = 50_000
 
 
@@ -159,7 +159,11 @@
         self._board.leaving = True
         self._board.announce_self(now)
         self._call_scope.cancel()
-        await trio.sleep(LEAVE_NOTICE_S)
+        # Callers learn by "Connection: close" on their next answers; only
+        # then are connections without a call closed.
+        with trio.move_on_after(LEAVE_NOTICE_S):
+            while self._connections:
+                await trio.sleep(0.02)
         for connection in list(self._connections):
             connection.finish()
         with trio.move_on_after(self._settings.drain):
--- a/packages/pumicestand-node/pumicestand_node/operator_api.py
+++ b/packages/pumicestand-node/pumicestand_node/operator_api.py
@@ -99,7 +99,7 @@
 
 def describe_members(board):
     """Return the fleet as this node sees it."""
-    return [
+    members = [
         {
             'name': member.name,
             'status': member.status.name.lower(),
@@ -111,6 +111,7 @@
         }
         for member in board.table.members()
     ]
+    return {'environment': board.identity.environment, 'members': members}
 
 
 def describe_events(board):
--- a/packages/pumicestand-node/pumicestand_node/store_agent.py
+++ b/packages/pumicestand-node/pumicestand_node/store_agent.py
@@ -40,7 +40,7 @@
         self._nursery = None
         self._watch_scope = None
         self._is_reading = False
-        self._verdicts_of = 0
+        self._verdicts_of = None
         self._pending = {}
         self._pending_added = trio.Event()
 
@@ -107,8 +107,10 @@
         """
         record = records.read_record(stored)
         content = record.content.encode()
-        if record.generation > self._verdicts_of and record.generation:
-            found = await self._read_verdicts(content)
+        if record.generation != self._verdicts_of:
+            found = ()
+            if record.generation:
+                found = await self._read_verdicts(content)
             self._verdicts_of = record.generation
             self._deliver(blackboards.StoreVerdicts(found))
         self._deliver(blackboards.StoreDocument(record.accepted, content))
--- a/packages/pumicestand-standins/pumicestand_standins/caller.py
+++ b/packages/pumicestand-standins/pumicestand_standins/caller.py
@@ -55,13 +55,22 @@
 class Connection:
     """One kept connection to a node or a target.
 
-    :param address: (host, port)
+    :param addresses: (host, port) of each; the first that takes a
+        connection is used
     """
 
-    def __init__(self, address):
-        self._address = address
+    def __init__(self, *addresses):
+        self._addresses = addresses
         self._stream = None
 
+    async def _connect(self):
+        for address in self._addresses[:-1]:
+            try:
+                return await trio.open_tcp_stream(*address)
+            except OSError:
+                continue
+        return await trio.open_tcp_stream(*self._addresses[-1])
+
     async def call(self, method, path, headers=None, body=b''):
         """Send one call and return its `Answer`."""
         started = trio.current_time()
@@ -69,7 +78,7 @@
         with trio.move_on_after(CALL_TIMEOUT_S):
             try:
                 if self._stream is None:
-                    self._stream = await trio.open_tcp_stream(*self._address)
+                    self._stream = await self._connect()
                 await self._stream.send_all(
                     _write(method, path, headers or {}, body)
                 )
@@ -184,14 +193,15 @@
     """Sends calls of some patterns to a node in an open loop.
 
     :param name: prefix of all request ids
-    :param address: the node's (host, port) for calls
+    :param addresses: (host, port) for calls of each node, the one to use
+        first
     :param books: the `Books` to keep
     :param rng: a `random.Random`
     """
 
-    def __init__(self, name, address, books, rng):
+    def __init__(self, name, addresses, books, rng):
         self._name = name
-        self._address = address
+        self._addresses = addresses
         self._books = books
         self._rng = rng
         self._idle = []
@@ -223,7 +233,7 @@
         connection = None
         if self._idle:
             connection = self._idle.pop()
-        connection = connection or Connection(self._address)
+        connection = connection or Connection(*self._addresses)
         headers = {'x-request-id': identity, 'host': pattern.host}
         answer = await connection.call(
             pattern.method, pattern.path, headers, pattern.body
--- a/packages/pumicestand/pumicestand/watching.py
+++ b/packages/pumicestand/pumicestand/watching.py
@@ -120,16 +120,24 @@
             return []
         self._next_seeds_at = now + SEEDS_PERIOD_S
         members = {
-            member.name: member.address
+            member.name: member
             for member in board.table.reachable()
             if member.region == identity.region
         }
         ranked = ranking.rank(f'watch/{identity.region}', members)[:SEEDS]
-        seeds = sorted(members[name] for name in ranked)
-        if seeds == self._written_seeds:
+        chosen = [members[name] for name in sorted(ranked)]
+        if chosen == self._written_seeds:
             return []
-        self._written_seeds = seeds
-        value = json.dumps({'addresses': seeds})
+        self._written_seeds = chosen
+        value = json.dumps(
+            {
+                'addresses': [member.address for member in chosen],
+                'operators': [
+                    f'{member.host}:{member.operator_port}'
+                    for member in chosen
+                ],
+            }
+        )
         key = seeds_key(identity.environment, identity.region)
         return [actions.WriteStore(key, value, None)]
 
--- /dev/null
+++ b/packages/pumicestandctl/pumicestandctl/editing.py
@@ -0,0 +1,209 @@
+"""Changes the accepted document: conditional updates with a change id."""
+
+import dataclasses
+import json
+import random
+
+import tenacity
+import trio
+
+from pumicestand import checks
+from pumicestand import documents
+from pumicestand import errors
+from pumicestand import messages
+from pumicestand import readers
+from pumicestand import records
+from pumicestand import verdicts
+from pumicestand import watching
+
+READ_BACK_ATTEMPTS = 8
+READ_BACK_MAX_WAIT_S = 3.0
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Change:
+    """What became of a change.
+
+    :param generation: the generation that holds the content
+    :param is_new: False if that content was accepted already
+    """
+
+    environment: str
+    generation: int
+    digest: str
+    change_id: str
+    is_new: bool
+
+
+def new_change_id(rng=None):
+    """Return an id that no other change has."""
+    rng = rng or random.SystemRandom()
+    return f'{rng.getrandbits(64):016x}'
+
+
+async def read_accepted(client, environment):
+    """Return the `records.DocumentRecord` and the object's version."""
+    stored = await client.read(watching.document_key(environment))
+    return records.read_record(stored), stored.version
+
+
+def check_times(document, held, now):
+    """Refuse moves that are new and can't fit their time any more.
+
+    :param document: what is to be accepted
+    :param held: what is accepted now
+    :param now: wall time in seconds
+    """
+    known = {move.identity for move in held.moves}
+    for move in document.moves:
+        left = move.by - now
+        if move.identity in known or left >= checks.MIN_MOVE_SECONDS:
+            continue
+        raise errors.PumicestandError(
+            errors.Code.DOCUMENT_MOVE_TIME,
+            f'the move {move.name!r} has {left:.0f} s left until its time, '
+            f'the least is {checks.MIN_MOVE_SECONDS:g} s',
+            step='check times',
+            remedy='give the move a later start and time',
+        )
+
+
+async def write(
+    client, environment, content, *, change_id, now, origin='', expected=None
+):
+    """Make content the accepted document of an environment.
+
+    :param client: a `stores.StoreClient`
+    :param content: canonical, as `readers.read_yaml` returns it
+    :param change_id: from `new_change_id`
+    :param now: wall time in seconds
+    :param origin: where the change came from
+    :param expected: generation that must be accepted now, None for any
+    :returns: a `Change`
+    :raises errors.Conflict: if another change came first
+    """
+    held, version = await read_accepted(client, environment)
+    if expected is not None and held.generation != expected:
+        _refuse_winner(environment, held, expected, 'read')
+    digest = documents.content_digest(content)
+    if held.digest == digest:
+        return Change(
+            environment, held.generation, digest, held.change_id, False
+        )
+    before = documents.Document()
+    if held.generation:
+        before = readers.read_content(held.content.encode())
+    check_times(readers.read_content(content), before, now)
+    record = records.DocumentRecord(
+        generation=held.generation + 1,
+        change_id=change_id,
+        digest=digest,
+        previous=held.generation,
+        origin=origin,
+        content=content.decode(),
+    )
+    await _write_once(client, environment, record, version)
+    return Change(environment, record.generation, digest, change_id, True)
+
+
+async def _write_once(client, environment, record, version):
+    key = watching.document_key(environment)
+    try:
+        await client.write(key, records.write_record(record), version)
+    except errors.Conflict:
+        held, _ = await _read_back(client, environment)
+        _refuse_winner(environment, held, record.previous, 'write')
+    except errors.StoreAnswerLost as error:
+        await _find_out(client, environment, record, error)
+
+
+async def _find_out(client, environment, record, error):
+    """Learn by reading whether a write took effect; never write again."""
+    held, _ = await _read_back(client, environment)
+    if held.change_id == record.change_id:
+        return
+    if held.generation >= record.generation:
+        _refuse_winner(environment, held, record.previous, 'read back')
+    raise errors.StoreUnavailable(
+        f'the write of generation {record.generation} did not take effect',
+        step='read back',
+        peer=error.peer,
+    ) from error
+
+
+async def _read_back(client, environment):
+    retrying = tenacity.AsyncRetrying(
+        retry=tenacity.retry_if_exception_type(errors.StoreUnavailable),
+        stop=tenacity.stop_after_attempt(READ_BACK_ATTEMPTS),
+        wait=tenacity.wait_random_exponential(
+            multiplier=0.1, max=READ_BACK_MAX_WAIT_S
+        ),
+        sleep=trio.sleep,
+        reraise=True,
+    )
+    return await retrying(read_accepted, client, environment)
+
+
+def _refuse_winner(environment, held, expected, step):
+    raise errors.Conflict(
+        f'{environment} has generation {held.generation} of change '
+        f'{held.change_id or "none"}, expected was {expected}',
+        step=step,
+        peer='store',
+        winner=held.generation,
+    )
+
+
+async def promote(client, trial, production, *, change_id, now, **options):
+    """Make the document that trial acts on the production's.
+
+    :param trial: name of the trial environment
+    :param production: name of the production environment
+    :param options: ``expected`` as for `write`, and ``digest``, the
+        content that the operator means to promote
+    :returns: a `Change`
+    """
+    record, _ = await read_accepted(client, trial)
+    status = await client.read(watching.status_key(trial))
+    in_force = json.loads(status.value) if status.exists else {}
+    wanted = options.pop('digest', None) or record.digest
+    if in_force.get('digest') != wanted or not wanted:
+        raise errors.PumicestandError(
+            errors.Code.NOT_IN_FORCE_ON_TRIAL,
+            f'{trial} has generation {in_force.get("generation", 0)} in '
+            f'force everywhere; promoting needs digest {wanted[:12]} of '
+            f'generation {record.generation} there',
+            step='promote',
+            peer='store',
+            remedy=f'apply to {trial}, then wait until it is in force',
+        )
+    content = record.content.encode()
+    await _check_taken_back(client, trial, readers.read_content(content))
+    return await write(
+        client,
+        production,
+        content,
+        change_id=change_id,
+        now=now,
+        origin=f'{trial}/{record.generation}',
+        **options,
+    )
+
+
+async def _check_taken_back(client, trial, document):
+    """Refuse a document one of whose moves trial has taken back."""
+    for move in document.moves:
+        key = verdicts.verdict_key(trial, move.identity)
+        stored = await client.read(key)
+        if not stored.exists:
+            continue
+        verdict = verdicts.read_verdict(stored.value)
+        if verdict.stage == messages.STAGE_TAKEN_BACK:
+            raise errors.PumicestandError(
+                errors.Code.MOVE_TAKEN_BACK,
+                f'{trial} has taken back the move {move.name!r}: '
+                f'{verdict.reason}',
+                step='promote',
+                peer='store',
+                remedy='give the service a new version and a new move',
+            )
--- /dev/null
+++ b/packages/pumicestandctl/pumicestandctl/main.py
@@ -0,0 +1,259 @@
+"""The command `pumicestandctl`."""
+
+import dataclasses
+import json
+import pathlib
+import sys
+import time
+import typing
+
+import cappa
+import trio
+
+from pumicestand import errors
+from pumicestand import settings as all_settings
+from pumicestandctl import commands
+from pumicestandctl import exits
+from pumicestandctl import settings as ctl_settings
+
+File = typing.Annotated[
+    str, cappa.Arg(help='the document in YAML, - for standard input')
+]
+Environment = typing.Annotated[
+    str | None,
+    cappa.Arg(long='--environment', help='production if left out'),
+]
+Expected = typing.Annotated[
+    int | None,
+    cappa.Arg(long='--expect', help='generation that must be accepted now'),
+]
+
+
+@dataclasses.dataclass
+class Validate:
+    """Check a document; nothing is written."""
+
+    file: File
+
+
+@dataclasses.dataclass
+class Diff:
+    """Show what a document would change."""
+
+    file: File
+    environment: Environment = None
+
+
+@dataclasses.dataclass
+class Apply:
+    """Make a document the one that is accepted on trial."""
+
+    file: File
+    expect: Expected = None
+    environment: typing.Annotated[
+        str | None, cappa.Arg(long='--environment', help='trial if left out')
+    ] = None
+
+
+@dataclasses.dataclass
+class Promote:
+    """Make the document that trial acts on the production's."""
+
+    file: typing.Annotated[
+        str | None, cappa.Arg(help='refuse unless trial has this document')
+    ] = None
+    expect: Expected = None
+
+
+@dataclasses.dataclass
+class Status:
+    """Show who acts on the accepted document, and how moves stand."""
+
+    environment: Environment = None
+
+
+@dataclasses.dataclass
+class Wait:
+    """Wait until a generation is in force, or until a move has ended."""
+
+    environment: Environment = None
+    generation: typing.Annotated[
+        int, cappa.Arg(long=True, help='0 for the accepted one')
+    ] = 0
+    move: typing.Annotated[
+        str | None, cappa.Arg(long=True, help='name of a move')
+    ] = None
+    timeout: typing.Annotated[float, cappa.Arg(long=True, help='seconds')] = (
+        60.0
+    )
+
+
+@dataclasses.dataclass
+class Timeline:
+    """Show the events of all processes in causal order."""
+
+    environment: Environment = None
+    service: typing.Annotated[str, cappa.Arg(long=True)] = ''
+    node_name: typing.Annotated[str, cappa.Arg(long=True)] = ''
+    move: typing.Annotated[str, cappa.Arg(long=True)] = ''
+    last: typing.Annotated[
+        float, cappa.Arg(long=True, help='seconds back, 0 for all')
+    ] = 0.0
+    picture: typing.Annotated[
+        str | None, cappa.Arg(long=True, help='path of a PNG to write')
+    ] = None
+
+
+@dataclasses.dataclass
+class Explain:
+    """Show which target would take a call, and why."""
+
+    route: typing.Annotated[
+        str, cappa.Arg(help='such as "GET example.org/passes/7"')
+    ]
+    environment: Environment = None
+    node_name: typing.Annotated[str | None, cappa.Arg(long=True)] = None
+
+
+@cappa.command(name='pumicestandctl')
+@dataclasses.dataclass
+class Pumicestandctl:
+    """Changes and shows what the nodes of an environment act on."""
+
+    command: cappa.Subcommands[
+        Validate | Diff | Apply | Promote | Status | Wait | Timeline | Explain
+    ]
+    settings: typing.Annotated[
+        str | None, cappa.Arg(long=True, help='a YAML file')
+    ] = None
+    set: typing.Annotated[
+        list[str], cappa.Arg(long=True, help='NAME=VALUE, one setting')
+    ] = dataclasses.field(default_factory=list)
+    node: typing.Annotated[
+        list[str],
+        cappa.Arg(
+            long=True,
+            help="a node's operators' address, for when the store is down",
+        ),
+    ] = dataclasses.field(default_factory=list)
+    output: typing.Annotated[
+        typing.Literal['text', 'json'], cappa.Arg(long=True)
+    ] = 'text'
+
+
+def read_route(text):
+    """Return (method, host, path) of a text such as ``GET host/path``.
+
+    >>> read_route('POST example.org/sales/1')
+    ('POST', 'example.org', '/sales/1')
+    >>> read_route('/passes')
+    ('GET', '*', '/passes')
+    """
+    method, separator, rest = text.strip().partition(' ')
+    if not separator:
+        method, rest = 'GET', method
+    host, slash, path = rest.strip().partition('/')
+    return method.upper(), host or '*', slash + path or '/'
+
+
+def _read_file(name):
+    if name == '-':
+        return sys.stdin.read()
+    try:
+        return pathlib.Path(name).read_text(encoding='utf-8')
+    except (OSError, UnicodeDecodeError) as error:
+        raise errors.SettingsError(
+            f'the document {name} can not be read: {error}',
+            remedy='name a file in UTF-8',
+        ) from error
+
+
+async def carry_out(command, settings, progress):
+    """Carry out a command; return its `reports.Report`.
+
+    :param command: one of the data classes of this module
+    :param settings: a `settings.CtlSettings`
+    :param progress: called with a line of progress
+    """
+    if isinstance(command, Validate):
+        return commands.validate(_read_file(command.file))
+    session = commands.Session(settings, progress)
+    await session.start()
+    try:
+        return await _carry_out(command, settings, session)
+    finally:
+        await session.close()
+
+
+async def _carry_out(command, settings, session):
+    environment = getattr(command, 'environment', None) or settings.production
+    match command:
+        case Diff(file):
+            return await session.diff(_read_file(file), environment)
+        case Apply(file, expect, named):
+            return await session.apply(
+                _read_file(file), named or settings.trial, expect
+            )
+        case Promote(file, expect):
+            text = _read_file(file) if file else None
+            return await session.promote(text, expect)
+        case Status():
+            return await session.status(environment)
+        case Wait(_, generation, move, timeout):
+            return await session.wait(environment, generation, move, timeout)
+        case Timeline():
+            since = time.time() - command.last if command.last else 0.0
+            choice = commands.Filter(
+                command.service, command.node_name, command.move, since
+            )
+            return await session.timeline(environment, choice, command.picture)
+        case Explain(route, _, node_name):
+            method, host, path = read_route(route)
+            return await session.explain(
+                environment, method, host, path, node_name
+            )
+
+
+def _print_error(error, output):
+    if output == 'text':
+        print(error, file=sys.stderr)
+        return
+    data = {
+        'code': error.code.value,
+        'message': error.message,
+        'step': error.step,
+        'peer': error.peer,
+        'remedy': error.remedy,
+    }
+    if isinstance(error, errors.DocumentRefused):
+        data |= {'line': error.line, 'column': error.column}
+    if isinstance(error, errors.Conflict):
+        data['winner'] = error.winner
+    print(json.dumps(data), file=sys.stderr)
+
+
+def main(arguments=None):
+    """Run the command; return its exit code."""
+    parsed = cappa.parse(Pumicestandctl, argv=arguments)
+    overrides = list(parsed.set)
+    if parsed.node:
+        overrides.append(f'nodes={json.dumps(parsed.node)}')
+    try:
+        loaded = all_settings.load(
+            ctl_settings.CtlSettings, parsed.settings, overrides
+        )
+        report = trio.run(
+            carry_out,
+            parsed.command,
+            loaded.values,
+            lambda line: print(line, file=sys.stderr),
+        )
+    except errors.PumicestandError as error:
+        _print_error(error, parsed.output)
+        return int(exits.exit_of(error))
+    print(report.render(parsed.output))
+    return int(exits.Exit.OK)
+
+
+if __name__ == '__main__':
+    sys.exit(main())
--- /dev/null
+++ b/packages/pumicestandctl/pumicestandctl/reports.py
@@ -0,0 +1,162 @@
+"""What the command prints: text for people, JSON for programs."""
+
+import dataclasses
+import datetime
+import json
+
+from pumicestand import clocks
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Report:
+    """An answer to the operator.
+
+    :param data: for programs; plain data
+    :param lines: for people
+    """
+
+    data: object
+    lines: tuple[str, ...]
+
+    def render(self, output):
+        """Return the text for ``text`` or ``json``."""
+        if output == 'json':
+            return json.dumps(self.data, indent=2, sort_keys=True)
+        return '\n'.join(self.lines)
+
+
+def report_change(change):
+    """Report a `editing.Change`."""
+    verb = 'accepted as' if change.is_new else 'already accepted as'
+    line = (
+        f'{change.environment}: {verb} generation {change.generation}, '
+        f'change {change.change_id}'
+    )
+    return Report(dataclasses.asdict(change), (line,))
+
+
+def _describe_move(move):
+    line = f'  {move["name"]}: {move["state"]}'
+    if move['state'] in ('running', 'late'):
+        line += f' at {move["share"]:.1%}'
+    if move['held_here']:
+        line += ', held here'
+    if move['reason']:
+        line += f' ({move["reason"]})'
+    return line
+
+
+def summarise_moves(answers):
+    """Return the moves, each as the node that is furthest with it has it."""
+    order = ('scheduled', 'running', 'late', 'done', 'taken-back')
+    best = {}
+    for answer in answers:
+        for move in (answer.data or {}).get('moves', ()):
+            held = best.get(move['identity'])
+            if held is None or order.index(move['state']) > order.index(
+                held['state']
+            ):
+                best[move['identity']] = move
+    return sorted(best.values(), key=lambda move: move['start'])
+
+
+def report_status(environment, accepted, answers):
+    """Report what an environment acts on.
+
+    :param accepted: the accepted generation, None if the store is down
+    :param answers: a `fleet.NodeAnswer` for each node
+    """
+    known = [a.data['accepted'] for a in answers if a.data]
+    newest = accepted if accepted is not None else max(known, default=0)
+    behind = {}
+    for answer in answers:
+        if answer.data is None:
+            behind[answer.name] = f'no answer ({answer.problem})'
+        elif answer.data['acting'] < newest or answer.data['stale']:
+            reason = answer.data['stale_reason']
+            behind[answer.name] = reason or (
+                f'acts on generation {answer.data["acting"]}'
+            )
+    acting = [a.name for a in answers if a.name not in behind]
+    moves = summarise_moves(answers)
+    source = 'the store' if accepted is not None else 'nodes; store is down'
+    lines = [
+        f'{environment}: generation {newest} is accepted (from {source})',
+        f'{len(acting)} of {len(answers)} nodes act on it',
+    ]
+    lines += [f'  not {name}: {why}' for name, why in behind.items()]
+    lines.append(f'moves: {len(moves)}')
+    lines += [_describe_move(move) for move in moves]
+    data = {
+        'environment': environment,
+        'accepted': newest,
+        'store_answered': accepted is not None,
+        'acting': acting,
+        'behind': behind,
+        'moves': moves,
+    }
+    return Report(data, tuple(lines))
+
+
+def _time_text(stamp):
+    seconds = clocks.stamp_seconds(stamp)
+    moment = datetime.datetime.fromtimestamp(seconds, datetime.UTC)
+    return moment.strftime('%H:%M:%S.%f')[:-3]
+
+
+def report_timeline(events, unheard):
+    """Report events in causal order.
+
+    :param events: plain data of each event
+    :param unheard: names of nodes that did not answer
+    """
+    lines = []
+    for event in events:
+        context = ' '.join(
+            f'{key}={event[key]}'
+            for key in ('generation', 'service', 'move', 'step', 'peer')
+            if event[key]
+        )
+        lines.append(
+            f'{_time_text(event["stamp"])} {event["process"]:<12} '
+            f'{event["kind"]:<18} {context} {event["detail"]}'.rstrip()
+        )
+    lines += [f'no answer from {name}' for name in unheard]
+    return Report({'events': events, 'unheard': unheard}, tuple(lines))
+
+
+def report_explanation(data):
+    """Report which target would take a call, and why."""
+    if 'route' not in data:
+        line = f'refused {data["status"]} {data["code"]}: {data["detail"]}'
+        return Report(data, (line,))
+    lines = [
+        f'route {data["route"]} of generation {data["generation"]} at node '
+        f'{data["node"]}'
+    ]
+    for service in data['services']:
+        lines.append(
+            f'  service {service["service"]}, weight {service["weight"]}'
+            + (f', move {service["move"]}' if service['move'] else '')
+        )
+        for version in service['versions']:
+            lines.append(
+                f'    version {version["version"]} gets {version["share"]:.1%}'
+            )
+            lines += [_describe_target(t) for t in version['targets']]
+            if not version['targets']:
+                lines.append('      no target is known')
+    lines.append(
+        'of the targets not ejected, in the own zone first, the less loaded '
+        'of two takes the call'
+    )
+    return Report(data, tuple(lines))
+
+
+def _describe_target(target):
+    where = 'own zone' if target['own_zone'] else f'zone {target["zone"]}'
+    text = (
+        f'      {target["address"]} ({where}): {target["in_flight"]} in '
+        f'flight, {target["latency_ms"]} ms'
+    )
+    return text + (', ejected' if target['ejected'] else '')
