--- a/benchmarks/added_latency.py
+++ b/benchmarks/added_latency.py
@@ -7,6 +7,7 @@
 
 import argparse
 import asyncio
+import collections
 import gc
 import json
 import random
@@ -89,7 +90,7 @@
         self._addresses = addresses
         self._connections = connections
         self._idle = {path: [] for path in PATHS}
-        self.failed = 0
+        self.failed = collections.Counter()
         self.histograms = {
             path: hdrh.histogram.HdrHistogram(
                 1, MAX_MICROSECONDS, SIGNIFICANT_DIGITS
@@ -102,9 +103,7 @@
         loop = asyncio.get_running_loop()
         for path, address in self._addresses.items():
             for _ in range(self._connections):
-                _, connection = await loop.create_connection(
-                    _Answer, *address
-                )
+                _, connection = await loop.create_connection(_Answer, *address)
                 self._idle[path].append(connection)
         await self._send(WARM_UP_CALLS, rate, rng, is_counted=False)
         gc.collect()
@@ -142,7 +141,7 @@
         taken = loop.time() - started
         self._idle[path].append(connection)
         if status != 200:
-            self.failed += 1
+            self.failed[f'{path} {status}'] += 1
         if is_counted:
             self.histograms[path].record_value(max(1, int(taken * 1e6)))
 
@@ -175,17 +174,18 @@
     )
     fleet.processes.append(hop)
     harness.wait_until(
-        lambda: harness.fetch('GET', f'http://{harness.HOST}:{port}/passes')[
-            0
-        ]
-        == 200,
+        lambda: (
+            harness.fetch('GET', f'http://{harness.HOST}:{port}/passes')[0]
+            == 200
+        ),
         10.0,
         'the plain hop starts',
     )
     host, call_port = node.call_address
     harness.wait_until(
-        lambda: harness.fetch('GET', f'http://{host}:{call_port}/passes')[0]
-        == 200,
+        lambda: (
+            harness.fetch('GET', f'http://{host}:{call_port}/passes')[0] == 200
+        ),
         10.0,
         'the node serves calls',
     )
@@ -229,7 +229,7 @@
             )
     result['cpu_ms_per_call'] = round(cpu_per_call * 1000, 3)
     result['rss_mb'] = round(rss_mb, 1)
-    result['failed'] = load.failed
+    result['failed'] = dict(load.failed)
     return result
 
 
--- a/packages/pumicestand-node/pumicestand_node/caller_connections.py
+++ b/packages/pumicestand-node/pumicestand_node/caller_connections.py
@@ -12,7 +12,7 @@
 from pumicestand import refusals
 from pumicestand_node import heads
 
-READ_BYTES = 65_536
+READ_BYTES = 16_384
 MAX_BUFFERED_BODY_BYTES = 131_072
 MAX_QUEUED_REQUESTS = 8
 HEAD_TIMEOUT_S = 10.0
--- a/packages/pumicestand-node/pumicestand_node/conductor.py
+++ b/packages/pumicestand-node/pumicestand_node/conductor.py
@@ -3,6 +3,7 @@
 import trio
 
 from pumicestand import blackboard as blackboards
+from pumicestand import controllers as all_controllers
 from pumicestand import signals
 
 TICK_S = 0.1
@@ -41,11 +42,9 @@
         """Step all controllers once and return their actions."""
         board = self._board
         before = board.in_force
-        now = self._clock()
-        taken = []
-        for controller in self._controllers:
-            taken += controller.step(board, now)
-        board.inbox.clear()
+        taken = all_controllers.step_all(
+            self._controllers, board, self._clock()
+        )
         if board.in_force is not before:
             signals.document_in_force.send(board)
         return taken
--- a/packages/pumicestand-node/pumicestand_node/node.py
+++ b/packages/pumicestand-node/pumicestand_node/node.py
@@ -15,21 +15,16 @@
 from pumicestand import balancing
 from pumicestand import blackboard as blackboards
 from pumicestand import clocks
-from pumicestand import dissemination
+from pumicestand import controllers as all_controllers
 from pumicestand import errors
 from pumicestand import events
-from pumicestand import floors
 from pumicestand import log
-from pumicestand import membership
 from pumicestand import messages
 from pumicestand import metrics
 from pumicestand import moves
 from pumicestand import routing
-from pumicestand import rumours
 from pumicestand import signals
 from pumicestand import stores
-from pumicestand import watching
-from pumicestand_node import announcements
 from pumicestand_node import caller_connections
 from pumicestand_node import calls
 from pumicestand_node import conductor as conductors
@@ -41,22 +36,7 @@
 SWEEP_S = 1.0
 LISTEN_BACKLOG = 512
 LEAVE_NOTICE_S = 3.0
-GC_THRESHOLD = 50_000
-
-
-def make_controllers(rng, seeds):
-    """Return the controllers in the order in which they step."""
-    floor = floors.FloorController(rng)
-    return [
-        announcements.AnnouncementController(),
-        membership.MembershipController(rng, seeds),
-        dissemination.DocumentController(rng),
-        floor,
-        application.ApplicationController(floor),
-        moves.MoveController(rng),
-        watching.WatchController(),
-        rumours.RumourController(rng),
-    ]
+GC_THRESHOLD = 5_000
 
 
 class Node:
@@ -83,7 +63,7 @@
         )
         self._metrics = metrics.Metrics(settings.name)
         self._create_meters()
-        controllers = make_controllers(rng, settings.seed_addresses)
+        controllers = all_controllers.make_all(rng, settings.seed_addresses)
         self._conductor = conductors.Conductor(
             self._board, controllers, self._clock, self._perform
         )
--- a/packages/pumicestand-node/pumicestand_node/operator_api.py
+++ b/packages/pumicestand-node/pumicestand_node/operator_api.py
@@ -17,6 +17,7 @@
 
 import pydantic
 
+from pumicestand import announcing
 from pumicestand import application
 from pumicestand import metrics
 from pumicestand import moves
@@ -194,7 +195,7 @@
                     'detail': f'{where}: {first["msg"]}',
                 },
             )
-        announcements.take(self._board, parsed, now)
+        announcing.take(self._board, parsed.to_target(), now)
         self._wake()
         return to_json(200, {'name': self._board.identity.name})
 
--- a/packages/pumicestand-node/pumicestand_node/target_connections.py
+++ b/packages/pumicestand-node/pumicestand_node/target_connections.py
@@ -5,7 +5,7 @@
 import httptools
 import trio
 
-READ_BYTES = 65_536
+READ_BYTES = 16_384
 MAX_IDLE_S = 20.0
 CONNECT_TIMEOUT_S = 1.0
 MAX_ANSWER_HEAD_BYTES = 65_536
--- /dev/null
+++ b/tests/pumicestand/test_tables.py
@@ -0,0 +1,87 @@
+"""Property tests of merging rumours."""
+
+import random
+
+import hypothesis
+from hypothesis import strategies as st
+
+from pumicestand import messages
+from pumicestand import tables
+
+members = st.builds(
+    messages.Member,
+    name=st.sampled_from(['a', 'b']),
+    incarnation=st.integers(1, 3),
+    revision=st.integers(1, 3),
+    status=st.sampled_from(list(messages.Status)),
+    zone=st.just('z'),
+    region=st.just('r'),
+    host=st.just('h'),
+    port=st.just(1),
+    operator_port=st.just(2),
+)
+verdicts = st.builds(
+    messages.MoveVerdict,
+    move=st.sampled_from(['m', 'n']),
+    stage=st.sampled_from(
+        [0, 100, 500, messages.STAGE_DONE, messages.STAGE_TAKEN_BACK]
+    ),
+    reason=st.just('why'),
+    decided_at=st.floats(0, 10),
+    decided_by=st.sampled_from(['a', 'b']),
+)
+rumours = st.lists(st.one_of(members, verdicts), max_size=12)
+
+
+def merged(items):
+    table = tables.Table()
+    for item in items:
+        table.merge(item, 0.0)
+    return table
+
+
+@hypothesis.given(rumours, st.integers(0, 100))
+def test_order_and_repeats_change_nothing(items, seed):
+    shuffled = items + items
+    random.Random(seed).shuffle(shuffled)
+    first, second = merged(items), merged(shuffled)
+    orders = [
+        {key: tables.rumour_order(entry) for key, entry in t.entries.items()}
+        for t in (first, second)
+    ]
+    assert orders[0] == orders[1]
+    assert first.hash == second.hash
+
+
+@hypothesis.given(rumours)
+def test_a_take_back_wins_every_merge(items):
+    back = messages.MoveVerdict(
+        'm', messages.STAGE_TAKEN_BACK, 'bad', 5.0, 'c'
+    )
+    for position in range(len(items) + 1):
+        table = merged([*items[:position], back, *items[position:]])
+        stage = table.verdict('m').stage
+        assert stage == messages.STAGE_TAKEN_BACK
+
+
+def test_a_buried_member_is_forgotten_and_does_not_count():
+    alive = messages.Member(
+        'a', 1, 1, messages.Status.ALIVE, 'z', 'r', 'h', 1, 2
+    )
+    dead = messages.Member(
+        'a', 1, 1, messages.Status.DEAD, 'z', 'r', 'h', 1, 2
+    )
+    table = merged([alive, dead])
+    assert table.hash == 0
+    assert table.reachable() == []
+    table.forget(tables.TOMBSTONE_SECONDS)
+    assert table.entries == {}
+
+
+def test_a_quarantine_ends_by_itself():
+    table = merged([messages.Quarantine(1, 'sale', 60.0)])
+    table.forget(59.0)
+    assert table.quarantine(1) is not None
+    table.forget(60.0)
+    assert table.quarantine(1) is None
+    assert table.hash == 0
