Prove the call path, the store's client and racing operators by tables

Cause: at most once, "not run" and whole answers were only seen in the demo.

Found and mended: - a bad chunk behind a good head was passed on as an upload and answered 502 "may have run"; the call is now given up and answered 400; - a caller's connection left its stream open when it was ended from within.

--- a/packages/pumicestand-node/pumicestand_node/caller_connections.py
+++ b/packages/pumicestand-node/pumicestand_node/caller_connections.py
@@ -172,21 +172,25 @@
         self._parser = _RequestParser(self._add_request, self._make_room)
         self._refusal = None
         self._at_end = False
-        self._is_answering = False
+        self._answering = None
+        self._has_sent = False
         self.is_closing = False
         self.progress_at = clock()
 
     async def run(self):
-        """Serve the connection until it ends."""
-        with self._scope:
-            async with trio.open_nursery() as nursery:
-                nursery.start_soon(self._work_on_requests)
-                await self._read()
+        """Serve the connection until it ends, then close it."""
+        try:
+            with self._scope:
+                async with trio.open_nursery() as nursery:
+                    nursery.start_soon(self._work_on_requests)
+                    await self._read()
+        finally:
+            await trio.aclose_forcefully(self._stream)
 
     def finish(self):
         """End the connection once no call runs on it."""
         self.is_closing = True
-        if not self._is_answering and not self._requests:
+        if self._answering is None and not self._requests:
             self._scope.cancel()
 
     def check_progress(self, now):
@@ -200,11 +204,12 @@
             if waited > BODY_STALL_S:
                 self._scope.cancel()
             return
-        if not self._is_answering and waited > IDLE_TIMEOUT_S:
+        if self._answering is None and waited > IDLE_TIMEOUT_S:
             self._scope.cancel()
 
     async def send(self, data):
         """Send bytes of an answer."""
+        self._has_sent = True
         await self._stream.send_all(data)
 
     def _add_request(self, request):
@@ -241,7 +246,7 @@
         self._at_end = True
         if self._parser.request is not None:
             self._parser.request.end(is_broken=True)
-        if self._is_answering and self._call_scope is not None:
+        if self._answering is not None:
             self._call_scope.cancel()
         self._work.set()
 
@@ -267,10 +272,19 @@
         return True
 
     def _refuse(self, refusal):
-        """Answer a request that breaks the protocol, then end."""
+        """Answer a request that breaks the protocol, then end.
+
+        If its head was taken already, its call is given up: the target has
+        not got the whole body and never takes it as such.
+        """
         self._refusal = refusal
-        if self._parser.request is not None:
-            self._parser.request.end(is_broken=True)
+        broken = self._parser.request
+        if broken is not None:
+            broken.end(is_broken=True)
+            if broken in self._requests:
+                self._requests.remove(broken)
+            elif broken is self._answering:
+                self._call_scope.cancel()
         self._at_end = True
         self._work.set()
 
@@ -291,7 +305,8 @@
             await self._work.wait()
         request = self._requests.popleft()
         self._make_room()
-        self._is_answering = True
+        self._answering = request
+        self._has_sent = False
         with trio.CancelScope() as self._call_scope:
             try:
                 keep = await self._serve(request, self)
@@ -301,14 +316,15 @@
                 CallerGone,
             ):
                 return False
-        self._is_answering = False
+        self._answering = None
         self.progress_at = self._clock()
         if self._call_scope.cancelled_caught:
             return False
         return keep and not self.is_closing
 
     async def _close(self):
-        if self._refusal is None:
+        is_mid_answer = self._answering is not None and self._has_sent
+        if self._refusal is None or is_mid_answer:
             await trio.aclose_forcefully(self._stream)
             return
         # The caller may still be sending; without a pause its kernel would
--- a/packages/pumicestand-node/pumicestand_node/node.py
+++ b/packages/pumicestand-node/pumicestand_node/node.py
@@ -299,7 +299,6 @@
             loguru.logger.debug('a connection ended: {}', error)
         finally:
             self._connections.discard(connection)
-            await trio.aclose_forcefully(stream)
             if connection.refusal is not None:
                 signals.call_refused.send(
                     self._handler, refusal=connection.refusal
--- a/packages/pumicestand-node/pumicestand_node/target_connections.py
+++ b/packages/pumicestand-node/pumicestand_node/target_connections.py
@@ -112,11 +112,23 @@
         )
 
 
+def socket_pending(stream):
+    """Return whether an idle socket was closed or has bytes to read."""
+    poll = select.poll()
+    poll.register(stream.socket.fileno(), select.POLLIN)
+    return bool(poll.poll(0))
+
+
 class TargetConnection:
-    """One connection to a target, for one call at a time."""
+    """One connection to a target, for one call at a time.
+
+    :param stream: a trio stream
+    :param has_pending: tells of a stream whether it has something to read
+    """
 
-    def __init__(self, stream):
+    def __init__(self, stream, has_pending):
         self._stream = stream
+        self._has_pending = has_pending
         self._reader = None
         self.idle_since = 0.0
         self.uses = 0
@@ -125,9 +137,7 @@
         """Whether an idle connection is open and has nothing to read."""
         if now - self.idle_since > MAX_IDLE_S:
             return False
-        poll = select.poll()
-        poll.register(self._stream.socket.fileno(), select.POLLIN)
-        return not poll.poll(0)
+        return not self._has_pending(self._stream)
 
     def begin(self, is_head_request):
         """Prepare to read the answer to the next request."""
@@ -212,10 +222,16 @@
     """Keeps idle connections, the last used first.
 
     :param clock: returns seconds
+    :param connect: coroutine function from host and port to a stream
+    :param has_pending: tells of a stream whether it has something to read
     """
 
-    def __init__(self, clock):
+    def __init__(
+        self, clock, connect=trio.open_tcp_stream, has_pending=socket_pending
+    ):
         self._clock = clock
+        self._connect = connect
+        self._has_pending = has_pending
         self._idle = {}
 
     async def take(self, target):
@@ -230,8 +246,8 @@
                 return connection
             await connection.close()
         with trio.fail_after(CONNECT_TIMEOUT_S):
-            stream = await trio.open_tcp_stream(target.host, target.port)
-        return TargetConnection(stream)
+            stream = await self._connect(target.host, target.port)
+        return TargetConnection(stream, self._has_pending)
 
     def give_back(self, target, connection):
         """Keep a connection whose answer was read whole."""
--- a/packages/pumicestand/pumicestand/stores.py
+++ b/packages/pumicestand/pumicestand/stores.py
@@ -46,10 +46,12 @@
     """Calls the store; each method is one call.
 
     :param url: such as ``http://127.0.0.1:7000``
+    :param backend: a `httpcore.AsyncNetworkBackend`, None for TCP
     """
 
-    def __init__(self, url):
+    def __init__(self, url, backend=None):
         self._url = url.rstrip('/')
+        self._backend = backend
         self._pool = None
 
     async def start(self):
@@ -57,6 +59,7 @@
         self._pool = httpcore.AsyncConnectionPool(
             max_connections=MAX_CONNECTIONS,
             keepalive_expiry=30.0,
+            network_backend=self._backend,
         )
 
     async def close(self):
--- /dev/null
+++ b/tests/memory_network.py
@@ -0,0 +1,58 @@
+"""Connects clients to the stand-ins' servers without sockets."""
+
+import httpcore
+import trio
+import trio.testing
+
+
+class _Stream(httpcore.AsyncNetworkStream):
+    def __init__(self, stream):
+        self._stream = stream
+
+    async def read(self, max_bytes, timeout=None):
+        try:
+            return await self._stream.receive_some(max_bytes)
+        except trio.BrokenResourceError as error:
+            raise httpcore.ReadError(str(error)) from error
+
+    async def write(self, buffer, timeout=None):
+        try:
+            await self._stream.send_all(buffer)
+        except trio.BrokenResourceError as error:
+            raise httpcore.WriteError(str(error)) from error
+
+    async def aclose(self):
+        await self._stream.aclose()
+
+    def get_extra_info(self, info):
+        return None
+
+
+class MemoryBackend(httpcore.AsyncNetworkBackend):
+    """Serves every connection by one stand-in's server.
+
+    :param nursery: in which connections are served
+    :param server: a `http_server.Server` that was not started
+    """
+
+    def __init__(self, nursery, server):
+        self._nursery = nursery
+        self._server = server
+        self.refuses = False
+
+    async def connect_tcp(
+        self,
+        host,
+        port,
+        timeout=None,
+        local_address=None,
+        socket_options=None,
+    ):
+        if self.refuses:
+            raise httpcore.ConnectError('refused')
+        client, server = trio.testing.memory_stream_pair()
+        self._nursery.start_soon(self._server._serve_stream, server)
+        return _Stream(client)
+
+    async def sleep(self, seconds):
+        await trio.sleep(seconds)
--- /dev/null
+++ b/tests/pumicestand/test_stores.py
@@ -0,0 +1,196 @@
+"""Contract tests: the store's client on every fault of the stand-in."""
+
+import contextlib
+
+import pytest
+import trio
+import trio.testing
+
+from pumicestand import errors
+from pumicestand import stores
+from pumicestand_standins import http_server
+from pumicestand_standins import store as store_standin
+from tests import memory_network
+
+KEY = 'documents/production'
+
+
+@contextlib.asynccontextmanager
+async def open_store(**options):
+    """Yield (client, store, backend)."""
+    async with trio.open_nursery() as nursery:
+        store = store_standin.Store(trio.current_time, **options)
+        server = http_server.Server('memory', 1, store.handle)
+        backend = memory_network.MemoryBackend(nursery, server)
+        client = stores.StoreClient('http://store', backend)
+        await client.start()
+        yield client, store, backend
+        await client.close()
+        nursery.cancel_scope.cancel()
+
+
+def run(function):
+    """Run a coroutine function on a clock that jumps when all wait."""
+    clock = trio.testing.MockClock(autojump_threshold=0)
+    return trio.run(function, clock=clock)
+
+
+def test_objects_have_versions_and_conditional_updates():
+    async def main():
+        async with open_store() as (client, store, _):
+            assert not (await client.read(KEY)).exists
+            first = await client.write(KEY, 'one', 0)
+            stored = await client.read(KEY)
+            assert (stored.version, stored.value) == (first, 'one')
+            second = await client.write(KEY, 'two', first)
+            with pytest.raises(errors.Conflict) as caught:
+                await client.write(KEY, 'three', first)
+            assert caught.value.winner == second
+            assert (await client.read(KEY)).value == 'two'
+            listed = await client.list('documents/')
+            assert [item.key for item in listed] == [KEY]
+            assert store.counters == {'read': 3, 'write': 3, 'list': 1}
+
+    run(main)
+
+
+def test_a_watch_waits_from_a_version_and_counts_as_one_call():
+    async def main():
+        async with open_store() as (client, store, _):
+            version = await client.write(KEY, 'one', 0)
+            assert await client.watch(KEY, version, seconds=5) is None
+            seen = []
+
+            async def watch():
+                seen.append(await client.watch(KEY, version, seconds=5))
+
+            async with trio.open_nursery() as nursery:
+                nursery.start_soon(watch)
+                await trio.sleep(1)
+                await client.write(KEY, 'two', version)
+            assert seen[0].value == 'two'
+            assert store.counters['watch'] == 2
+
+    run(main)
+
+
+# Each case: the faults, the call, the error that the client raises.
+FAULTS = {
+    'down, read': ({'down': True}, 'read', errors.StoreUnavailable),
+    'down, write': ({'down': True}, 'write', errors.StoreUnavailable),
+    'down, list': ({'down': True}, 'list', errors.StoreUnavailable),
+    'refusing, read': (
+        {'refusing': True},
+        'read',
+        errors.StoreUnavailable,
+    ),
+    'refusing, write': (
+        {'refusing': True},
+        'write',
+        errors.StoreAnswerLost,
+    ),
+    'hanging, read': ({'hanging': True}, 'read', errors.StoreUnavailable),
+    'hanging, write': ({'hanging': True}, 'write', errors.StoreAnswerLost),
+    'hanging, watch': ({'hanging': True}, 'watch', errors.StoreUnavailable),
+    'too slow, read': ({'slow_s': 9.0}, 'read', errors.StoreUnavailable),
+    'slow, read': ({'slow_s': 1.0}, 'read', None),
+    'answer lost, write': (
+        {'lost_answers': 1},
+        'write',
+        errors.StoreAnswerLost,
+    ),
+    'watch closes': ({'watch_closes': 1}, 'watch', errors.StoreUnavailable),
+    'watch expires': ({'watch_expires': 1}, 'watch', errors.WatchExpired),
+}
+
+
+@pytest.mark.parametrize('name', FAULTS)
+def test_the_client_names_each_fault(name):
+    faults, call, expected = FAULTS[name]
+
+    async def main():
+        async with open_store() as (client, store, _):
+            version = await client.write(KEY, 'one', 0)
+            store.faults = store_standin.Faults(**faults)
+            calls = {
+                'read': lambda: client.read(KEY),
+                'write': lambda: client.write(KEY, 'two', version),
+                'list': lambda: client.list('documents/'),
+                'watch': lambda: client.watch(KEY, version, seconds=5),
+            }
+            if expected is None:
+                await calls[call]()
+                return
+            with pytest.raises(expected) as caught:
+                await calls[call]()
+            assert caught.value.step == call
+            assert caught.value.peer == 'http://store'
+
+    run(main)
+
+
+def test_a_connection_that_is_refused_wrote_nothing():
+    async def main():
+        async with open_store() as (client, _, backend):
+            backend.refuses = True
+            with pytest.raises(errors.StoreUnavailable):
+                await client.write(KEY, 'one', 0)
+
+    run(main)
+
+
+def test_a_lost_answer_leaves_the_write_in_the_store():
+    async def main():
+        async with open_store() as (client, store, _):
+            store.faults.lost_answers = 1
+            with pytest.raises(errors.StoreAnswerLost):
+                await client.write(KEY, 'one', 0)
+            assert (await client.read(KEY)).value == 'one'
+
+    run(main)
+
+
+def test_a_watch_may_lag_and_skip_but_a_read_does_not():
+    async def main():
+        async with open_store() as (client, store, _):
+            version = await client.write(KEY, 'one', 0)
+            store.faults = store_standin.Faults(watch_skips=1)
+            await client.write(KEY, 'two', version)
+            assert await client.watch(KEY, version, seconds=5) is None
+            assert (await client.read(KEY)).value == 'two'
+            store.faults = store_standin.Faults(watch_lag_s=3.0)
+            held = (await client.read(KEY)).version
+            await client.write(KEY, 'three', held)
+            started = trio.current_time()
+            stored = await client.watch(KEY, held, seconds=5)
+            assert stored.value == 'three'
+            assert trio.current_time() - started >= 3.0
+
+    run(main)
+
+
+def test_a_list_may_be_stale():
+    async def main():
+        async with open_store() as (client, store, _):
+            version = await client.write(KEY, 'one', 0)
+            store.faults = store_standin.Faults(stale_lists=True)
+            await client.write(KEY, 'two', version)
+            listed = await client.list('documents/')
+            assert [item.value for item in listed] == ['one']
+
+    run(main)
+
+
+def test_the_value_limit_and_the_rate_ceilings():
+    async def main():
+        async with open_store(reads_per_s=3) as (client, _, _):
+            with pytest.raises(errors.StoreRejected):
+                await client.write(KEY, 'x' * 1_000_001, 0)
+            for _ in range(3):
+                await client.read(KEY)
+            with pytest.raises(errors.StoreUnavailable):
+                await client.read(KEY)
+            await trio.sleep(1)
+            await client.read(KEY)
+
+    run(main)
--- /dev/null
+++ b/tests/pumicestandctl/test_editing.py
@@ -0,0 +1,210 @@
+"""Tests of changing the accepted document, operators racing included."""
+
+import json
+
+import pytest
+import trio
+
+from pumicestand import documents
+from pumicestand import errors
+from pumicestand import messages
+from pumicestand import readers
+from pumicestand import verdicts
+from pumicestand import watching
+from pumicestand_standins import store as store_standin
+from pumicestandctl import editing
+from tests import fakes
+from tests.pumicestand import test_readers
+from tests.pumicestand import test_stores
+
+NOW = fakes.EPOCH
+FIRST, FIRST_DIGEST = fakes.make_content('first')
+SECOND, _ = fakes.make_content('second')
+
+
+def write(client, content, change_id, **options):
+    return editing.write(
+        client, 'trial', content, change_id=change_id, now=NOW, **options
+    )
+
+
+def test_each_change_raises_the_generation_by_one():
+    async def main():
+        async with test_stores.open_store() as (client, _, _):
+            first = await write(client, FIRST, 'a')
+            assert (first.generation, first.is_new) == (1, True)
+            again = await write(client, FIRST, 'b')
+            assert (again.generation, again.is_new) == (1, False)
+            second = await write(client, SECOND, 'c', expected=1)
+            assert second.generation == 2
+            record, _ = await editing.read_accepted(client, 'trial')
+            assert record.previous == 1
+            assert record.digest == documents.content_digest(SECOND)
+
+    test_stores.run(main)
+
+
+def test_an_unexpected_generation_is_a_conflict_that_names_the_winner():
+    async def main():
+        async with test_stores.open_store() as (client, _, _):
+            await write(client, FIRST, 'a')
+            with pytest.raises(errors.Conflict) as caught:
+                await write(client, SECOND, 'b', expected=0)
+            assert caught.value.winner == 1
+            assert 'change a' in caught.value.message
+
+    test_stores.run(main)
+
+
+def test_of_two_operators_at_once_one_is_told_of_the_other():
+    async def main():
+        async with test_stores.open_store() as (client, store, _):
+            store.faults = store_standin.Faults(slow_s=0.1)
+            outcomes = []
+
+            async def apply(content, change_id):
+                try:
+                    change = await write(client, content, change_id)
+                    outcomes.append(('applied', change.generation))
+                except errors.Conflict as error:
+                    outcomes.append(('conflict', error.winner))
+
+            async with trio.open_nursery() as nursery:
+                nursery.start_soon(apply, FIRST, 'a')
+                nursery.start_soon(apply, SECOND, 'b')
+            assert sorted(outcomes) == [('applied', 1), ('conflict', 1)]
+
+    test_stores.run(main)
+
+
+@pytest.mark.parametrize('reads_fail', [False, True])
+def test_a_lost_answer_is_found_out_by_reading(reads_fail):
+    async def main():
+        async with test_stores.open_store() as (client, store, backend):
+            store.faults.lost_answers = 1
+
+            async def outage():
+                while not store.objects:
+                    await trio.sleep(0.01)
+                store.faults.down = reads_fail
+                await trio.sleep(1.0)
+                store.faults.down = False
+
+            async with trio.open_nursery() as nursery:
+                nursery.start_soon(outage)
+                change = await write(client, FIRST, 'a')
+            assert change.generation == 1
+            assert store.counters['write'] == 1
+
+    test_stores.run(main)
+
+
+def test_a_write_that_took_no_effect_is_not_repeated():
+    async def main():
+        async with test_stores.open_store() as (client, store, _):
+
+            async def outage():
+                while store.counters['write'] == 0:
+                    await trio.sleep(0.01)
+                store.faults.hanging = True
+                await trio.sleep(2.5)
+                store.faults.hanging = False
+
+            store.faults.slow_s = 0.05
+            async with trio.open_nursery() as nursery:
+                nursery.start_soon(outage)
+                with pytest.raises(errors.StoreUnavailable) as caught:
+                    await write(client, FIRST, 'a')
+            assert 'did not take effect' in caught.value.message
+            assert store.counters['write'] == 1
+            assert store.objects == {}
+
+    test_stores.run(main)
+
+
+def test_a_lost_answer_and_another_operator_end_in_a_conflict():
+    async def main():
+        async with test_stores.open_store() as (client, store, _):
+            await write(client, FIRST, 'a')
+            store.faults.refusing = False
+            held, version = await editing.read_accepted(client, 'trial')
+            # The other operator's write lands; ours gets no answer.
+            await write(client, SECOND, 'other')
+            error = errors.StoreAnswerLost('lost', step='write', peer='s')
+            record = editing.records.DocumentRecord(
+                2, 'mine', 'd', 1, '', '{}'
+            )
+            with pytest.raises(errors.Conflict) as caught:
+                await editing._find_out(client, 'trial', record, error)
+            assert caught.value.winner == 2
+
+    test_stores.run(main)
+
+
+def report_in_force(client, digest):
+    value = json.dumps({'generation': 1, 'digest': digest})
+    return client.write(watching.status_key('trial'), value, 0)
+
+
+def promote(client, **options):
+    return editing.promote(
+        client, 'trial', 'production', change_id='p', now=NOW, **options
+    )
+
+
+def test_promoting_needs_the_document_in_force_on_trial():
+    async def main():
+        async with test_stores.open_store() as (client, store, _):
+            with pytest.raises(errors.PumicestandError) as caught:
+                await promote(client)
+            assert caught.value.code == errors.Code.NOT_IN_FORCE_ON_TRIAL
+            await write(client, FIRST, 'a')
+            with pytest.raises(errors.PumicestandError) as caught:
+                await promote(client)
+            assert 'generation 1' in caught.value.message
+            assert watching.document_key('production') not in store.objects
+            await report_in_force(client, FIRST_DIGEST)
+            change = await promote(client)
+            assert change.environment == 'production'
+            record, _ = await editing.read_accepted(client, 'production')
+            assert record.origin == 'trial/1'
+            with pytest.raises(errors.PumicestandError):
+                await promote(client, digest='ff' * 32)
+
+    test_stores.run(main)
+
+
+def test_a_move_that_trial_has_taken_back_is_not_promoted():
+    async def main():
+        async with test_stores.open_store() as (client, _, _):
+            document, content = readers.read_yaml(test_readers.GOOD)
+            move = document.moves[0]
+            await editing.write(
+                client, 'trial', content, change_id='a', now=move.start - 60
+            )
+            await report_in_force(client, documents.content_digest(content))
+            verdict = messages.MoveVerdict(
+                move.identity, messages.STAGE_TAKEN_BACK, 'bad', NOW, 'n'
+            )
+            action = verdicts.write_action('trial', verdict)
+            await client.write(action.key, action.value, 0)
+            with pytest.raises(errors.PumicestandError) as caught:
+                await promote(client)
+            assert caught.value.code == errors.Code.MOVE_TAKEN_BACK
+
+    test_stores.run(main)
+
+
+def test_a_new_move_that_can_not_fit_its_time_is_refused():
+    async def main():
+        async with test_stores.open_store() as (client, store, _):
+            document, content = readers.read_yaml(test_readers.GOOD)
+            late = document.moves[0].by - 5
+            with pytest.raises(errors.PumicestandError) as caught:
+                await editing.write(
+                    client, 'trial', content, change_id='a', now=late
+                )
+            assert caught.value.code == errors.Code.DOCUMENT_MOVE_TIME
+            assert store.objects == {}
+
+    test_stores.run(main)
