Test all routes together, and hold a move that looks doubtful

Cause: each route was tested alone, so badness on all routes took five times the calls; a move was declared done at 0.8 of its time while the capital against it was still growing; a zone's collector sent its sums ten times a second for ever after one error.

Change: the sums over all routes are one more test; a move whose capital is above the caution bound gets no more share; done is declared shortly before the time is up; sums are sent when they changed. Rankings and the list of reachable members are kept until the table changes.

--- a/benchmarks/moves.py
+++ b/benchmarks/moves.py
@@ -31,6 +31,8 @@
 BASELINE_MIN_CALLS = 50
 ROUTES = 5
 COLD_S = 30.0
+# Of a normal distribution.
+SLOWEST_HUNDREDTH = 2.326
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -139,13 +141,12 @@
         """Return (whether it failed, seconds) of a call."""
         behaviour = self.behaviour
         errors = BASE_ERRORS
-        seconds = LATENCY_S * math.exp(
-            self._rng.gauss(0.0, LATENCY_SPREAD)
-        )
+        spread = self._rng.gauss(0.0, 1.0)
+        seconds = LATENCY_S * math.exp(LATENCY_SPREAD * spread)
         if is_new and is_bad:
             errors += behaviour.errors
             seconds *= behaviour.slow
-            if self._rng.random() < 0.01:
+            if spread > SLOWEST_HUNDREDTH:
                 seconds *= behaviour.tail
         if is_new and behaviour.cold and passed < COLD_S:
             seconds *= 3.0
@@ -167,9 +168,7 @@
 def make_document():
     """Return a document with one service, its routes and one move."""
     limits = documents.Limits(20, 120, 40)
-    service = documents.Service(
-        'passdesk', ('v1', 'v2'), 'v1', (), (), limits
-    )
+    service = documents.Service('passdesk', ('v1', 'v2'), 'v1', (), (), limits)
     routes = tuple(
         documents.Route(
             f'route-{number}',
--- a/packages/pumicestand/pumicestand/evidence.py
+++ b/packages/pumicestand/pumicestand/evidence.py
@@ -14,11 +14,12 @@
 from pumicestand import messages
 
 BETS = (0.01, 0.03, 0.1, 0.3, 0.9)
-FALSE_ALARM_PROBABILITY = 1e-6
+FALSE_ALARM_PROBABILITY = 1e-5
 MIN_BOUND = 1e-4
 MAX_BOUND = 0.95
 OLD_SPREAD = 2.0
-SLOW_TOLERANCE = 0.02
+SLOW_TOLERANCE = 0.003
+ALL_ROUTES = '*'
 LATENCY_QUANTILE = 0.95
 QUANTILE_GAIN = 0.05
 WINDOWS_S = (5.0, 20.0, 60.0, 300.0)
@@ -154,10 +155,17 @@
     allowed: float
     seconds: float
 
+    @property
+    def where(self):
+        """The route, or that all routes are meant."""
+        if self.route == ALL_ROUTES:
+            return 'all routes'
+        return f'route {self.route}'
+
     def __str__(self):
         return (
             f'{self.failures} of {self.calls} calls of the new version on '
-            f'route {self.route} {self.what} within {self.seconds:.0f} s, '
+            f'{self.where} {self.what} within {self.seconds:.0f} s, '
             f'allowed are {self.allowed:.2%}'
         )
 
@@ -191,6 +199,8 @@
             for index in starts:
                 at, state = self._states[index]
                 before = state.get(route)
+                if before is None and route == ALL_ROUTES and state:
+                    before = _sum_routes(state)
                 if before is not None:
                     yield now - at, route, since(counters, before)
 
@@ -204,30 +214,45 @@
         return found
 
 
-def find_bad(move, now, totals, history):
-    """Return the first `Finding` against a move's new version, or None.
+def _sum_routes(totals):
+    """Return the counters of a move over all its routes."""
+    first = next(iter(totals.values()))
+    total = messages.Counters(first.move, ALL_ROUTES)
+    for counters in totals.values():
+        total = add(total, counters)
+    return total
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Reading:
+    """What the tests say of a version at one moment.
+
+    :param finding: the `Finding` that condemns it, or None
+    :param log_capital: of the test that speaks most against it
+    """
+
+    finding: Finding | None
+    log_capital: float
+
+
+def read_tests(move, now, totals, history):
+    """Return the `Reading` of all tests on a move's new version.
 
     :param move: the `documents.Move`
     :param totals: route name to the fleet's counters
     :param history: the `History` of these totals
     """
-    tests = 2 * max(1, len(totals)) * (1 + len(WINDOWS_S))
+    tests = 2 * (1 + len(totals)) * (1 + len(WINDOWS_S))
     threshold = math.log(tests / FALSE_ALARM_PROBABILITY)
+    if len(totals) > 1:
+        totals = {**totals, ALL_ROUTES: _sum_routes(totals)}
+    highest = 0.0
     for seconds, route, counters in history.windows(now, totals):
-        bad = move.bad_on(route)
-        for what, failures, old_failures, tolerance in (
-            ('failed', counters.new_errors, counters.old_errors, bad.errors),
-            (
-                f'were over {bad.latency:g}x as slow as the old version',
-                counters.new_slow,
-                counters.old_slow,
-                SLOW_TOLERANCE,
-            ),
-        ):
-            allowed = allowed_rate(counters.old_calls, old_failures, tolerance)
+        for what, failures, allowed in _comparisons(move, route, counters):
             capital = log_capital(counters.new_calls, failures, allowed)
+            highest = max(highest, capital)
             if capital >= threshold:
-                return Finding(
+                finding = Finding(
                     route,
                     what,
                     counters.new_calls,
@@ -235,4 +260,18 @@
                     allowed,
                     seconds,
                 )
-    return None
+                return Reading(finding, capital)
+    return Reading(None, highest)
+
+
+def _comparisons(move, route, counters):
+    """Yield what is compared: its name, failures and allowed rate."""
+    bad = move.bad_on(route)
+    errors = allowed_rate(counters.old_calls, counters.old_errors, bad.errors)
+    yield 'failed', counters.new_errors, errors
+    slow = allowed_rate(counters.old_calls, counters.old_slow, SLOW_TOLERANCE)
+    yield (
+        f'were over {bad.latency:g}x as slow as the old version',
+        counters.new_slow,
+        slow,
+    )
--- a/packages/pumicestand/pumicestand/moves.py
+++ b/packages/pumicestand/pumicestand/moves.py
@@ -18,9 +18,9 @@
 from pumicestand import verdicts
 
 COLLECTORS_PER_MOVE = 2
-REPORT_PERIOD_S = 1.0
+REPORT_PERIOD_S = 2.0
 URGENT_REPORT_PERIOD_S = 0.1
-ZONE_REPORT_PERIOD_S = 0.5
+ZONE_REPORT_PERIOD_S = 1.0
 FAILURES_BEFORE_HOLD = 3
 HOLD_S = 5.0
 
@@ -207,7 +207,8 @@
         self._next_report_at = 0.0
         self._phase = rng.random()
         self._reported = {}
-        self._next_zone_report_at = 0.0
+        self._zone_sent = {}
+        self._memo = ranking.Memo()
         self._by_member = {}
         self._by_zone = {}
         self._judges = {}
@@ -300,11 +301,26 @@
         for move in running:
             mine = tuple(c for c in changed if c.move == move.identity)
             if mine:
-                names = zone_collectors(board, move, board.identity.zone)
+                names = self._zone_collectors(board, move)
                 body = messages.Evidence('', mine)
                 taken += self._send(board, names, body)
         return taken
 
+    def _collectors(self, board, move):
+        return self._memo.get(
+            board.table.hash,
+            move.identity,
+            lambda: collectors(board, move),
+        )
+
+    def _zone_collectors(self, board, move):
+        zone = board.identity.zone
+        return self._memo.get(
+            board.table.hash,
+            (move.identity, zone),
+            lambda: zone_collectors(board, move, zone),
+        )
+
     def _send(self, board, names, body):
         taken = []
         for name in names:
@@ -318,26 +334,21 @@
         return taken
 
     def _report_zone(self, board, now, running):
-        """Send the zone's sums to the fleet's collectors."""
-        if now < self._next_zone_report_at:
-            return []
+        """Send the zone's sums, where they changed, to the collectors."""
         taken = []
         zone = board.identity.zone
         for move in running:
-            if board.identity.name not in zone_collectors(board, move, zone):
+            if board.identity.name not in self._zone_collectors(board, move):
                 continue
             sums = self._zone_sums(move)
-            if sums:
-                body = messages.Evidence(zone, sums)
-                taken += self._send(board, collectors(board, move), body)
-                self._next_zone_report_at = now + self._zone_period(sums)
+            sent_at, sent = self._zone_sent.get(move.identity, (0.0, ()))
+            if sums == sent or now - sent_at < _zone_period(sums, sent):
+                continue
+            self._zone_sent[move.identity] = (now, sums)
+            body = messages.Evidence(zone, sums)
+            taken += self._send(board, self._collectors(board, move), body)
         return taken
 
-    def _zone_period(self, sums):
-        if any(counters.new_errors for counters in sums):
-            return URGENT_REPORT_PERIOD_S
-        return ZONE_REPORT_PERIOD_S
-
     def _zone_sums(self, move):
         sums = []
         for (identity, route), held in self._by_member.items():
@@ -363,7 +374,7 @@
     def _judge(self, board, now, running):
         taken = []
         for move in running:
-            if board.identity.name not in collectors(board, move):
+            if board.identity.name not in self._collectors(board, move):
                 continue
             judge = self._judges.get(move.identity)
             if judge is None:
@@ -414,6 +425,13 @@
 }
 
 
+def _zone_period(sums, sent):
+    """Return the seconds between two reports; errors can't wait."""
+    errors = sum(counters.new_errors for counters in sums)
+    known = sum(counters.new_errors for counters in sent)
+    return URGENT_REPORT_PERIOD_S if errors > known else ZONE_REPORT_PERIOD_S
+
+
 def collectors(board, move):
     """Return names of the members that judge a move, zones apart."""
     members = _reachable_with_self(board)
--- a/packages/pumicestand/pumicestand/ranking.py
+++ b/packages/pumicestand/pumicestand/ranking.py
@@ -18,3 +18,23 @@
 def _weight(key, name):
     text = f'{key}\0{name}'.encode()
     return hashlib.blake2b(text, digest_size=8).digest()
+
+
+class Memo:
+    """Keeps what was worked out from a state until the state changes."""
+
+    def __init__(self):
+        self._state = None
+        self._held = {}
+
+    def get(self, state, key, compute):
+        """Return what `compute` returns for a key and state.
+
+        :param state: anything that can be compared, such as a table's hash
+        """
+        if state != self._state:
+            self._state = state
+            self._held = {}
+        if key not in self._held:
+            self._held[key] = compute()
+        return self._held[key]
--- a/packages/pumicestand/pumicestand/tables.py
+++ b/packages/pumicestand/pumicestand/tables.py
@@ -61,6 +61,7 @@
     entries: dict = dataclasses.field(default_factory=dict)
     hash: int = 0
     _buried_at: dict = dataclasses.field(default_factory=dict)
+    _reachable: tuple | None = None
 
     def merge(self, rumour, now):
         """Take a rumour in; return whether it was news.
@@ -75,6 +76,7 @@
         if held is not None:
             self._toggle(key, held)
         self.entries[key] = rumour
+        self._reachable = None
         self._toggle(key, rumour)
         self._buried_at.pop(key, None)
         if is_buried(rumour):
@@ -121,8 +123,10 @@
 
     def reachable(self):
         """Return the members that are alive or only suspected."""
-        return [
-            member
-            for member in self.members()
-            if member.status <= messages.Status.SUSPECT
-        ]
+        if self._reachable is None:
+            self._reachable = tuple(
+                member
+                for member in self.members()
+                if member.status <= messages.Status.SUSPECT
+            )
+        return self._reachable
--- a/packages/pumicestand/pumicestand/verdicts.py
+++ b/packages/pumicestand/pumicestand/verdicts.py
@@ -12,7 +12,10 @@
 STEPS = (100, 250, 500, 950)
 MIN_STEP_S = 1.0
 RAMP_PART = 0.5
-DONE_PART = 0.8
+DONE_RESERVE_PART = 0.05
+DONE_RESERVE_S = 2.0
+# Log of the odds against a version above which it gets no more traffic.
+CAUTION = 4.6
 AT_RISK_PART = 0.6
 CALLS_PER_STEP = 30
 
@@ -74,18 +77,28 @@
             self._stage_at = now
             self._calls_at_stage = calls
         self._history.add(now, totals)
-        finding = evidence.find_bad(self._move, now, totals, self._history)
-        if finding is not None:
-            return TakeBack(str(finding))
+        reading = evidence.read_tests(self._move, now, totals, self._history)
+        if reading.finding is not None:
+            return TakeBack(str(reading.finding))
+        if reading.log_capital > CAUTION and now < self._done_at:
+            # Too little to condemn it, too much to trust it with more.
+            return None
         return self._raise(now, stage, calls - self._calls_at_stage)
 
+    @property
+    def _done_at(self):
+        """When the old version gives up the little that it kept."""
+        window = self._move.by - self._move.start
+        reserve = max(DONE_RESERVE_S, DONE_RESERVE_PART * window)
+        return self._move.by - reserve
+
     def _raise(self, now, stage, calls):
         window = self._move.by - self._move.start
         if calls < CALLS_PER_STEP:
             return self._warn(now, window, calls)
         higher = [step for step in STEPS if step > stage]
         if not higher:
-            if now < self._move.start + DONE_PART * window:
+            if now < self._done_at:
                 return None
             return Raise(messages.STAGE_DONE, f'{calls} good calls at 95%')
         dwell = max(MIN_STEP_S, RAMP_PART * window / (1 + len(STEPS)))
--- a/packages/pumicestand/pumicestand/watching.py
+++ b/packages/pumicestand/pumicestand/watching.py
@@ -52,6 +52,7 @@
         self._written_seeds = None
         self._next_ask_at = 0.0
         self._reported = 0
+        self._memo = ranking.Memo()
 
     def step(self, board, now):
         """Return what is due towards the store."""
@@ -108,13 +109,19 @@
     def _is_ranked(self, board):
         if board.leaving or board.replaced:
             return False
-        return board.identity.name in watchers(board, board.identity.region)
+        return board.identity.name in self._watchers(board)
+
+    def _watchers(self, board):
+        region = board.identity.region
+        return self._memo.get(
+            board.table.hash, region, lambda: watchers(board, region)
+        )
 
     def _write_seeds(self, board, now):
         """Keep in the store by which addresses others can join."""
         identity = board.identity
-        region = watchers(board, identity.region)
-        if not board.watching or region[:1] != [identity.name]:
+        first = self._watchers(board)[:1]
+        if not board.watching or first != [identity.name]:
             return []
         if now < self._next_seeds_at:
             return []
@@ -159,8 +166,9 @@
         return [self._status_write(board, now)]
 
     def _is_reporter(self, board):
-        names = [member.name for member in board.table.reachable()]
-        ranked = ranking.rank('report', names)
+        ranked = self._memo.get(
+            board.table.hash, 'report', lambda: _rank_reporters(board)
+        )
         return ranked[:1] == [board.identity.name]
 
     def _ask(self, board, now, behind):
@@ -187,6 +195,11 @@
         return actions.WriteStore(key, value, accepted.generation)
 
 
+def _rank_reporters(board):
+    names = [member.name for member in board.table.reachable()]
+    return ranking.rank('report', names)
+
+
 def watchers(board, region):
     """Return names of the members that watch in a region."""
     names = {
