Announce a document once its content is here

Cause: a node passed the reference on as soon as it heard of it. Whoever then asked it for the content was refused, struck it from the holders and waited; the time line showed fetches from peers that did not hold it yet.

Change: the reference goes out when the content is here, and a peer that has only heard of a document is asked again instead of struck. Probes go out every 1.5 s instead of every second.

--- /dev/null
+++ b/benchmarks/plain_watcher.py
@@ -0,0 +1,79 @@
+"""The baseline of distribution: every node watches the store itself.
+
+It keeps the whole document and tells its version on request; there is no
+membership and nothing passes between the processes.
+"""
+
+import argparse
+import time
+
+import trio
+
+from pumicestand import errors
+from pumicestand import readers
+from pumicestand import records
+from pumicestand import stores
+from pumicestand import watching
+from pumicestand_standins import http_server
+
+RETRY_S = 1.0
+
+
+class PlainWatcher:
+    """Watches the store and notes when each generation took effect.
+
+    :param client: a `stores.StoreClient`
+    """
+
+    def __init__(self, client):
+        self._client = client
+        self._in_force = {}
+        self._bytes = 0
+
+    async def run(self):
+        """Watch for ever."""
+        key = watching.document_key('production')
+        version = 0
+        while True:
+            try:
+                stored = await self._client.watch(key, version)
+            except (errors.StoreUnavailable, errors.WatchExpired):
+                await trio.sleep(RETRY_S)
+                continue
+            if stored is None:
+                continue
+            version = stored.version
+            self._bytes += len(stored.value)
+            record = records.read_record(stored)
+            readers.read_content(record.content.encode())
+            self._in_force[record.generation] = time.time()
+
+    async def handle(self, request):
+        """Tell what is in force since when."""
+        return http_server.to_json(
+            {'in_force': self._in_force, 'bytes': self._bytes}
+        )
+
+
+async def run(store, port):
+    """Watch and answer until ended."""
+    client = stores.StoreClient(store)
+    await client.start()
+    watcher = PlainWatcher(client)
+    async with trio.open_nursery() as nursery:
+        server = http_server.Server('127.0.0.1', port, watcher.handle)
+        await server.start(nursery)
+        nursery.start_soon(watcher.run)
+
+
+def main():
+    """Run the baseline as a process."""
+    parser = argparse.ArgumentParser()
+    parser.add_argument('--store', required=True)
+    parser.add_argument('--port', type=int, required=True)
+    parsed = parser.parse_args()
+    trio.run(run, parsed.store, parsed.port)
+
+
+if __name__ == '__main__':
+    main()
--- a/packages/pumicestand/pumicestand/dissemination.py
+++ b/packages/pumicestand/pumicestand/dissemination.py
@@ -1,8 +1,8 @@
 """Brings the accepted document to this node, whole.
 
-A node hears of a generation by a frame's header or from the store, passes
-the reference on to a few members at once, and fetches the content from
-whoever told it. Content counts only if its digest fits the reference.
+A node hears of a generation by a frame's header or from the store, fetches
+the content from whoever told it, and then passes the reference on to a few
+members. Content counts only if its digest fits the reference.
 """
 
 import zlib
@@ -19,6 +19,8 @@
 FETCH_TIMEOUT_S = 1.0
 MAX_FETCH_DELAY_S = 2.0
 STORE_RETRY_S = 2.0
+# What a peer answers that has heard of a document but does not hold it.
+UNKNOWN_GENERATION = 'unknown-generation'
 
 
 def compress(content):
@@ -56,7 +58,7 @@
 
     def step(self, board, now):
         """Return announcements and fetches that are due."""
-        before = board.accepted
+        before = board.candidate
         for fact in board.inbox:
             match fact:
                 case blackboards.Received(frame, address):
@@ -67,7 +69,8 @@
                 case blackboards.RequestFailed(body=messages.Fetch()) as f:
                     self._fetch_failed(board, now, f)
         taken = []
-        if board.accepted > before:
+        if board.candidate is not None and board.candidate is not before:
+            # Only now: whoever hears of it here can also fetch it here.
             taken += self._announce(board)
         return taken + self._fetch(board, now)
 
@@ -164,8 +167,9 @@
         return [actions.ReadStore(self._rng.random() * 0.5)]
 
     def _fetch_failed(self, board, now, failed):
-        """Try another holder, later with each failure."""
-        self._holders.pop(failed.peer, None)
+        """Try again, later with each failure."""
+        if failed.detail != UNKNOWN_GENERATION:
+            self._holders.pop(failed.peer, None)
         self._fetch_failures += 1
         bound = min(MAX_FETCH_DELAY_S, 0.05 * 2**self._fetch_failures)
         self._fetching_until = now + self._rng.random() * bound
@@ -224,5 +228,5 @@
     """Return the body that answers a peer's `messages.Fetch`."""
     held = board.candidate or board.in_force
     if held is None or held.accepted != fetch.accepted:
-        return messages.Refused('unknown-generation')
+        return messages.Refused(UNKNOWN_GENERATION)
     return messages.Content(fetch.accepted, compress(board.content))
--- a/packages/pumicestand/pumicestand/membership.py
+++ b/packages/pumicestand/pumicestand/membership.py
@@ -12,7 +12,7 @@
 from pumicestand import events
 from pumicestand import messages
 
-PROBE_PERIOD_S = 1.0
+PROBE_PERIOD_S = 1.5
 PROBE_TIMEOUT_S = 0.4
 INDIRECT_PROBES = 3
 SUSPICION_S = 4.0
