--- /dev/null
+++ b/tests/pumicestand/test_moves.py
@@ -0,0 +1,291 @@
+"""Tests of moves: shares, verdicts, and what may undo them."""
+
+import dataclasses
+import random
+
+import hypothesis
+from hypothesis import strategies as st
+import pytest
+
+from benchmarks import moves as bench
+from pumicestand import blackboard as blackboards
+from pumicestand import documents
+from pumicestand import events
+from pumicestand import messages
+from pumicestand import moves
+from pumicestand import verdicts
+from tests import fakes
+
+START = bench.EPOCH
+
+
+def make_board(name='n0', zone='z'):
+    identity = blackboards.Identity('production', name, zone, 'r', 'h', 1, 2)
+    board = blackboards.Blackboard(identity, 1)
+    document = bench.make_document()
+    board.in_force = blackboards.InForce(
+        documents.Accepted(1, 'aa'), document, START
+    )
+    board.verdicts_known = True
+    return board, document.moves[0]
+
+
+def give_verdict(board, move, stage):
+    verdict = messages.MoveVerdict(move.identity, stage, 'why', START, 'n')
+    board.table.merge(verdict, START)
+
+
+@hypothesis.given(st.floats(0.0, 1.0), st.integers(1, 2000))
+def test_a_share_is_never_exceeded(share, calls):
+    picker = moves.SharePicker()
+    taken = 0
+    for number in range(1, calls + 1):
+        taken += picker.pick(share)
+        assert taken <= share * number + 1e-6
+    assert taken >= share * calls - 1
+
+
+# Each case: the stage, seconds after the start, then state and share.
+STATES = {
+    'before the start': (None, -1.0, moves.State.SCHEDULED, 0.0),
+    'unproven': (None, 1.0, moves.State.RUNNING, 0.02),
+    'a quarter': (250, 1.0, moves.State.RUNNING, 0.25),
+    'late': (250, 1e4, moves.State.LATE, 0.25),
+    'done': (messages.STAGE_DONE, 1e4, moves.State.DONE, 1.0),
+    'taken back': (
+        messages.STAGE_TAKEN_BACK,
+        1.0,
+        moves.State.TAKEN_BACK,
+        0.0,
+    ),
+}
+
+
+@pytest.mark.parametrize('name', STATES)
+def test_the_share_follows_time_and_verdict(name):
+    stage, after, state, share = STATES[name]
+    board, move = make_board()
+    if stage is not None:
+        give_verdict(board, move, stage)
+    now = START + after
+    assert moves.state_of(board, move, now) == state
+    assert moves.share_of(board, move, now) == share
+
+
+def test_a_node_that_knows_no_verdicts_gives_the_new_version_nothing():
+    board, move = make_board()
+    board.verdicts_known = False
+    assert moves.share_of(board, move, START + 1) == 0.0
+
+
+def test_the_next_move_starts_from_where_the_last_one_ended():
+    board, move = make_board()
+    second = dataclasses.replace(
+        move,
+        name='second',
+        source='v2',
+        target='v3',
+        start=START + 500,
+        by=START + 900,
+    )
+    document = dataclasses.replace(
+        board.in_force.document, moves=(move, second)
+    )
+    board.in_force = dataclasses.replace(board.in_force, document=document)
+    service = document.services[0]
+    now = START + 600
+    give_verdict(board, move, messages.STAGE_TAKEN_BACK)
+    plan = moves.plan_of(board, service, now)
+    assert (plan.base, plan.move.name) == ('v1', 'second')
+    board.table.entries.clear()
+    give_verdict(board, move, messages.STAGE_DONE)
+    plan = moves.plan_of(board, service, now)
+    assert (plan.base, plan.move.name) == ('v2', 'second')
+
+
+def test_failures_in_a_row_hold_the_version_here_at_once():
+    board, move = make_board()
+    recorder = moves.Recorder()
+    for _ in range(moves.FAILURES_BEFORE_HOLD):
+        assert moves.share_of(board, move, START + 1) == 0.02
+        recorder.record(
+            board,
+            move,
+            'r',
+            is_new=True,
+            is_error=True,
+            seconds=None,
+            now=START + 1,
+        )
+    assert moves.share_of(board, move, START + 1) == 0.0
+    assert moves.share_of(board, move, START + 1 + moves.HOLD_S) == 0.02
+    assert board.ring.events[-1].kind == events.Kind.MOVE_HELD
+
+
+def test_failures_of_both_versions_hold_nothing():
+    board, move = make_board()
+    recorder = moves.Recorder()
+    for _ in range(10):
+        for is_new in (True, False):
+            recorder.record(
+                board,
+                move,
+                'r',
+                is_new=is_new,
+                is_error=True,
+                seconds=None,
+                now=START + 1,
+            )
+    assert moves.share_of(board, move, START + 1) == 0.02
+
+
+def decide(judge, now, calls, errors=0, stage=0):
+    totals = {
+        'r': messages.Counters('m', 'r', calls, errors, 0, calls * 49, 0, 0)
+    }
+    return judge.decide(now, stage, totals)
+
+
+def test_a_raise_needs_calls_and_time():
+    _, move = make_board()
+    judge = verdicts.Judge(move)
+    assert decide(judge, START, 0) is None
+    assert decide(judge, START + 1, 100) is None
+    assert decide(judge, START + 40, 10) is None
+    decision = decide(judge, START + 41, 100)
+    assert decision.stage == verdicts.STEPS[0]
+
+
+def test_the_operator_is_told_early_that_calls_are_missing():
+    _, move = make_board()
+    judge = verdicts.Judge(move)
+    assert decide(judge, START + 10, 5) is None
+    decision = decide(judge, START + 80, 9)
+    assert isinstance(decision, verdicts.AtRisk)
+    assert '30 are needed' in decision.reason
+    assert decide(judge, START + 81, 9) is None
+
+
+def test_a_final_stage_is_never_judged_again():
+    _, move = make_board()
+    judge = verdicts.Judge(move)
+    for stage in (messages.STAGE_DONE, messages.STAGE_TAKEN_BACK):
+        assert decide(judge, START + 99, 500, 500, stage) is None
+
+
+def behaviour(name):
+    return next(b for b in bench.BEHAVIOURS if b.name == name)
+
+
+def run_policy(name, seed=0):
+    rng = random.Random(seed)
+    deployment = bench.Deployment(5, 2, 60.0)
+    fleet = bench.PolicyFleet(deployment, rng)
+    return bench.run_move(fleet, bench.World(deployment, behaviour(name), rng))
+
+
+@pytest.mark.parametrize('name', ['good', 'good while the old one is sick'])
+def test_a_good_version_is_done_by_its_time(name):
+    result = run_policy(name)
+    assert result.taken_back_at is None
+    assert result.done_at <= START + bench.WINDOW_S
+    assert not result.is_bound_broken
+
+
+@pytest.mark.parametrize('name', ['errors on 100%', 'three times as slow'])
+def test_a_bad_version_is_taken_back_and_stays_away(name):
+    result = run_policy(name)
+    assert result.taken_back_at is not None
+    assert result.done_at is None
+    assert not result.has_returned
+    assert not result.is_bound_broken
+
+
+def test_a_verdict_survives_the_store():
+    verdict = messages.MoveVerdict('m@1', 500, 'good', 1.5, 'n')
+    action = verdicts.write_action('production', verdict)
+    assert action.rank == 500
+    assert verdicts.read_verdict(action.value) == verdict
+    with pytest.raises(ValueError):
+        verdicts.read_verdict('{"stage": 1}')
+
+
+def moving_fleet():
+    """Return a fleet of fakes in which a move has been taken back."""
+    fleet = fakes.FakeFleet(('e1', 'e1', 'e2', 'w1'))
+    fleet.accept('first')
+    assert fleet.run(20.0, lambda: fleet.all_act_on(1))
+    verdict = messages.MoveVerdict(
+        'm@1', messages.STAGE_TAKEN_BACK, 'bad', fleet.now, 'e10'
+    )
+    fleet.nodes['e10'].board.spread(verdict, fleet.now)
+    action = verdicts.write_action('production', verdict)
+    fleet._write(action.key, action.value, action.rank)
+    fleet.run(5.0)
+    return fleet
+
+
+def stages(fleet):
+    return [
+        getattr(node.board.table.verdict('m@1'), 'stage', None)
+        for node in fleet.nodes.values()
+    ]
+
+
+def test_a_take_back_reaches_every_node_with_the_store_down():
+    fleet = fakes.FakeFleet(('e1', 'e1', 'e2', 'w1'))
+    fleet.accept('first')
+    assert fleet.run(20.0, lambda: fleet.all_act_on(1))
+    fleet.set_store_down(True)
+    verdict = messages.MoveVerdict(
+        'm@1', messages.STAGE_TAKEN_BACK, 'bad', fleet.now, 'e10'
+    )
+    fleet.nodes['e10'].board.spread(verdict, fleet.now)
+    back = [messages.STAGE_TAKEN_BACK] * 4
+    assert fleet.run(1.0, lambda: stages(fleet) == back)
+
+
+def test_an_older_message_and_a_second_collector_undo_nothing():
+    fleet = moving_fleet()
+    older = messages.MoveVerdict('m@1', 950, 'good', fleet.now, 'w13')
+    for node in fleet.nodes.values():
+        node.board.spread(older, fleet.now)
+    fleet.run(5.0)
+    assert stages(fleet) == [messages.STAGE_TAKEN_BACK] * 4
+
+
+@pytest.mark.parametrize('store_is_down', [False, True])
+def test_a_restart_does_not_bring_a_version_back(store_is_down):
+    """One node forgets everything; its peers or the store remember."""
+    fleet = moving_fleet()
+    fleet.set_store_down(store_is_down)
+    fleet.stop('e11')
+    fleet.run(1.0)
+    fleet.restart('e11')
+    assert not fleet.nodes['e11'].board.verdicts_known
+    fleet.run(10.0)
+    assert stages(fleet) == [messages.STAGE_TAKEN_BACK] * 4
+
+
+def test_the_restart_of_all_nodes_does_not_bring_a_version_back():
+    fleet = moving_fleet()
+    for name in fleet.nodes:
+        fleet.stop(name)
+    fleet.run(1.0)
+    for name in list(fleet.nodes):
+        fleet.restart(name)
+    fleet.run(10.0)
+    assert stages(fleet) == [messages.STAGE_TAKEN_BACK] * 4
+
+
+def test_fresh_nodes_alone_know_no_verdicts_while_the_store_is_down():
+    fleet = moving_fleet()
+    fleet.set_store_down(True)
+    for name in fleet.nodes:
+        fleet.stop(name)
+    fleet.run(1.0)
+    for name in list(fleet.nodes):
+        fleet.restart(name)
+    fleet.run(10.0)
+    known = [n.board.verdicts_known for n in fleet.nodes.values()]
+    assert known == [False] * 4
