--- a/tests/pumicestand/test_tables.py
+++ b/tests/pumicestand/test_tables.py
@@ -73,7 +73,7 @@
     )
     table = merged([alive, dead])
     assert table.hash == 0
-    assert table.reachable() == []
+    assert table.reachable() == ()
     table.forget(tables.TOMBSTONE_SECONDS)
     assert table.entries == {}
 
