Let the target stand-in cancel, keep deadlines and lie about its load

Change: the stand-ins' server cancels a call when its caller leaves; a target keeps the deadline that it is sent; `/health` and `/load` say what a test wants. Listeners are opened in one module, which is where TLS goes.

--- a/packages/pumicestand-node/pumicestand_node/node.py
+++ b/packages/pumicestand-node/pumicestand_node/node.py
@@ -28,13 +28,13 @@
 from pumicestand_node import caller_connections
 from pumicestand_node import calls
 from pumicestand_node import conductor as conductors
+from pumicestand_node import listeners
 from pumicestand_node import operator_api
 from pumicestand_node import store_agent
 from pumicestand_node import target_connections
 from pumicestand_node import transport as transports
 
 SWEEP_S = 1.0
-LISTEN_BACKLOG = 512
 LEAVE_NOTICE_S = 3.0
 GC_THRESHOLD = 5_000
 
@@ -73,6 +73,7 @@
             lambda frame: answers.answer(self._board, frame),
             self._clock,
             self._count_bytes,
+            settings.tls,
         )
         self._store = store_agent.StoreAgent(
             stores.StoreClient(settings.store),
@@ -111,8 +112,8 @@
         await self._store.start(nursery)
         nursery.start_soon(self._conductor.run)
         nursery.start_soon(self._serve_operators)
-        self._listeners = await trio.open_tcp_listeners(
-            settings.call_port, host=settings.host, backlog=LISTEN_BACKLOG
+        self._listeners = await listeners.open_listeners(
+            settings.host, settings.call_port, settings.tls
         )
         nursery.start_soon(self._serve_calls)
         nursery.start_soon(self._sweep)
--- a/packages/pumicestand-node/pumicestand_node/transport.py
+++ b/packages/pumicestand-node/pumicestand_node/transport.py
@@ -7,6 +7,7 @@
 from pumicestand import errors
 from pumicestand import events
 from pumicestand import wire
+from pumicestand_node import listeners
 
 MAX_STREAMS = 64
 STREAM_IDLE_S = 5.0
@@ -23,14 +24,16 @@
     :param answer: called with a request's frame, returns the answer's
     :param clock: returns wall time in seconds
     :param count_bytes: called with (direction, bytes)
+    :param tls: a `settings.Tls`, None for plain streams
     """
 
-    def __init__(self, board, deliver, answer, clock, count_bytes):
+    def __init__(self, board, deliver, answer, clock, count_bytes, tls=None):
         self._board = board
         self._deliver = deliver
         self._answer = answer
         self._clock = clock
         self._count_bytes = count_bytes
+        self._tls = tls
         self._socket = None
         self._listeners = []
         self._scope = trio.CancelScope()
@@ -45,8 +48,8 @@
             trio.socket.AF_INET, trio.socket.SOCK_DGRAM
         )
         await self._socket.bind((identity.host, identity.port))
-        self._listeners = await trio.open_tcp_listeners(
-            identity.port, host=identity.host
+        self._listeners = await listeners.open_listeners(
+            identity.host, identity.port, self._tls
         )
         nursery.start_soon(self._serve)
 
--- a/packages/pumicestand-standins/pumicestand_standins/http_server.py
+++ b/packages/pumicestand-standins/pumicestand_standins/http_server.py
@@ -2,6 +2,7 @@
 
 import dataclasses
 import json
+import math
 
 import httptools
 import trio
@@ -155,20 +156,30 @@
             await trio.aclose_forcefully(stream)
 
     async def _serve_requests(self, stream):
+        """Answer requests in their order; a caller who leaves cancels."""
         reader = _Reader()
-        while True:
-            data = await stream.receive_some(READ_BYTES)
-            if not data:
-                return
+        send, receive = trio.open_memory_channel(math.inf)
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(self._answer, stream, receive, nursery)
             try:
-                reader.parser.feed_data(data)
+                while data := await stream.receive_some(READ_BYTES):
+                    reader.parser.feed_data(data)
+                    while reader.requests:
+                        send.send_nowait(reader.requests.pop(0))
             except httptools.HttpParserError:
                 await stream.send_all(write(Reply(400)))
-                return
-            while reader.requests:
-                request = reader.requests.pop(0)
+            except (trio.BrokenResourceError, trio.ClosedResourceError):
+                pass
+            nursery.cancel_scope.cancel()
+
+    async def _answer(self, stream, requests, nursery):
+        try:
+            async for request in requests:
                 reply = await self._handle(request)
                 if isinstance(reply, Raw):
                     await stream.send_all(reply.data)
-                    return
+                    break
                 await stream.send_all(write(reply, request.method == 'HEAD'))
+        except (trio.BrokenResourceError, trio.ClosedResourceError):
+            pass
+        nursery.cancel_scope.cancel()
--- a/packages/pumicestand-standins/pumicestand_standins/target.py
+++ b/packages/pumicestand-standins/pumicestand_standins/target.py
@@ -5,6 +5,7 @@
 import dataclasses
 import hashlib
 import json
+import math
 import random
 import signal
 
@@ -17,6 +18,7 @@
 DRAIN_NOTICE_S = 1.0
 DRAIN_LIMIT_S = 30.0
 CRASH_EXIT = 70
+MAX_KEPT_LOADS = 10_000
 
 
 @dataclasses.dataclass(slots=True)
@@ -33,6 +35,9 @@
     :param crash_path: path whose calls crash the process
     :param truncate: fraction of answers that are cut off
     :param drop: fraction of calls that run but get no answer
+    :param health: what ``/health`` says, whatever the truth
+    :param load_lag_s: ``/load`` shows the load of so many seconds ago
+    :param load_lie: what ``/load`` says instead of the truth, if not below 0
     """
 
     latency_s: float = 0.002
@@ -45,6 +50,9 @@
     crash_path: str = ''
     truncate: float = 0.0
     drop: float = 0.0
+    health: str = 'well'
+    load_lag_s: float = 0.0
+    load_lie: float = -1.0
 
 
 class Target:
@@ -68,7 +76,10 @@
         self.ledger = collections.Counter()
         self.in_flight = 0
         self.shed = 0
-        self.is_draining = False
+        self.cancelled = 0
+        self.past_deadline = 0
+        self._loads = collections.deque(maxlen=MAX_KEPT_LOADS)
+        self.drains = trio.Event()
         self.drained_at = None
         self.new_work_after_drain_s = 0.0
         self.has_crashed = trio.Event()
@@ -78,20 +89,47 @@
         if request.path.startswith('/standin/'):
             return self._control(request)
         if request.path == '/health':
-            return http_server.Reply(200, b'well')
+            return http_server.Reply(200, self.behaviour.health.encode())
+        if request.path == '/load':
+            return http_server.to_json({'load': self._shown_load()})
         if self.in_flight >= self._slots:
             self.shed += 1
             return _not_run('no slot is free')
-        if self.is_draining:
+        if self.drains.is_set():
             waited = self._clock() - self.drained_at
             self.new_work_after_drain_s = max(
                 self.new_work_after_drain_s, waited
             )
-        self.in_flight += 1
+        self._change_load(1)
         try:
-            return await self._run(request)
+            return await self._run_within_deadline(request)
+        except trio.Cancelled:
+            self.cancelled += 1
+            raise
         finally:
-            self.in_flight -= 1
+            self._change_load(-1)
+
+    def _change_load(self, count):
+        self.in_flight += count
+        self._loads.append((self._clock(), self.in_flight / self._slots))
+
+    def _shown_load(self):
+        """Return the load as this target shows it, which may be wrong."""
+        if self.behaviour.load_lie >= 0:
+            return self.behaviour.load_lie
+        until = self._clock() - self.behaviour.load_lag_s
+        shown = [load for at, load in self._loads if at <= until]
+        return shown[-1] if shown else 0.0
+
+    async def _run_within_deadline(self, request):
+        """Give a call up at the deadline that came with it."""
+        left_ms = request.headers.get('pumicestand-deadline-ms', '')
+        seconds = int(left_ms) / 1000 if left_ms.isdigit() else math.inf
+        reply = http_server.Reply(504, b'deadline')
+        with trio.move_on_after(seconds) as scope:
+            reply = await self._run(request)
+        self.past_deadline += scope.cancelled_caught
+        return reply
 
     async def _run(self, request):
         identity = request.headers.get('x-request-id', '')
@@ -156,6 +194,8 @@
                         'version': self._version,
                         'runs': dict(self.ledger),
                         'shed': self.shed,
+                        'cancelled': self.cancelled,
+                        'past_deadline': self.past_deadline,
                         'new_work_after_drain_s': self.new_work_after_drain_s,
                     }
                 )
@@ -166,8 +206,8 @@
 
     def drain(self):
         """Announce from now on that this target is leaving."""
-        if not self.is_draining:
-            self.is_draining = True
+        if not self.drains.is_set():
+            self.drains.set()
             self.drained_at = self._clock()
 
 
@@ -207,16 +247,16 @@
         self.state = 'serving'
 
     async def run(self):
-        """Announce until cancelled."""
+        """Announce until cancelled; that it drains, at once."""
         while True:
-            if self._target.is_draining and self.state == 'serving':
+            if self._target.drains.is_set() and self.state == 'serving':
                 self.state = 'draining'
             await self.announce()
+            if self.state != 'serving':
+                await trio.sleep(ANNOUNCE_PERIOD_S)
+                continue
             with trio.move_on_after(ANNOUNCE_PERIOD_S):
-                while not self._target.is_draining or (
-                    self.state != 'serving'
-                ):
-                    await trio.sleep(0.05)
+                await self._target.drains.wait()
 
     async def announce(self):
         """Announce once; a node that does not answer is asked again."""
