Report more often in short moves

Change: a move of less than two minutes is reported 60 times over its time, at most four times a second.

--- a/packages/pumicestand/pumicestand/moves.py
+++ b/packages/pumicestand/pumicestand/moves.py
@@ -20,7 +20,8 @@
 COLLECTORS_PER_MOVE = 2
 REPORT_PERIOD_S = 2.0
 URGENT_REPORT_PERIOD_S = 0.1
-ZONE_REPORT_PERIOD_S = 1.0
+MIN_REPORT_PERIOD_S = 0.25
+REPORTS_PER_MOVE = 60
 FAILURES_BEFORE_HOLD = 3
 HOLD_S = 5.0
 
@@ -204,8 +205,8 @@
     """
 
     def __init__(self, rng):
-        self._next_report_at = 0.0
-        self._phase = rng.random()
+        # A random phase keeps the fleet's reports apart.
+        self._reported_at = rng.random() * REPORT_PERIOD_S
         self._reported = {}
         self._zone_sent = {}
         self._memo = ranking.Memo()
@@ -288,13 +289,12 @@
         changed = [c for move in running for c in self._changed(board, move)]
         if not changed:
             return []
-        period = REPORT_PERIOD_S
+        period = min(report_period(move) for move in running)
         if self._has_new_errors(changed):
             period = URGENT_REPORT_PERIOD_S
-        last = self._next_report_at - REPORT_PERIOD_S
-        if now - last < period:
+        if now - self._reported_at < period:
             return []
-        self._next_report_at = now + REPORT_PERIOD_S
+        self._reported_at = now
         for counters in changed:
             self._reported[(counters.move, counters.route)] = counters
         taken = []
@@ -342,7 +342,8 @@
                 continue
             sums = self._zone_sums(move)
             sent_at, sent = self._zone_sent.get(move.identity, (0.0, ()))
-            if sums == sent or now - sent_at < _zone_period(sums, sent):
+            period = _zone_period(move, sums, sent)
+            if sums == sent or now - sent_at < period:
                 continue
             self._zone_sent[move.identity] = (now, sums)
             body = messages.Evidence(zone, sums)
@@ -425,11 +426,19 @@
 }
 
 
-def _zone_period(sums, sent):
-    """Return the seconds between two reports; errors can't wait."""
+def report_period(move):
+    """Return the seconds between two reports; short moves can't wait."""
+    part = (move.by - move.start) / REPORTS_PER_MOVE
+    return min(REPORT_PERIOD_S, max(MIN_REPORT_PERIOD_S, part))
+
+
+def _zone_period(move, sums, sent):
+    """Return the seconds between a zone's reports; errors can't wait."""
     errors = sum(counters.new_errors for counters in sums)
     known = sum(counters.new_errors for counters in sent)
-    return URGENT_REPORT_PERIOD_S if errors > known else ZONE_REPORT_PERIOD_S
+    if errors > known:
+        return URGENT_REPORT_PERIOD_S
+    return report_period(move) / 2
 
 
 def collectors(board, move):
