Have parts of the fleet meet again that do not know each other

Cause: `make demo` from a clean clone ended with "2 nodes" in production. A node that heard of another one before it asked its seed took itself for joined and never asked; and nobody ever spoke to a member that was declared dead, so regions that had been apart stayed apart for good. The fault matrix missed it since documents still reached both parts through the store.

Ruled out: the kept list of reachable members (emptied on each merge).

Change: a node has joined once a table with other members came; every 8 s or so it pings a seed or a dead member that it can't reach; whoever hears from a member that isn't known to be alive exchanges tables with it. Members that are gone are remembered for an hour. The demo waits until all nodes know each other and checks how many act.

--- a/benchmarks/demo.py
+++ b/benchmarks/demo.py
@@ -30,6 +30,7 @@
 CALLER_NODES = 3
 SETTLE_S = 1.0
 PROMOTE_ATTEMPTS = 30
+MEET_TIMEOUT_S = 15.0
 PROMOTE_RETRY_S = 0.2
 
 DOCUMENT = """\
@@ -169,6 +170,14 @@
             settings = fleet.node_settings(name, zone, REGION)
             self._nodes.append(fleet.start_node(settings))
         fleet.wait_for_nodes(self._trial + self._nodes)
+        for nodes in (self._trial, self._nodes):
+            harness.wait_until(
+                lambda nodes=nodes: all(
+                    node.status()['members'] == len(nodes) for node in nodes
+                ),
+                MEET_TIMEOUT_S,
+                'all nodes know each other',
+            )
         self._start_targets()
         count = len(self._trial) + len(self._nodes)
         self._say(
@@ -244,6 +253,11 @@
         written_at = time.time()
         report = await session.wait('production', 0, None, 15.0)
         generation = report.data['accepted']
+        seen = len(report.data['acting'])
+        self._findings.check(
+            seen == len(self._nodes),
+            f'{seen} of {len(self._nodes)} nodes were seen to act',
+        )
         seconds = await trio.to_thread.run_sync(
             self._convergence, generation, written_at
         )
--- a/packages/pumicestand/pumicestand/membership.py
+++ b/packages/pumicestand/pumicestand/membership.py
@@ -19,6 +19,8 @@
 JOIN_RETRY_S = 1.0
 SYNC_TIMEOUT_S = 2.0
 FORGET_PERIOD_S = 30.0
+REJOIN_PERIOD_S = 8.0
+MEET_PERIOD_S = 1.0
 
 
 @dataclasses.dataclass(slots=True)
@@ -54,13 +56,15 @@
         self._next_probe_at = None
         self._next_join_at = 0.0
         self._next_forget_at = 0.0
+        self._next_rejoin_at = 0.0
+        self._next_meet_at = 0.0
         self._suspected_at = {}
         self._relays = {}
         self._joined = False
 
     @property
     def joined(self):
-        """Whether this node has had another member's whole table."""
+        """Whether this node has had a table with other members in it."""
         return self._joined
 
     def step(self, board, now):
@@ -73,12 +77,14 @@
         for fact in board.inbox:
             match fact:
                 case blackboards.Received(frame, address):
+                    taken += self._meet(board, now, frame, address)
                     taken += self._receive(board, now, frame, address)
                 case blackboards.StoreSeeds(addresses):
                     self._add_seeds(board, addresses)
         self._announce_first(board, now)
         self._refute(board, now)
         taken += self._join(board, now)
+        taken += self._rejoin(board, now)
         taken += self._probe_next(board, now)
         self._judge_suspects(board, now)
         if now >= self._next_forget_at:
@@ -125,8 +131,6 @@
         )
 
     def _join(self, board, now):
-        if board.peers():
-            self._joined = True
         if self._joined and board.peers():
             return []
         if now < self._next_join_at or not self._seeds or board.leaving:
@@ -135,6 +139,41 @@
         address = self._rng.choice(self._seeds)
         return [self._sync_with(board, f'{address[0]}:{address[1]}', address)]
 
+    def _rejoin(self, board, now):
+        """Ping a seed or a member that seems dead, once in a while.
+
+        Two parts of the fleet that know nothing of each other, after regions
+        were apart or from the start, would never meet otherwise.
+        """
+        if now < self._next_rejoin_at or board.leaving:
+            return []
+        wait = REJOIN_PERIOD_S * (0.5 + self._rng.random())
+        is_first = self._next_rejoin_at == 0.0
+        self._next_rejoin_at = now + wait
+        known = {member.address for member in board.table.reachable()}
+        dead = [
+            member.address
+            for member in board.table.members()
+            if member.status == messages.Status.DEAD
+        ]
+        missing = sorted({*self._seeds, *dead} - known)
+        if is_first or not missing:
+            return []
+        ping = board.frame(messages.Ping(0))
+        return [actions.SendDatagram(self._rng.choice(missing), ping)]
+
+    def _meet(self, board, now, frame, address):
+        """Exchange tables with a sender that isn't known to be alive."""
+        held = board.table.member(frame.sender)
+        if held is not None and held.status != messages.Status.DEAD:
+            return []
+        if frame.sender == board.identity.name or now < self._next_meet_at:
+            return []
+        if isinstance(frame.body, messages.Sync | messages.Table):
+            return []
+        self._next_meet_at = now + MEET_PERIOD_S
+        return [self._sync_with(board, frame.sender, address)]
+
     def _sync_with(self, board, peer, address):
         frame = board.frame(messages.Sync(), board.table.entries.values())
         return actions.Request(peer, address, frame, SYNC_TIMEOUT_S)
@@ -150,6 +189,8 @@
                 return self._acknowledge(board, frame, sequence)
             case messages.IndirectPing(sequence, target):
                 return self._ping_for(board, now, address, sequence, target)
+            case messages.Table():
+                self._joined |= _has_others(board, frame)
         return []
 
     def _correct(self, board, frame):
@@ -260,3 +301,12 @@
             since = self._suspected_at.setdefault(name, now)
             if now - since >= SUSPICION_S:
                 self._set_status(board, now, member, messages.Status.DEAD)
+
+
+def _has_others(board, frame):
+    """Return whether a table holds another member than this node."""
+    return any(
+        isinstance(rumour, messages.Member)
+        and rumour.name != board.identity.name
+        for rumour in frame.rumours
+    )
--- a/packages/pumicestand/pumicestand/tables.py
+++ b/packages/pumicestand/pumicestand/tables.py
@@ -10,7 +10,7 @@
 from pumicestand import documents
 from pumicestand import messages
 
-TOMBSTONE_SECONDS = 600.0
+TOMBSTONE_SECONDS = 3600.0
 
 
 def rumour_key(rumour):
