Split moves into shares, recording and the controller

Cause: moves.py had grown to 465 lines with three jobs: what share a version gets, counting what calls show, and judging a move.

Change: shares.py and recording.py take the first two; names and behaviour stay.

Measured: `make test` passes with the same assertions.

--- a/benchmarks/moves.py
+++ b/benchmarks/moves.py
@@ -18,6 +18,8 @@
 from pumicestand import documents
 from pumicestand import messages
 from pumicestand import moves
+from pumicestand import recording
+from pumicestand import shares
 from pumicestand import wire
 
 EPOCH = 1_800_000_000.0
@@ -221,7 +223,7 @@
             board.verdicts_known = True
             self._boards.append(board)
             self._controllers.append(moves.MoveController(rng))
-            self._recorders.append(moves.Recorder())
+            self._recorders.append(recording.Recorder())
         members = [board.own_member() for board in self._boards]
         for board in self._boards:
             for member in members:
@@ -230,7 +232,7 @@
     def share(self, node, now):
         """Return the new version's share at a node."""
         service = self.document.services[0]
-        plan = moves.plan_of(self._boards[node], service, now)
+        plan = shares.plan_of(self._boards[node], service, now)
         if plan.move is None:
             return 1.0 if plan.base == self.move.target else 0.0
         return plan.share
@@ -241,7 +243,7 @@
         if share >= 1.0:
             return True
         key = (node, route)
-        picker = self._pickers.setdefault(key, moves.SharePicker())
+        picker = self._pickers.setdefault(key, shares.SharePicker())
         return picker.pick(share)
 
     def record(self, node, route, is_new, is_error, seconds, now):
--- a/packages/pumicestand-node/pumicestand_node/node.py
+++ b/packages/pumicestand-node/pumicestand_node/node.py
@@ -21,7 +21,7 @@
 from pumicestand import log
 from pumicestand import messages
 from pumicestand import metrics
-from pumicestand import moves
+from pumicestand import recording
 from pumicestand import routing
 from pumicestand import signals
 from pumicestand import stores
@@ -88,7 +88,7 @@
             self._board,
             self._router,
             self._balancer,
-            moves.Recorder(),
+            recording.Recorder(),
             self._pool,
             self._clock,
         )
--- a/packages/pumicestand-node/pumicestand_node/operator_api.py
+++ b/packages/pumicestand-node/pumicestand_node/operator_api.py
@@ -20,8 +20,8 @@
 from pumicestand import announcing
 from pumicestand import application
 from pumicestand import metrics
-from pumicestand import moves
 from pumicestand import refusals
+from pumicestand import shares
 from pumicestand_node import announcements
 
 MAX_BODY_BYTES = 65_536
@@ -54,8 +54,8 @@
                 'identity': move.identity,
                 'service': move.service,
                 'to': move.target,
-                'state': moves.state_of(board, move, now).value,
-                'share': moves.share_of(board, move, now),
+                'state': shares.state_of(board, move, now).value,
+                'share': shares.share_of(board, move, now),
                 'reason': verdict.reason if verdict else '',
                 'held_here': board.held_moves.get(move.identity, 0) > now,
                 'start': move.start,
@@ -222,7 +222,7 @@
     def _explain_service(self, route, backend, now):
         board = self._board
         service = board.in_force.document.service(backend.service)
-        plan = moves.plan_of(board, service, now)
+        plan = shares.plan_of(board, service, now)
         versions = {plan.base: 1.0 - plan.share}
         if plan.move is not None:
             versions[plan.move.target] = plan.share
--- a/packages/pumicestand/pumicestand/moves.py
+++ b/packages/pumicestand/pumicestand/moves.py
@@ -6,15 +6,13 @@
 paused or second collector can repeat what is known but undo nothing.
 """
 
-import dataclasses
-import enum
-
 from pumicestand import actions
 from pumicestand import blackboard as blackboards
 from pumicestand import events
 from pumicestand import evidence
 from pumicestand import messages
 from pumicestand import ranking
+from pumicestand import shares
 from pumicestand import verdicts
 
 COLLECTORS_PER_MOVE = 2
@@ -22,180 +20,6 @@
 URGENT_REPORT_PERIOD_S = 0.1
 MIN_REPORT_PERIOD_S = 0.25
 REPORTS_PER_MOVE = 60
-FAILURES_BEFORE_HOLD = 3
-HOLD_S = 5.0
-
-
-class State(enum.StrEnum):
-    """How far a move is."""
-
-    SCHEDULED = 'scheduled'
-    RUNNING = 'running'
-    LATE = 'late'
-    DONE = 'done'
-    TAKEN_BACK = 'taken-back'
-
-
-@dataclasses.dataclass(frozen=True, slots=True)
-class Plan:
-    """Which versions of a service take traffic now.
-
-    :param base: the version that takes all but the share
-    :param move: the move that runs, or None
-    :param share: fraction of calls for the move's new version
-    """
-
-    base: str
-    move: object
-    share: float
-
-
-def state_of(board, move, now):
-    """Return the `State` of a move."""
-    verdict = board.table.verdict(move.identity)
-    stage = verdict.stage if verdict else messages.STAGE_UNPROVEN
-    if stage == messages.STAGE_TAKEN_BACK:
-        return State.TAKEN_BACK
-    if stage >= messages.STAGE_DONE:
-        return State.DONE
-    if now < move.start:
-        return State.SCHEDULED
-    return State.LATE if now > move.by else State.RUNNING
-
-
-def share_of(board, move, now):
-    """Return the fraction of calls that a move's new version gets.
-
-    A node that has not yet heard the fleet's verdicts gives it nothing.
-    """
-    verdict = board.table.verdict(move.identity)
-    stage = verdict.stage if verdict else messages.STAGE_UNPROVEN
-    if stage == messages.STAGE_TAKEN_BACK:
-        return 0.0
-    if stage >= messages.STAGE_DONE:
-        return 1.0
-    if now < move.start or not board.verdicts_known:
-        return 0.0
-    if board.held_moves.get(move.identity, 0.0) > now:
-        return 0.0
-    return max(move.unproven_share, stage / messages.STAGE_DONE)
-
-
-def plan_of(board, service, now):
-    """Return the `Plan` of a `documents.Service`."""
-    base = service.current
-    for move in board.in_force.document.moves_of(service.name):
-        match state_of(board, move, now):
-            case State.DONE:
-                base = move.target
-            case State.TAKEN_BACK:
-                continue
-            case State.SCHEDULED:
-                break
-            case State.RUNNING | State.LATE:
-                return Plan(base, move, share_of(board, move, now))
-    return Plan(base, None, 0.0)
-
-
-class SharePicker:
-    """Spreads a share evenly over the calls, never above it.
-
-    The share's fractions add up; a call goes to the new version when they
-    reach one. After n calls the new version had at most share * n of them.
-
-    >>> picker = SharePicker()
-    >>> [picker.pick(0.4) for _ in range(5)]
-    [False, False, True, False, True]
-    """
-
-    def __init__(self):
-        self._credit = 0.0
-
-    def pick(self, share):
-        """Return whether the next call goes to the new version."""
-        self._credit += share
-        # Five times 0.2 adds up to less than one in floating point.
-        if self._credit < 1.0 - 1e-9:
-            return False
-        self._credit -= 1.0
-        return True
-
-    def give_back(self):
-        """Take back a pick that could not be used."""
-        self._credit = min(self._credit + 1.0, 1.0)
-
-
-class Recorder:
-    """Counts what calls show of the versions of a move."""
-
-    def __init__(self):
-        self._old_latency = {}
-        self._failures_in_row = {}
-
-    def record(self, board, move, route, *, is_new, is_error, seconds, now):
-        """Count one call.
-
-        :param route: name of the route
-        :param is_new: whether the new version took the call
-        :param seconds: time to the answer's head, None to leave it out
-        """
-        key = (move.identity, route)
-        held = board.counters.get(key)
-        if held is None:
-            held = messages.Counters(move.identity, route)
-        is_slow = self._is_slow(key, move, route, is_new, is_error, seconds)
-        if is_new:
-            held = dataclasses.replace(
-                held,
-                new_calls=held.new_calls + 1,
-                new_errors=held.new_errors + is_error,
-                new_slow=held.new_slow + is_slow,
-            )
-            self._hold(board, move, key, is_error, now)
-        else:
-            held = dataclasses.replace(
-                held,
-                old_calls=held.old_calls + 1,
-                old_errors=held.old_errors + is_error,
-                old_slow=held.old_slow + is_slow,
-            )
-            if is_error:
-                # The old version fails as well: no reason to hold.
-                self._failures_in_row.pop(key, None)
-        board.counters[key] = held
-
-    def _is_slow(self, key, move, route, is_new, is_error, seconds):
-        if seconds is None or is_error:
-            return False
-        tracker = self._old_latency.get(key)
-        if tracker is None:
-            tracker = self._old_latency[key] = evidence.QuantileTracker()
-        usual = tracker.value
-        if not is_new:
-            tracker.add(seconds)
-        if usual is None:
-            return False
-        return seconds > usual * move.bad_on(route).latency
-
-    def _hold(self, board, move, key, is_error, now):
-        """Stop the new version at this node after failures in a row."""
-        if not is_error:
-            self._failures_in_row.pop(key, None)
-            return
-        count = self._failures_in_row.get(key, 0) + 1
-        self._failures_in_row[key] = count
-        if count < FAILURES_BEFORE_HOLD:
-            return
-        self._failures_in_row[key] = 0
-        board.held_moves[move.identity] = now + HOLD_S
-        board.emit(
-            events.Kind.MOVE_HELD,
-            now,
-            service=move.service,
-            move=move.identity,
-            detail=f'{count} calls in a row failed on route {key[1]}; held '
-            f'here for {HOLD_S:g} s',
-        )
 
 
 class MoveController:
@@ -233,7 +57,7 @@
     def _running(self, board, now):
         running = []
         for service in board.in_force.document.services:
-            plan = plan_of(board, service, now)
+            plan = shares.plan_of(board, service, now)
             if plan.move is not None:
                 running.append(plan.move)
         return running
@@ -241,7 +65,7 @@
     def _note_shares(self, board, now):
         """Put a change of share into the time line."""
         for move in board.in_force.document.moves:
-            share = share_of(board, move, now)
+            share = shares.share_of(board, move, now)
             if self._shares.get(move.identity, 0.0) == share:
                 continue
             self._shares[move.identity] = share
--- a/packages/pumicestand/pumicestand/routing.py
+++ b/packages/pumicestand/pumicestand/routing.py
@@ -3,8 +3,8 @@
 import dataclasses
 
 from pumicestand import documents
-from pumicestand import moves
 from pumicestand import refusals
+from pumicestand import shares
 
 
 class RouteTable:
@@ -126,11 +126,11 @@
             picker = self._weighted[route.name] = WeightedPicker()
         name = picker.pick(route.to).service
         service = board.in_force.document.service(name)
-        plan = moves.plan_of(board, service, now)
+        plan = shares.plan_of(board, service, now)
         if plan.move is None:
             return Choice(route, service, plan.base, None, False, plan.base)
         share = self._shares.setdefault(
-            (plan.move.identity, route.name), moves.SharePicker()
+            (plan.move.identity, route.name), shares.SharePicker()
         )
         is_new = share.pick(plan.share)
         version = plan.move.target if is_new else plan.base
--- a/tests/pumicestand/test_moves.py
+++ b/tests/pumicestand/test_moves.py
@@ -12,7 +12,8 @@
 from pumicestand import documents
 from pumicestand import events
 from pumicestand import messages
-from pumicestand import moves
+from pumicestand import recording
+from pumicestand import shares
 from pumicestand import verdicts
 from tests import fakes
 
@@ -37,7 +38,7 @@
 
 @hypothesis.given(st.floats(0.0, 1.0), st.integers(1, 2000))
 def test_a_share_is_never_exceeded(share, calls):
-    picker = moves.SharePicker()
+    picker = shares.SharePicker()
     taken = 0
     for number in range(1, calls + 1):
         taken += picker.pick(share)
@@ -47,15 +48,15 @@
 
 # Each case: the stage, seconds after the start, then state and share.
 STATES = {
-    'before the start': (None, -1.0, moves.State.SCHEDULED, 0.0),
-    'unproven': (None, 1.0, moves.State.RUNNING, 0.02),
-    'a quarter': (250, 1.0, moves.State.RUNNING, 0.25),
-    'late': (250, 1e4, moves.State.LATE, 0.25),
-    'done': (messages.STAGE_DONE, 1e4, moves.State.DONE, 1.0),
+    'before the start': (None, -1.0, shares.State.SCHEDULED, 0.0),
+    'unproven': (None, 1.0, shares.State.RUNNING, 0.02),
+    'a quarter': (250, 1.0, shares.State.RUNNING, 0.25),
+    'late': (250, 1e4, shares.State.LATE, 0.25),
+    'done': (messages.STAGE_DONE, 1e4, shares.State.DONE, 1.0),
     'taken back': (
         messages.STAGE_TAKEN_BACK,
         1.0,
-        moves.State.TAKEN_BACK,
+        shares.State.TAKEN_BACK,
         0.0,
     ),
 }
@@ -68,14 +69,14 @@
     if stage is not None:
         give_verdict(board, move, stage)
     now = START + after
-    assert moves.state_of(board, move, now) == state
-    assert moves.share_of(board, move, now) == share
+    assert shares.state_of(board, move, now) == state
+    assert shares.share_of(board, move, now) == share
 
 
 def test_a_node_that_knows_no_verdicts_gives_the_new_version_nothing():
     board, move = make_board()
     board.verdicts_known = False
-    assert moves.share_of(board, move, START + 1) == 0.0
+    assert shares.share_of(board, move, START + 1) == 0.0
 
 
 def test_the_next_move_starts_from_where_the_last_one_ended():
@@ -95,19 +96,19 @@
     service = document.services[0]
     now = START + 600
     give_verdict(board, move, messages.STAGE_TAKEN_BACK)
-    plan = moves.plan_of(board, service, now)
+    plan = shares.plan_of(board, service, now)
     assert (plan.base, plan.move.name) == ('v1', 'second')
     board.table.entries.clear()
     give_verdict(board, move, messages.STAGE_DONE)
-    plan = moves.plan_of(board, service, now)
+    plan = shares.plan_of(board, service, now)
     assert (plan.base, plan.move.name) == ('v2', 'second')
 
 
 def test_failures_in_a_row_hold_the_version_here_at_once():
     board, move = make_board()
-    recorder = moves.Recorder()
-    for _ in range(moves.FAILURES_BEFORE_HOLD):
-        assert moves.share_of(board, move, START + 1) == 0.02
+    recorder = recording.Recorder()
+    for _ in range(recording.FAILURES_BEFORE_HOLD):
+        assert shares.share_of(board, move, START + 1) == 0.02
         recorder.record(
             board,
             move,
@@ -117,14 +118,14 @@
             seconds=None,
             now=START + 1,
         )
-    assert moves.share_of(board, move, START + 1) == 0.0
-    assert moves.share_of(board, move, START + 1 + moves.HOLD_S) == 0.02
+    assert shares.share_of(board, move, START + 1) == 0.0
+    assert shares.share_of(board, move, START + 1 + recording.HOLD_S) == 0.02
     assert board.ring.events[-1].kind == events.Kind.MOVE_HELD
 
 
 def test_failures_of_both_versions_hold_nothing():
     board, move = make_board()
-    recorder = moves.Recorder()
+    recorder = recording.Recorder()
     for _ in range(10):
         for is_new in (True, False):
             recorder.record(
@@ -136,7 +137,7 @@
                 seconds=None,
                 now=START + 1,
             )
-    assert moves.share_of(board, move, START + 1) == 0.02
+    assert shares.share_of(board, move, START + 1) == 0.02
 
 
 def decide(judge, now, calls, errors=0, stage=0):
