Never reuse a connection on which half an upload was sent

Cause: found while reading calls.py as a newcomer: when a target answered an upload early and kept its connection open, the rest of the body was dropped and the connection went back to the pool; the target would have taken the next request as the rest of the body.

Change: a connection counts as reusable only after its whole request was sent.

Measured: the new test (half an upload, then a sale) fails without the check and passes with it; `make test` passes.

--- a/packages/pumicestand-node/pumicestand_node/calls.py
+++ b/packages/pumicestand-node/pumicestand_node/calls.py
@@ -5,23 +5,20 @@
 import trio
 
 from pumicestand import admission
+from pumicestand import balancing
 from pumicestand import quarantine
 from pumicestand import refusals
 from pumicestand import routing
 from pumicestand import signals
 from pumicestand_node import caller_connections
 from pumicestand_node import heads
+from pumicestand_node import relaying
 from pumicestand_node import target_connections
 
 MAX_BUFFERED_REQUEST_BYTES = 65_536
 RECHECK_S = 0.02
 COLD_TARGET_S = 30.0
 SERVER_ERROR = 500
-_PROBLEMS = (
-    target_connections.AnswerLost,
-    trio.BrokenResourceError,
-    trio.ClosedResourceError,
-)
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -74,7 +71,7 @@
     :param board: the `blackboard.Blackboard`
     :param router: a `routing.Router`
     :param balancer: a `balancing.Balancer`
-    :param recorder: a `moves.Recorder`
+    :param recorder: a `recording.Recorder`
     :param pool: a `target_connections.TargetPool`
     :param clock: returns wall time in seconds
     """
@@ -311,7 +308,7 @@
     async def _try(self, call, target):
         """Send the call to a target; return None or a `_Failed`."""
         call.tried.add(target.key)
-        settled = _Settlement(self._balancer, target, self._clock)
+        settled = balancing.Settlement(self._balancer, target, self._clock)
         connection = None
         try:
             connection = await self._connect(target)
@@ -356,7 +353,7 @@
         sent_at = self._clock()
         try:
             answer = await self._send_and_read_head(call, connection)
-        except _PROBLEMS as error:
+        except relaying.PROBLEMS as error:
             return self._lost(call, target, settled, error)
         except target_connections.AnswerInvalid as error:
             settled.fail()
@@ -370,7 +367,7 @@
             )
         if _says_not_run(answer):
             settled.shed()
-            await _drain_answer(connection)
+            await relaying.drain(connection)
             return _Failed(
                 refusals.not_run(
                     refusals.CallCode.TARGET_REFUSED,
@@ -388,7 +385,7 @@
         self._ledger.note_answer(call.mark)
         try:
             await self._pass_back(call, connection, answer)
-        except (*_PROBLEMS, target_connections.AnswerInvalid) as error:
+        except (*relaying.PROBLEMS, target_connections.AnswerInvalid) as error:
             self._record(call, target, True, seconds)
             return _Failed(
                 refusals.unknown(
@@ -436,6 +433,19 @@
             now=now,
         )
 
+    async def _pass_back(self, call, connection, answer):
+        """Send the answer to the caller, noting that it has begun."""
+        head = call.request.head
+        if relaying.must_close(head, answer):
+            head.keep_alive = False
+
+        async def send(data):
+            call.is_answered = True
+            await call.connection.send(data)
+
+        keep = self._may_keep(call)
+        await relaying.pass_back(head, answer, connection, keep, send)
+
     async def _send_and_read_head(self, call, connection):
         request = call.request
         left_ms = int((call.deadline - self._clock()) * 1000)
@@ -448,83 +458,13 @@
                 request.head, len(call.body), attempt, left_ms
             )
             await connection.send(head + call.body)
+            connection.has_whole_request = True
             return await connection.read_head()
         head = heads.write_request(
             request.head, request.head.length, attempt, left_ms
         )
         await connection.send(head)
-        return await self._upload(request, connection)
-
-    async def _upload(self, request, connection):
-        """Send the body piece by piece while the answer may come early."""
-        answer = problem = None
-        async with trio.open_nursery() as nursery:
-            nursery.start_soon(_pump, request, connection)
-            try:
-                answer = await connection.read_head()
-            except (*_PROBLEMS, target_connections.AnswerInvalid) as error:
-                problem = error
-            # After an early answer the rest of the body has no use.
-            nursery.cancel_scope.cancel()
-        if problem is not None:
-            raise problem
-        return answer
-
-    async def _pass_back(self, call, connection, answer):
-        """Send the answer to the caller, its head with the first bytes."""
-        head = call.request.head
-        framing, is_chunked, must_close = _answer_framing(
-            head, answer, connection
-        )
-        keep = self._may_keep(call) and not must_close
-        if must_close:
-            head.keep_alive = False
-        out = heads.write_answer(
-            answer.status,
-            answer.reason,
-            heads.passed_back(answer.headers),
-            framing,
-            keep,
-        )
-        while data := await connection.read_body():
-            out += _chunk(data) if is_chunked else data
-            call.is_answered = True
-            if connection.answer_is_whole_so_far:
-                continue
-            await call.connection.send(out)
-            out = b''
-        if is_chunked:
-            out += b'0\r\n\r\n'
-        call.is_answered = True
-        if out:
-            await call.connection.send(out)
-
-
-class _Settlement:
-    """Makes sure that a call which was begun is counted as ended once."""
-
-    def __init__(self, balancer, target, clock):
-        self._balancer = balancer
-        self._target = target
-        self._clock = clock
-        self._is_open = True
-
-    def _end(self, count, *arguments):
-        if self._is_open:
-            self._is_open = False
-            count(self._target, self._clock(), *arguments)
-
-    def succeed(self, seconds):
-        self._end(self._balancer.succeed, seconds)
-
-    def shed(self):
-        self._end(self._balancer.shed)
-
-    def fail(self):
-        self._end(self._balancer.fail)
-
-    def close(self):
-        self._end(self._balancer.cancel)
+        return await relaying.upload(request, connection)
 
 
 def _name(target):
@@ -574,44 +514,3 @@
 def _says_not_run(answer):
     outcome = answer.header(refusals.OUTCOME_HEADER.lower().encode())
     return outcome == refusals.Outcome.NOT_RUN.encode()
-
-
-async def _drain_answer(connection):
-    """Read the rest of a short answer, so the connection can be kept."""
-    try:
-        while await connection.read_body():
-            pass
-    except (*_PROBLEMS, target_connections.AnswerInvalid):
-        return
-
-
-async def _pump(request, connection):
-    is_chunked = request.head.length is None
-    try:
-        while data := await request.read():
-            await connection.send(_chunk(data) if is_chunked else data)
-        if is_chunked:
-            await connection.send(b'0\r\n\r\n')
-    except (trio.BrokenResourceError, trio.ClosedResourceError):
-        # The target stopped reading; its answer, if any, tells why.
-        return
-    except caller_connections.CallerGone:
-        # Cuts the request off, so that the target never takes it as whole.
-        await connection.close()
-
-
-def _answer_framing(head, answer, connection):
-    """Return (line, whether chunked, whether the connection must end)."""
-    length = answer.header(b'content-length')
-    if head.method == 'HEAD' or answer.status in (204, 304):
-        line = b'content-length: %b\r\n' % length if length else b''
-        return line, False, False
-    if length is not None:
-        return b'content-length: %b\r\n' % length, False, False
-    if head.version == '1.1':
-        return b'transfer-encoding: chunked\r\n', True, False
-    return b'', False, True
-
-
-def _chunk(data):
-    return b'%x\r\n%b\r\n' % (len(data), data)
--- a/packages/pumicestand-node/pumicestand_node/target_connections.py
+++ b/packages/pumicestand-node/pumicestand_node/target_connections.py
@@ -131,7 +131,7 @@
         self._has_pending = has_pending
         self._reader = None
         self.idle_since = 0.0
-        self.uses = 0
+        self.has_whole_request = False
 
     def is_usable(self, now):
         """Whether an idle connection is open and has nothing to read."""
@@ -142,7 +142,7 @@
     def begin(self, is_head_request):
         """Prepare to read the answer to the next request."""
         self._reader = _AnswerReader(is_head_request)
-        self.uses += 1
+        self.has_whole_request = False
 
     async def send(self, data):
         """Send bytes of a request."""
@@ -191,17 +191,15 @@
         """Whether all of the answer has been read already."""
         return self._reader.is_complete
 
-    @property
-    def answer_ends_with_connection(self):
-        """Whether only the end of the connection ends the body."""
-        return self._reader.ends_with_connection
-
     @property
     def is_reusable(self):
         """Whether another request may be sent after this answer."""
         reader = self._reader
+        # With a part of a body unsent, the target would take the next request
+        # as the rest of it.
         return (
             reader is not None
+            and self.has_whole_request
             and reader.is_complete
             and not reader.has_excess
             and reader.keep_alive
--- a/packages/pumicestand/pumicestand/balancing.py
+++ b/packages/pumicestand/pumicestand/balancing.py
@@ -187,6 +187,41 @@
         }
 
 
+class Settlement:
+    """Makes sure that a call which was begun is counted as ended once.
+
+    :param balancer: a `Balancer`
+    :param clock: returns seconds
+    """
+
+    def __init__(self, balancer, target, clock):
+        self._balancer = balancer
+        self._target = target
+        self._clock = clock
+        self._is_open = True
+
+    def _end(self, count, *arguments):
+        if self._is_open:
+            self._is_open = False
+            count(self._target, self._clock(), *arguments)
+
+    def succeed(self, seconds):
+        """Count an answer; see `Balancer.succeed`."""
+        self._end(self._balancer.succeed, seconds)
+
+    def shed(self):
+        """Count a refusal of the target; see `Balancer.shed`."""
+        self._end(self._balancer.shed)
+
+    def fail(self):
+        """Count a failure; see `Balancer.fail`."""
+        self._end(self._balancer.fail)
+
+    def close(self):
+        """Count the call as cancelled if nothing else was said of it."""
+        self._end(self._balancer.cancel)
+
+
 def _find_pool(board, service, version, resources):
     """Return this node's subset of a version's targets.
 
--- a/tests/pumicestand_node/test_calls.py
+++ b/tests/pumicestand_node/test_calls.py
@@ -17,8 +17,8 @@
 from pumicestand import blackboard as blackboards
 from pumicestand import documents
 from pumicestand import messages
-from pumicestand import moves
 from pumicestand import readers
+from pumicestand import recording
 from pumicestand import routing
 from pumicestand_node import caller_connections
 from pumicestand_node import calls
@@ -116,7 +116,7 @@
             self.board,
             routing.Router(),
             self.balancer,
-            moves.Recorder(),
+            recording.Recorder(),
             pool,
             trio.current_time,
         )
@@ -155,6 +155,11 @@
             if not data:
                 return False
             reader.parser.feed_data(data)
+            if action == 'early answer, kept open':
+                self._next()
+                await stream.send_all(OK)
+                await trio.sleep(60)
+                return False
             if action in ('close in request', 'early answer'):
                 self._next()
                 self.heads.append(reader.headers)
@@ -515,6 +520,28 @@
     assert got.status == 413
 
 
+def test_a_connection_with_half_an_upload_is_not_used_again():
+    """The target would take the next request as the rest of the body."""
+
+    async def main(bench):
+        stream = await bench.connect()
+        await stream.send_all(
+            b'POST /sales HTTP/1.1\r\nhost: mesh\r\n'
+            b'transfer-encoding: chunked\r\n\r\n3\r\nabc\r\n'
+        )
+        first = await read_answer(stream)
+        other = await bench.connect()
+        await other.send_all(SALE)
+        return first, await read_answer(other)
+
+    bench, (first, second) = run(
+        main, ['early answer, kept open', 'ok'], target_count=1
+    )
+    assert (first.status, second.status) == (200, 200)
+    assert bench.connects == 2
+    assert bench.runs == [b'one pass']
+
+
 def test_an_upload_whose_caller_leaves_never_runs():
     bench, _ = upload([b'x' * 1000] * 3, ['ok'], leaves=True)
     assert bench.runs == []
