--- a/benchmarks/capacity.py
+++ b/benchmarks/capacity.py
@@ -119,8 +119,10 @@
 
 def _row(name, points, unit, bound):
     slope, intercept, spread = fit(points)
-    # What does not grow may be fitted as falling, down to below nothing.
-    at_fleet = max(0.0, intercept + slope * FLEET)
+    at_fleet = intercept + slope * FLEET
+    if slope <= 0:
+        # What does not grow is taken at its largest point.
+        at_fleet = max(y for _, y in points)
     shown = ', '.join(f'{y:g}' for _, y in points)
     return (
         f'| {name} | {shown} | {slope:.4g} | {spread:.3g} | '
