Book a call that a target let time out against target and version

Cause: found while reading calls.py as a newcomer: when the deadline ended a call, nothing was recorded, so a new version that hangs was never judged and a target that hangs never ejected.

Change: a deadline that passes while the answer's head is awaited counts as a failure of the target and of its version; a caller who leaves does not.

Measured: two of the new tests (a hanging version is booked, a hanging target is ejected) fail before and pass after.

--- a/packages/pumicestand-node/pumicestand_node/calls.py
+++ b/packages/pumicestand-node/pumicestand_node/calls.py
@@ -213,7 +213,7 @@
                 return None
             call.may_have_run |= failed.was_sent
             call.was_sent = False
-            if call.is_answered or self._body_is_spent(call, failed):
+            if call.is_answered or _is_body_spent(call):
                 return failed.refusal
             if not admission.may_retry(
                 route, call.attempt, upstream, was_sent=failed.was_sent
@@ -224,9 +224,6 @@
             # A retry never adds to the share of an unproven version.
             call.version = call.choice.old_version
 
-    def _body_is_spent(self, call, failed):
-        return call.body is None and call.is_sending
-
     async def _wait_for_target(self, call):
         """Return a target, waiting for a slot if need be, or a refusal."""
         target = self._choose(call)
@@ -353,6 +350,12 @@
         sent_at = self._clock()
         try:
             answer = await self._send_and_read_head(call, connection)
+        except trio.Cancelled:
+            if self._clock() >= call.deadline:
+                # The target took too long; a caller who left says nothing.
+                settled.fail()
+                self._record(call, target, True, None)
+            raise
         except relaying.PROBLEMS as error:
             return self._lost(call, target, settled, error)
         except target_connections.AnswerInvalid as error:
@@ -480,6 +483,11 @@
     return quarantine.fingerprint(head.method, route.name, url, body)
 
 
+def _is_body_spent(call):
+    """Whether a part of a streamed body is gone and can't be sent again."""
+    return call.body is None and call.is_sending
+
+
 def _seconds_allowed(head, route):
     left_ms = head.number(refusals.DEADLINE_HEADER)
     if left_ms is None:
--- a/tests/pumicestand_node/test_calls.py
+++ b/tests/pumicestand_node/test_calls.py
@@ -83,6 +83,8 @@
 
     script: list
     target_count: int = 3
+    document: str = DOCUMENT
+    version: str = 'v1'
     runs: list = dataclasses.field(default_factory=list)
     heads: list = dataclasses.field(default_factory=list)
     connects: int = 0
@@ -90,14 +92,14 @@
     def make_board(self):
         identity = blackboards.Identity('production', 'a', 'z', 'r', 'h', 1, 2)
         board = blackboards.Blackboard(identity, 1)
-        _, content = readers.read_yaml(DOCUMENT)
+        _, content = readers.read_yaml(self.document)
         board.in_force = blackboards.InForce(
             documents.Accepted(1, 'aa'), readers.read_content(content), 0.0
         )
         board.verdicts_known = True
         for port in range(self.target_count):
             target = messages.Target(
-                'till', 'v1', 'h', 9000 + port, ('ledger',), slots=2
+                'till', self.version, 'h', 9000 + port, ('ledger',), slots=2
             )
             board.local_targets[target.key] = blackboards.LocalTarget(
                 target, 1e12
@@ -725,3 +727,63 @@
     bench, got = run(main, ['ok'])
     assert (got.status, got.outcome) == (400, 'bad-request')
     assert bench.runs == []
+
+
+MOVING = (
+    DOCUMENT.replace('[v1]', '[v1, v2]')
+    + """\
+moves:
+  - {name: m, service: till, to: v2, start: 1970-01-01T00:00:00Z,
+     by: 2999-01-01T00:00:00Z, unproven_share: 100%}
+"""
+)
+
+# What the new version does, then: calls and errors booked against it.
+BOOKED = {
+    'ok': (1, 0),
+    'error': (1, 1),
+    'close': (1, 1),
+    'hang': (1, 1),
+    'garbage': (1, 1),
+    'cut in body': (1, 1),
+}
+
+
+@pytest.mark.parametrize('action', BOOKED)
+def test_a_move_books_what_its_new_version_does(action):
+    bench, _ = call([action], SALE, document=MOVING, version='v2')
+    booked = next(iter(bench.board.counters.values()))
+    assert (booked.new_calls, booked.new_errors) == BOOKED[action]
+
+
+def test_a_refusal_as_not_run_is_not_booked_against_a_version():
+    bench, got = call(['not run'], SALE, document=MOVING, version='v2')
+    assert got.outcome == 'not-run'
+    assert bench.board.counters == {}
+
+
+def test_a_caller_who_leaves_is_not_booked_against_a_version():
+    async def main(bench):
+        stream = await bench.connect()
+        await stream.send_all(SALE)
+        await trio.sleep(0.1)
+        await stream.aclose()
+        await trio.sleep(0.1)
+
+    bench, _ = run(main, ['hang'], document=MOVING, version='v2')
+    assert bench.board.counters == {}
+
+
+def test_a_target_that_hangs_is_ejected():
+    async def main(bench):
+        for _ in range(balancing.FAILURES_BEFORE_EJECTION):
+            stream = await bench.connect()
+            await stream.send_all(SALE)
+            assert (await read_answer(stream)).status == 504
+        return bench.balancer.state(
+            bench.board.table.member('a').targets[0], 0.0
+        )
+
+    _, state = run(main, ['hang'], target_count=1)
+    assert state.ejections == 1
+    assert state.in_flight == 0
