Keep to the document's slots and connections for a target

Cause: the document's limits were read but only its queue was used; a target that announced more slots than the document allows got them.

Change: slots and the subset's size take the lower of document and announcement.

Measured: two new tests pass; `make test` passes.

--- a/packages/pumicestand/pumicestand/balancing.py
+++ b/packages/pumicestand/pumicestand/balancing.py
@@ -61,9 +61,11 @@
 
         :param resources: what each target must have
         """
-        if self._pools_of != board.table.hash:
+        # Limits come from the document, targets from the table.
+        state = (board.table.hash, board.acting)
+        if self._pools_of != state:
             self._pools = {}
-            self._pools_of = board.table.hash
+            self._pools_of = state
         key = (service, version, resources)
         found = self._pools.get(key)
         if found is None:
@@ -86,14 +88,15 @@
             for zone, target in self._without_ejected(pool, now)
             if target.key not in excluded
         ]
-        free = [pair for pair in usable if self._is_free(pair[1], now)]
+        slots = choice.service.limits.slots
+        free = [pair for pair in usable if self._is_free(pair[1], slots, now)]
         if not free:
             return None
         zone = board.identity.zone
         local = [
             target
             for where, target in free
-            if where == zone and self._is_below_spill(target, now)
+            if where == zone and self._is_below_spill(target, slots, now)
         ]
         return self._less_loaded(local or [t for _, t in free], now)
 
@@ -108,15 +111,16 @@
             return kept
         return pool
 
-    def _is_free(self, target, now):
+    def _is_free(self, target, slots, now):
+        """Whether a target has a slot, by the document and by its word."""
         state = self.state(target, now)
         if state.paused_until > now:
             return False
-        return state.in_flight < target.slots
+        return state.in_flight < min(slots, target.slots)
 
-    def _is_below_spill(self, target, now):
+    def _is_below_spill(self, target, slots, now):
         in_flight = self.state(target, now).in_flight
-        return in_flight < max(1, target.slots * SPILL_PART)
+        return in_flight < max(1, min(slots, target.slots) * SPILL_PART)
 
     def _less_loaded(self, targets, now):
         if len(targets) == 1:
@@ -241,21 +245,34 @@
                 found[f'{target.host}:{target.port}'] = (member.zone, target)
     if not found:
         return []
-    size = subset_size(found.values(), callers)
+    limit = _connection_limit(board, service)
+    size = subset_size(found.values(), callers, limit)
     names = ranking.rank(f'subset/{board.identity.name}', found)
     zone = board.identity.zone
     names.sort(key=lambda name: found[name][0] != zone)
     return [found[name] for name in names[:size]]
 
 
-def subset_size(pairs, callers):
+def _connection_limit(board, service_name):
+    """Return the document's bound on a target's connections, or None."""
+    if board.in_force is None:
+        return None
+    service = board.in_force.document.service(service_name)
+    return service.limits.connections if service else None
+
+
+def subset_size(pairs, callers, limit=None):
     """Return how many targets a node may keep connections to.
 
     :param pairs: (zone, target) of all targets
     :param callers: nodes that may call them
+    :param limit: the document's bound on the connections of one target
     """
     pairs = list(pairs)
-    connections = sum(target.connections for _, target in pairs)
+    connections = sum(
+        min(target.connections, limit or target.connections)
+        for _, target in pairs
+    )
     # Half stays free for nodes that spill over and for rebalancing.
     fair = int(connections / 2 / max(1, callers))
     return max(MIN_SUBSET, min(len(pairs), fair))
--- a/tests/pumicestand/test_balancing.py
+++ b/tests/pumicestand/test_balancing.py
@@ -136,6 +136,25 @@
     assert balancer.choose(board, NOW, CHOICE, 'v1') == target
 
 
+def test_the_documents_slots_bound_a_target_that_claims_more():
+    board = make_board(['a'], slots=1000)
+    balancer = balancing.Balancer(random.Random(1))
+    target = board.table.member('n0').targets[0]
+    for _ in range(LIMITS.slots):
+        assert balancer.choose(board, NOW, CHOICE, 'v1') == target
+        balancer.begin(target, NOW)
+    assert balancer.choose(board, NOW, CHOICE, 'v1') is None
+
+
+def test_the_documents_connections_bound_the_subset():
+    pairs = [
+        ('a', messages.Target('till', 'v1', f'h{n}', 9, (), 20, 1000))
+        for n in range(30)
+    ]
+    assert balancing.subset_size(pairs, 100) == 30
+    assert balancing.subset_size(pairs, 100, limit=40) == 6
+
+
 def test_a_failing_target_is_ejected_and_comes_back():
     board = make_board(['a', 'a', 'a'])
     balancer = balancing.Balancer(random.Random(1))
