Drop what was counted for moves that a new document no longer has

Change: they go when a document without the move comes into force.

Measured: the new test fails without the change. `make test` passes.

--- a/packages/pumicestand/pumicestand/moves.py
+++ b/packages/pumicestand/pumicestand/moves.py
@@ -31,6 +31,7 @@
     def __init__(self, rng):
         # A random phase keeps the fleet's reports apart.
         self._reported_at = rng.random() * REPORT_PERIOD_S
+        self._document = None
         self._reported = {}
         self._zone_sent = {}
         self._memo = ranking.Memo()
@@ -46,6 +47,8 @@
                 self._receive(board, fact.frame)
         if board.in_force is None:
             return []
+        if board.in_force.document is not self._document:
+            self._forget(board)
         running = self._running(board, now)
         self._note_shares(board, now)
         if not running:
@@ -54,6 +57,27 @@
         taken += self._report_zone(board, now, running)
         return taken + self._judge(board, now, running)
 
+    def _forget(self, board):
+        """Drop what was counted for moves that are no longer there."""
+        self._document = board.in_force.document
+        kept = {move.identity for move in self._document.moves}
+        for counted in (
+            board.counters,
+            self._reported,
+            self._by_member,
+            self._by_zone,
+        ):
+            for key in [key for key in counted if key[0] not in kept]:
+                del counted[key]
+        for held in (
+            board.held_moves,
+            self._zone_sent,
+            self._judges,
+            self._shares,
+        ):
+            for identity in [key for key in held if key not in kept]:
+                del held[identity]
+
     def _running(self, board, now):
         running = []
         for service in board.in_force.document.services:
--- a/tests/pumicestand/test_moves.py
+++ b/tests/pumicestand/test_moves.py
@@ -12,6 +12,7 @@
 from pumicestand import documents
 from pumicestand import events
 from pumicestand import messages
+from pumicestand import moves
 from pumicestand import recording
 from pumicestand import shares
 from pumicestand import verdicts
@@ -290,3 +291,27 @@
     fleet.run(10.0)
     known = [n.board.verdicts_known for n in fleet.nodes.values()]
     assert known == [False] * 4
+
+
+def test_what_was_counted_goes_with_the_move():
+    board, move = make_board()
+    controller = moves.MoveController(random.Random(1))
+    recorder = recording.Recorder()
+    for _ in range(3):
+        recorder.record(
+            board,
+            move,
+            'r',
+            is_new=True,
+            is_error=True,
+            seconds=None,
+            now=START + 1,
+        )
+    controller.step(board, START + 1)
+    assert board.counters
+    assert board.held_moves
+    document = dataclasses.replace(board.in_force.document, moves=())
+    board.in_force = dataclasses.replace(board.in_force, document=document)
+    controller.step(board, START + 2)
+    assert board.counters == {}
+    assert board.held_moves == {}
