--- a/benchmarks/harness.py
+++ b/benchmarks/harness.py
@@ -57,6 +57,7 @@
 
     def __init__(self, name, command, log):
         self.name = name
+        self.command = command
         self.log = pathlib.Path(log)
         self._file = self.log.open('ab')
         self._popen = subprocess.Popen(
@@ -99,6 +100,10 @@
         self._file.close()
         return code
 
+    def replace(self, other):
+        """Stand for another process, started again in this one's place."""
+        self._popen, self._file = other._popen, other._file
+
     def rss_mb(self):
         """Return the resident memory in MB."""
         with open(f'/proc/{self.pid}/statm', encoding='ascii') as file:
--- a/packages/pumicestand-standins/pumicestand_standins/target.py
+++ b/packages/pumicestand-standins/pumicestand_standins/target.py
@@ -63,14 +63,26 @@
     :param slots: calls above it are refused as not run
     :param rng: a `random.Random`
     :param clock: returns seconds
+    :param write_run: called with the id of each request that runs, before
+        it does, so that a ledger can outlive this process
     """
 
-    def __init__(self, name, version, slots, behaviour, rng, clock):
+    def __init__(
+        self,
+        name,
+        version,
+        slots,
+        behaviour,
+        rng,
+        clock,
+        write_run=lambda identity: None,
+    ):
         self._name = name
         self._version = version
         self._slots = slots
         self._rng = rng
         self._clock = clock
+        self._write_run = write_run
         self._started = clock()
         self.behaviour = behaviour
         self.ledger = collections.Counter()
@@ -135,6 +147,7 @@
         identity = request.headers.get('x-request-id', '')
         if identity:
             self.ledger[identity] += 1
+            self._write_run(identity)
         behaviour = self.behaviour
         if behaviour.crash_path and request.path == behaviour.crash_path:
             self.has_crashed.set()
@@ -302,6 +315,7 @@
         options.behaviour,
         random.Random(options.seed),
         trio.current_time,
+        lambda identity: print('run', identity, flush=True),
     )
     code = 0
     with trio.open_signal_receiver(signal.SIGTERM, signal.SIGINT) as stops:
--- a/packages/pumicestand/pumicestand/metrics.py
+++ b/packages/pumicestand/pumicestand/metrics.py
@@ -7,8 +7,8 @@
 import collections
 
 import hdrh.histogram
-from opentelemetry import metrics as api
 from opentelemetry.exporter import prometheus
+import opentelemetry.metrics as api
 from opentelemetry.sdk import metrics as sdk
 from opentelemetry.sdk import resources
 import prometheus_client
