Pass a short answer back only once it is whole

Cause: under faults about one call in a hundred ended in a cut connection: the head of an answer had been passed on when the target cut the rest, so neither an error nor a retry was possible any more.

Change: an answer of up to 16 kB is held until it is whole.

--- a/packages/pumicestand-node/pumicestand_node/relaying.py
+++ b/packages/pumicestand-node/pumicestand_node/relaying.py
@@ -6,6 +6,9 @@
 from pumicestand_node import heads
 from pumicestand_node import target_connections
 
+# An answer up to this size is passed back only once it is whole, so that one
+# that is cut off can still be answered by an error or a retry.
+MAX_HELD_ANSWER_BYTES = 16_384
 LAST_CHUNK = b'0\r\n\r\n'
 # What ends an exchange with a target before its answer is whole.
 PROBLEMS = (
@@ -87,6 +90,8 @@
     """
     framing = _framing(head, answer)
     is_chunked = framing is None
+    length = answer.header(b'content-length')
+    is_held = length is not None and int(length) <= MAX_HELD_ANSWER_BYTES
     if is_chunked:
         framing = b'transfer-encoding: chunked\r\n'
     out = heads.write_answer(
@@ -98,7 +103,7 @@
     )
     while data := await connection.read_body():
         out += _chunk(data) if is_chunked else data
-        if connection.answer_is_whole_so_far:
+        if is_held or connection.answer_is_whole_so_far:
             continue
         await send(out)
         out = b''
