--- a/packages/pumicestand/pumicestand/errors.py
+++ b/packages/pumicestand/pumicestand/errors.py
@@ -29,7 +29,6 @@
     STORE_ANSWER_LOST = 'store-answer-lost'
     STORE_WATCH_EXPIRED = 'store-watch-expired'
     NO_NODES = 'no-nodes'
-    UNKNOWN_ROUTE = 'unknown-route'
     WAIT_TIMEOUT = 'wait-timeout'
     MOVE_TAKEN_BACK = 'move-taken-back'
     FRAME_TOO_LARGE = 'frame-too-large'
@@ -38,7 +37,6 @@
     WRONG_ENVIRONMENT = 'wrong-environment'
     DIGEST_MISMATCH = 'digest-mismatch'
     PEER_UNAVAILABLE = 'peer-unavailable'
-    PEER_OVERLOADED = 'peer-overloaded'
 
 
 class PumicestandError(Exception):
--- a/packages/pumicestand/pumicestand/events.py
+++ b/packages/pumicestand/pumicestand/events.py
@@ -38,10 +38,8 @@
     MOVE_AT_RISK = 'move-at-risk'
     MOVE_TAKEN_BACK = 'move-taken-back'
     MOVE_DONE = 'move-done'
-    CALL_REFUSED = 'call-refused'
     REQUEST_QUARANTINED = 'request-quarantined'
     SYNCED = 'synced'
-    DOCUMENT_WRITTEN = 'document-written'
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/packages/pumicestand/pumicestand/refusals.py
+++ b/packages/pumicestand/pumicestand/refusals.py
@@ -7,7 +7,6 @@
 CODE_HEADER = 'Pumicestand-Code'
 DEADLINE_HEADER = 'Pumicestand-Deadline-Ms'
 ATTEMPT_HEADER = 'Pumicestand-Attempt'
-MAX_RETRY_AFTER_S = 30
 
 
 class Outcome(enum.StrEnum):
@@ -40,7 +39,6 @@
     HEADERS_TOO_LARGE = 'headers-too-large'
     NO_HOST = 'no-host'
     NOT_SUPPORTED = 'not-supported'
-    SLOW_SENDER = 'slow-sender'
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/packages/pumicestandctl/pumicestandctl/editing.py
+++ b/packages/pumicestandctl/pumicestandctl/editing.py
@@ -166,8 +166,8 @@
     record, _ = await read_accepted(client, trial)
     status = await client.read(watching.status_key(trial))
     in_force = json.loads(status.value) if status.exists else {}
-    wanted = options.pop('digest', None) or record.digest
-    if in_force.get('digest') != wanted or not wanted:
+    wanted = options.pop('digest', None) or record.digest or 'none'
+    if in_force.get('digest') != wanted:
         raise errors.PumicestandError(
             errors.Code.NOT_IN_FORCE_ON_TRIAL,
             f'{trial} has generation {in_force.get("generation", 0)} in '
