Test who announces a document, and how often a move is reported

Cause: two faults found earlier were mended without a test of their own: announcing before the content is here, and short moves reported too rarely.

--- a/tests/pumicestand/test_fault_matrix.py
+++ b/tests/pumicestand/test_fault_matrix.py
@@ -412,3 +412,22 @@
     assert stale
     assert all(s.is_stale for s in stale)
     assert stale[0].reason == 'generation 2 is accepted, 1 is in force'
+
+
+def test_only_who_holds_a_document_announces_it():
+    """Whoever hears of it fetches it from there, and must get it."""
+    fleet = settled_fleet()
+    senders = []
+
+    def watch(message, deliveries):
+        if message.kind == 'Announce':
+            board = fleet.nodes[message.sender].board
+            held = board.candidate or board.in_force
+            senders.append(held.accepted == board.accepted)
+        return deliveries
+
+    fleet.on_message = watch
+    fleet.accept('second')
+    assert fleet.run(2.0, lambda: fleet.all_act_on(2))
+    assert senders
+    assert all(senders)
--- a/tests/pumicestand/test_moves.py
+++ b/tests/pumicestand/test_moves.py
@@ -315,3 +315,10 @@
     controller.step(board, START + 2)
     assert board.counters == {}
     assert board.held_moves == {}
+
+
+def test_a_short_move_is_reported_more_often():
+    _, move = make_board()
+    for seconds, period in ((5, 0.25), (60, 1.0), (120, 2.0), (3600, 2.0)):
+        short = dataclasses.replace(move, by=move.start + seconds)
+        assert moves.report_period(short) == period
