--- a/packages/pumicestand-node/pumicestand_node/caller_connections.py
+++ b/packages/pumicestand-node/pumicestand_node/caller_connections.py
@@ -9,15 +9,14 @@
 import httptools
 import trio
 
+from pumicestand import documents
 from pumicestand import refusals
 from pumicestand_node import heads
 
 READ_BYTES = 16_384
 MAX_BUFFERED_BODY_BYTES = 131_072
 MAX_QUEUED_REQUESTS = 8
-HEAD_TIMEOUT_S = 10.0
 BODY_STALL_S = 30.0
-IDLE_TIMEOUT_S = 75.0
 CLOSE_LINGER_S = 1.0
 
 
@@ -34,6 +33,7 @@
         self.is_broken = False
         self._chunks = collections.deque()
         self._buffered = 0
+        self.received = 0
         self._arrived = None
         self._resume = resume
         self.expects_continue = False
@@ -47,6 +47,7 @@
         """Keep a piece of the body."""
         self._chunks.append(data)
         self._buffered += len(data)
+        self.received += len(data)
         self._notify()
 
     def end(self, is_broken=False):
@@ -158,9 +159,12 @@
     :param serve: coroutine function (request, connection) that answers a
         request and returns whether the connection may be kept
     :param clock: returns seconds
+    :param limits: the `documents.CallerLimits` in force when it was opened
     """
 
-    def __init__(self, stream, serve, clock):
+    def __init__(
+        self, stream, serve, clock, limits=documents.CallerLimits()
+    ):
         self._stream = stream
         self._serve = serve
         self._clock = clock
@@ -169,6 +173,7 @@
         self._room = trio.Event()
         self._scope = trio.CancelScope()
         self._call_scope = None
+        self._limits = limits
         self._parser = _RequestParser(self._add_request, self._make_room)
         self._refusal = None
         self._at_end = False
@@ -197,14 +202,14 @@
         """End the connection if the caller is too slow."""
         waited = now - self.progress_at
         if self._parser.in_head:
-            if waited > HEAD_TIMEOUT_S:
+            if waited > self._limits.head_timeout:
                 self._scope.cancel()
             return
         if self._parser.request is not None:
             if waited > BODY_STALL_S:
                 self._scope.cancel()
             return
-        if self._answering is None and waited > IDLE_TIMEOUT_S:
+        if self._answering is None and waited > self._limits.idle_timeout:
             self._scope.cancel()
 
     async def send(self, data):
@@ -260,15 +265,28 @@
             return False
         if parser.in_head:
             parser.head_bytes += len(data)
-            if parser.head_bytes > heads.MAX_HEAD_BYTES:
+            if parser.head_bytes > self._limits.head_bytes:
                 self._refuse(
                     refusals.bad_request(
                         refusals.CallCode.HEADERS_TOO_LARGE,
-                        f'a head of over {heads.MAX_HEAD_BYTES} bytes',
+                        f'a head of over {self._limits.head_bytes} bytes',
                         status=431,
                     )
                 )
                 return False
+        request = parser.request
+        if request is None:
+            return True
+        bound = self._limits.body_bytes
+        if max(request.received, request.head.length or 0) > bound:
+            self._refuse(
+                refusals.bad_request(
+                    refusals.CallCode.BODY_TOO_LARGE,
+                    f'a body of over {bound} bytes',
+                    status=413,
+                )
+            )
+            return False
         return True
 
     def _refuse(self, refusal):
--- a/packages/pumicestand-node/pumicestand_node/heads.py
+++ b/packages/pumicestand-node/pumicestand_node/heads.py
@@ -4,7 +4,6 @@
 
 from pumicestand import refusals
 
-MAX_HEAD_BYTES = 32_768
 MAX_HEADERS = 100
 _HOP_BY_HOP = frozenset(
     (
@@ -32,6 +31,7 @@
     400: b'Bad Request',
     404: b'Not Found',
     408: b'Request Timeout',
+    413: b'Content Too Large',
     431: b'Request Header Fields Too Large',
     501: b'Not Implemented',
     502: b'Bad Gateway',
@@ -209,7 +209,8 @@
         (b'pumicestand-code', refusal.code.encode()),
     ]
     if refusal.retry_after is not None:
-        headers.append((b'retry-after', b'%d' % refusal.retry_after))
+        after = f'{refusal.retry_after:g}'.encode()
+        headers.append((b'retry-after', after))
     head = write_answer(
         refusal.status,
         _REASONS.get(refusal.status, b'Refused'),
--- /dev/null
+++ b/packages/pumicestand-node/pumicestand_node/links.py
@@ -0,0 +1,329 @@
+"""Links between nodes: many calls at once over one TCP connection.
+
+Each node opens one link to every other node and sends its calls there; the
+other one answers on it and reports how busy its target is. Bodies travel in
+parts, so that a long one does not hold up the calls beside it.
+"""
+
+import dataclasses
+import socket
+
+import loguru
+import trio
+
+from pumicestand import errors
+from pumicestand import hop
+from pumicestand import hop_messages
+
+READ_BYTES = 65_536
+# Bytes of a body in one frame.
+PART_BYTES = 16_384
+# Bytes waiting to be sent at which a link counts as stuck.
+MAX_BACKLOG_BYTES = 16_000_000
+CONNECT_TIMEOUT_S = 1.0
+# Silence after which a link with calls on it is asked for a sign of life.
+PING_AFTER_S = 0.5
+# Silence after which a link is given up, its calls' outcome unknown.
+DEAD_AFTER_S = 1.3
+# Time that a byte may stay unacknowledged before the kernel resets, in ms.
+USER_TIMEOUT_MS = 2_000
+# Time between two attempts to open a link, growing up to the second.
+MIN_REDIAL_S = 0.15
+MAX_REDIAL_S = 1.5
+
+
+class FrameStream:
+    """Frames over a stream, written by one task and read by one."""
+
+    def __init__(self, stream, peer):
+        self._stream = stream
+        self._peer = peer
+        self._out = []
+        self._out_bytes = 0
+        self._wake = trio.Event()
+        self._scope = trio.CancelScope()
+        self.is_closed = False
+
+    def send(self, message):
+        """Queue a message; a peer that does not read loses the link."""
+        self.send_bytes(hop.encode(message))
+
+    def send_bytes(self, data):
+        """Queue a frame that is encoded already."""
+        if self.is_closed:
+            return
+        self._out.append(data)
+        self._out_bytes += len(data)
+        if self._out_bytes > MAX_BACKLOG_BYTES:
+            self.stop()
+            return
+        self._wake.set()
+
+    def stop(self):
+        """End both tasks; `run` closes the stream."""
+        self.is_closed = True
+        self._scope.cancel()
+
+    async def run(self, receive):
+        """Carry frames until the stream ends.
+
+        :param receive: called with each message
+        """
+        try:
+            with self._scope:
+                async with trio.open_nursery() as nursery:
+                    nursery.start_soon(self._write)
+                    await self._read(receive)
+                    nursery.cancel_scope.cancel()
+        except* (trio.BrokenResourceError, trio.ClosedResourceError, OSError):
+            pass
+        except* errors.FrameRefused as group:
+            loguru.logger.warning(
+                'a link is closed: {}', group.exceptions[0]
+            )
+        finally:
+            self.is_closed = True
+            await trio.aclose_forcefully(self._stream)
+
+    async def _write(self):
+        while True:
+            await self._wake.wait()
+            self._wake = trio.Event()
+            data, self._out = b''.join(self._out), []
+            self._out_bytes = 0
+            await self._stream.send_all(data)
+
+    async def _read(self, receive):
+        buffer = bytearray()
+        size = hop.LENGTH.size
+        while True:
+            data = await self._stream.receive_some(READ_BYTES)
+            if not data:
+                return
+            buffer += data
+            position = 0
+            while len(buffer) - position >= size:
+                (length,) = hop.LENGTH.unpack_from(buffer, position)
+                if length > hop.MAX_FRAME_BYTES:
+                    raise errors.FrameRefused(
+                        errors.Code.FRAME_TOO_LARGE,
+                        f'a frame of {length} bytes',
+                        peer=self._peer,
+                    )
+                end = position + size + length
+                if len(buffer) < end:
+                    break
+                frame = bytes(buffer[position + size : end])
+                position = end
+                receive(hop.decode(frame, self._peer))
+            if position:
+                del buffer[:position]
+
+
+def send_with_parts(stream, message):
+    """Send a call or a result, a long body in parts."""
+    body = message.body
+    if len(body) <= PART_BYTES:
+        stream.send(message)
+        return
+    rest = len(body) - PART_BYTES
+    stream.send(
+        dataclasses.replace(message, body=body[:PART_BYTES], rest=rest)
+    )
+    for start in range(PART_BYTES, len(body), PART_BYTES):
+        piece = body[start : start + PART_BYTES]
+        is_last = start + PART_BYTES >= len(body)
+        stream.send(hop_messages.Part(message.id, piece, is_last))
+
+
+class Assembler:
+    """Puts bodies together that came in parts."""
+
+    def __init__(self):
+        self._open = {}
+
+    def begin(self, message):
+        """Take the first part; return the message if it is whole."""
+        if not message.rest:
+            return message
+        self._open[message.id] = (message, [message.body])
+        return None
+
+    def add(self, part):
+        """Take a further part; return the message once it is whole."""
+        held = self._open.get(part.id)
+        if held is None:
+            return None
+        message, parts = held
+        parts.append(part.body)
+        if not part.is_last:
+            return None
+        del self._open[part.id]
+        return dataclasses.replace(message, body=b''.join(parts), rest=0)
+
+    def drop(self, id_):
+        """Forget a body that is no longer wanted."""
+        self._open.pop(id_, None)
+
+
+class _Pending:
+    """A call that was sent and has no result yet."""
+
+    __slots__ = ('event', 'result')
+
+    def __init__(self):
+        self.event = trio.Event()
+        self.result = None
+
+
+class Link:
+    """The link from this node to another; kept open until it is stopped.
+
+    :param peer: the `fleet.Peer`
+    :param hello: returns the `hop_messages.Hello` to begin with
+    :param receive: called with (peer, message) for all but results
+    :param clock: returns monotonic seconds
+    :param rng: a `random.Random`
+    """
+
+    def __init__(self, peer, hello, receive, clock, rng):
+        self._peer = peer
+        self._hello = hello
+        self._receive = receive
+        self._clock = clock
+        self._rng = rng
+        self._stream = None
+        self._pending = {}
+        self._assembler = Assembler()
+        self._next_id = 1
+        self._heard_at = 0.0
+        self._asked_at = None
+        self._scope = trio.CancelScope()
+
+    def stop(self):
+        """Close the link for good."""
+        self._scope.cancel()
+
+    def send(self, message):
+        """Send a message if the link is open."""
+        if self._stream is not None:
+            self._stream.send(message)
+
+    async def run(self):
+        """Keep the link open."""
+        delay = MIN_REDIAL_S
+        with self._scope:
+            while True:
+                stream = await self._dial()
+                if stream is None:
+                    await trio.sleep(delay * (0.5 + self._rng.random()))
+                    delay = min(MAX_REDIAL_S, delay * 2)
+                    continue
+                delay = MIN_REDIAL_S
+                await self._carry(stream)
+                await trio.sleep(MIN_REDIAL_S * self._rng.random())
+
+    async def _dial(self):
+        peer = self._peer
+        try:
+            with trio.fail_after(CONNECT_TIMEOUT_S):
+                stream = await trio.open_tcp_stream(peer.host, peer.port)
+        except (OSError, trio.TooSlowError):
+            return None
+        set_user_timeout(stream)
+        return stream
+
+    async def _carry(self, stream):
+        frames = FrameStream(stream, self._peer.name)
+        frames.send(self._hello())
+        self._stream = frames
+        self._heard_at = self._clock()
+        self._asked_at = None
+        try:
+            await frames.run(self._take)
+        finally:
+            self._stream = None
+            self._peer.is_linked = False
+            self._peer.unreached_since = self._clock()
+            pending, self._pending = self._pending, {}
+            self._assembler = Assembler()
+            for entry in pending.values():
+                entry.event.set()
+
+    def _take(self, message):
+        self._heard_at = self._clock()
+        self._asked_at = None
+        match message:
+            case hop_messages.Result():
+                self._finish(self._assembler.begin(message))
+            case hop_messages.Part():
+                self._finish(self._assembler.add(message))
+            case hop_messages.Pong():
+                pass
+            case hop_messages.Report():
+                if not self._peer.is_linked:
+                    self._peer.is_linked = True
+                    self._peer.unreached_since = None
+                self._receive(self._peer, message)
+            case _:
+                self._receive(self._peer, message)
+
+    def _finish(self, result):
+        if result is None:
+            return
+        pending = self._pending.pop(result.id, None)
+        if pending is not None:
+            pending.result = result
+            pending.event.set()
+
+    async def call(self, call):
+        """Send a call and return its result.
+
+        If it is cancelled, the other node is told.
+
+        :returns: a `hop_messages.Result`, None if the link broke
+        """
+        stream = self._stream
+        if stream is None:
+            return hop_messages.Result(
+                0, hop_messages.Outcome.NOT_HANDED_ON, 'no-link'
+            )
+        id_ = self._next_id
+        self._next_id += 1
+        pending = self._pending[id_] = _Pending()
+        send_with_parts(stream, dataclasses.replace(call, id=id_))
+        try:
+            await pending.event.wait()
+        finally:
+            if self._pending.pop(id_, None) is not None:
+                self._assembler.drop(id_)
+                stream.send(hop_messages.Cancel(id_))
+        return pending.result
+
+    def check(self, now):
+        """Ask a silent link for a sign of life; give up a dead one."""
+        if self._stream is None or not self._pending:
+            self._asked_at = None
+            return
+        if now - self._heard_at < PING_AFTER_S:
+            return
+        if self._asked_at is None:
+            self._asked_at = now
+            self._stream.send(hop_messages.Ping(1))
+            return
+        if now - self._asked_at > DEAD_AFTER_S - PING_AFTER_S:
+            loguru.logger.warning(
+                'the link to {} is silent for {:.1f} s with {} calls on it '
+                'and is closed',
+                self._peer.name,
+                now - self._heard_at,
+                len(self._pending),
+            )
+            self._stream.stop()
+
+
+def set_user_timeout(stream):
+    """Have the kernel give up a connection whose bytes go unacknowledged."""
+    stream.setsockopt(
+        socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, USER_TIMEOUT_MS
+    )
--- /dev/null
+++ b/packages/pumicestand-node/pumicestand_node/mesh.py
@@ -0,0 +1,84 @@
+"""What one node knows of the mesh, shared by its controllers and shells."""
+
+from pumicestand import blackboard
+from pumicestand import documents
+from pumicestand import fleet as fleets
+from pumicestand import hop_messages
+from pumicestand import placing
+from pumicestand import retry_quota
+from pumicestand import rollouts as all_rollouts
+from pumicestand import targets
+
+
+class Mesh:
+    """The blackboard of a node on the platform.
+
+    :param identity: a `node_records.NodeRecord` without its target
+    :param incarnation: rises with each start of the process
+    :param bounds: the settings' `MeshBounds`
+    :param decisions: a `decision_log.DecisionLog`
+    :param rng: a `random.Random`
+    """
+
+    def __init__(self, identity, incarnation, bounds, decisions, rng):
+        self.identity = identity
+        self.incarnation = incarnation
+        self.decisions = decisions
+        self.configuration = None
+        self.content = b''
+        self.fleet = fleets.Fleet(identity.name)
+        self.placement = placing.Placement(rng, identity.zone)
+        self.rollouts = all_rollouts.Rollouts(rng)
+        self.quota = retry_quota.RetryQuota(
+            bounds.retry_ratio, bounds.retry_constant, bounds.retry_window
+        )
+        self.watch = targets.TargetWatch()
+        self.is_stopping = False
+        self.is_leaving = False
+        self.is_ready = False
+        self.store_reachable = True
+        self.sequence = 0
+        self.send = None
+
+    @property
+    def generation(self):
+        """Of the configuration in force, 0 for none."""
+        if self.configuration is None:
+            return 0
+        return self.configuration.accepted.generation
+
+    def accept(self, generation, document, content, now, source):
+        """Put a configuration into force if it is newer; return whether."""
+        if generation <= self.generation:
+            return False
+        accepted = documents.Accepted(generation, '')
+        self.configuration = blackboard.InForce(accepted, document, now)
+        self.content = content
+        self.decisions.note(
+            'configuration-in-force',
+            generation=generation,
+            source=source,
+            routes=len(document.routes),
+        )
+        return True
+
+    def report(self, load, evidence, now):
+        """Return a new `hop_messages.Report` of this node."""
+        self.sequence += 1
+        identity = self.identity
+        return hop_messages.Report(
+            name=identity.name,
+            incarnation=self.incarnation,
+            sequence=self.sequence,
+            zone=identity.zone,
+            host=identity.host,
+            port=identity.port,
+            target=self.watch.target,
+            load=load,
+            is_leaving=self.is_leaving,
+            is_ready=self.is_ready,
+            store_reachable=self.store_reachable,
+            generation=self.generation,
+            evidence=evidence,
+            verdicts=self.rollouts.verdicts(now),
+        )
--- /dev/null
+++ b/packages/pumicestand-node/pumicestand_node/mesh_metrics.py
@@ -0,0 +1,72 @@
+"""The metrics of a node on the platform."""
+
+from pumicestand import metrics
+
+
+class MeshMetrics:
+    """Reads what the shells count when a scraper asks.
+
+    :param mesh: the `mesh.Mesh`
+    :param outbound: the `outbound_calls.OutboundCalls`
+    :param targets: the `target_calls.TargetCalls`
+    :param decisions: the `decision_log.DecisionLog`
+    """
+
+    def __init__(self, mesh, outbound, targets, decisions):
+        meters = metrics.Metrics(mesh.identity.name)
+        self._meters = meters
+        meters.observe(
+            'pumicestand_outbound',
+            outbound.counts,
+            ('kind', 'service', 'status'),
+            'Calls of callers, by what they were answered',
+        )
+        meters.observe(
+            'pumicestand_target',
+            targets.counts,
+            ('outcome', 'code'),
+            'Calls for the target beside the node, by outcome',
+        )
+        outbound.record_seconds = meters.record_call
+        for name, read, text in (
+            (
+                'pumicestand_generation',
+                lambda: mesh.generation,
+                'Configuration in force',
+            ),
+            (
+                'pumicestand_linked_nodes',
+                lambda: mesh.fleet.size,
+                'Nodes that calls can be sent to',
+            ),
+            (
+                'pumicestand_store_reachable',
+                lambda: int(mesh.store_reachable),
+                'Whether the last call to the store was answered',
+            ),
+            (
+                'pumicestand_target_running',
+                lambda: targets.load().running,
+                'Calls that run at the target',
+            ),
+            (
+                'pumicestand_target_queued',
+                lambda: targets.load().queued,
+                'Calls that wait for the target',
+            ),
+            (
+                'pumicestand_target_connections_opened',
+                lambda: targets.connections_opened,
+                'Connections opened to the target',
+            ),
+            (
+                'pumicestand_log_lines_dropped',
+                lambda: decisions.dropped,
+                'Log lines dropped to keep within the bound',
+            ),
+        ):
+            meters.gauge(name, read, text)
+
+    def text(self):
+        """Return all metrics in the scraper's text format, as bytes."""
+        return self._meters.text()
--- /dev/null
+++ b/packages/pumicestand-node/pumicestand_node/mesh_node.py
@@ -0,0 +1,487 @@
+"""Wires a node on the platform together, starts it and closes it."""
+
+import gc
+import random
+import time
+
+import loguru
+import trio
+
+from pumicestand import decision_log
+from pumicestand import documents
+from pumicestand import hop
+from pumicestand import hop_messages
+from pumicestand import node_records
+from pumicestand_node import caller_connections
+from pumicestand_node import links
+from pumicestand_node import listeners
+from pumicestand_node import mesh as meshes
+from pumicestand_node import mesh_metrics
+from pumicestand_node import mesh_store
+from pumicestand_node import outbound_calls
+from pumicestand_node import plain_http
+from pumicestand_node import target_calls
+
+# Period of the controllers, in seconds.
+TICK_S = 0.1
+# Period of reports in a small fleet, and the share of it for each node of a
+# large one: what a node sends stays the same whatever the fleet's size.
+REPORT_PERIOD_S = 0.25
+REPORT_PERIOD_PER_NODE_S = 0.01
+# Time in which changes are collected into one report.
+REPORT_DELAY_S = 0.01
+FLUSH_PERIOD_S = 0.1
+SWEEP_PERIOD_S = 0.5
+# Time after the start from which the node is ready without having reached
+# all nodes that the store names.
+READY_ANYWAY_S = 1.5
+# Time for which a stopping node still takes calls: the platform needs two
+# missed answers, a second apart, to send callers elsewhere.
+LAST_CALLS_S = 2.3
+# Time for which the links stay open once no more calls are taken.
+LAST_WORDS_S = 0.1
+# Part of the grace period kept back for closing, in seconds.
+CLOSE_MARGIN_S = 0.5
+GC_THRESHOLD = 20_000
+
+
+def boot_clock():
+    """Return seconds since boot; a frozen VM's time counts."""
+    return time.clock_gettime(time.CLOCK_BOOTTIME)
+
+
+class MeshNode:
+    """A node on the platform.
+
+    :param settings: a `mesh_settings.MeshSettings`
+    :param adapter: the platform's ``headers``, ``client``, ``translator``
+        and ``read_control``
+    """
+
+    def __init__(self, settings, adapter):
+        self._settings = settings
+        self._adapter = adapter
+        self._clock = boot_clock
+        self._rng = random.Random()
+        self._decisions = decision_log.DecisionLog(
+            settings.name, time.time, decision_log.write_to(1)
+        )
+        identity = node_records.NodeRecord(
+            settings.name,
+            settings.link.host,
+            settings.link.port,
+            settings.zone,
+        )
+        self._mesh = meshes.Mesh(
+            identity,
+            int(time.time() * 1000),
+            settings.bounds,
+            self._decisions,
+            self._rng,
+        )
+        self._mesh.send = self._send
+        self._targets = target_calls.TargetCalls(
+            self._mesh.watch,
+            adapter.headers,
+            self._clock,
+            self._report_soon,
+            lambda fingerprints: None,
+        )
+        self._outbound = outbound_calls.OutboundCalls(
+            self._mesh, adapter.headers, settings.service, self._clock
+        )
+        self._store = mesh_store.MeshStore(
+            self._mesh,
+            adapter.client,
+            adapter.translator,
+            self._clock,
+            self._rng,
+            self._meet_all,
+            self._target_changed,
+            self._report_soon,
+        )
+        self._metrics = mesh_metrics.MeshMetrics(
+            self._mesh, self._outbound, self._targets, self._decisions
+        )
+        self._links = {}
+        self._accepted = set()
+        self._connections = set()
+        self._report_wanted = trio.Event()
+        self._fetching_until = 0.0
+        self._started_at = self._clock()
+        self._nursery = None
+        self._outbound_scope = trio.CancelScope()
+
+    async def start(self, nursery):
+        """Open all ports and begin to work in a nursery."""
+        self._nursery = nursery
+        settings = self._settings
+        await self._listen(settings.link, self._serve_link)
+        await self._listen(settings.control, self._plain(self._control))
+        await self._listen(settings.ready, self._plain(self._ready))
+        await self._listen(settings.metrics, self._plain(self._read_metrics))
+        await self._listen(
+            settings.outbound, self._serve_caller, self._outbound_scope
+        )
+        mesh = self._mesh
+        own = mesh.fleet.meet(
+            mesh.identity.name,
+            mesh.identity.host,
+            mesh.identity.port,
+            self._clock(),
+        )
+        own.is_linked = True
+        own.unreached_since = None
+        self._hear_own()
+        await self._store.start(nursery)
+        for work in (self._tick, self._report, self._flush, self._sweep):
+            nursery.start_soon(work)
+        self._decisions.note(
+            'started',
+            incarnation=mesh.incarnation,
+            zone=settings.zone,
+            service=settings.service,
+        )
+        gc.collect()
+        gc.freeze()
+        gc.set_threshold(GC_THRESHOLD, 20, 20)
+
+    async def _listen(self, address, serve, scope=None):
+        opened = await listeners.open_listeners(address.host, address.port)
+        scope = scope or trio.CancelScope()
+
+        async def run():
+            with scope:
+                await trio.serve_listeners(
+                    serve, opened, handler_nursery=self._nursery
+                )
+            for listener in opened:
+                await listener.aclose()
+
+        self._nursery.start_soon(run)
+
+    async def close(self):
+        """Stop without cutting a call: first callers, then other nodes."""
+        mesh = self._mesh
+        settings = self._settings
+        mesh.is_stopping = True
+        mesh.is_ready = False
+        until = self._clock() + settings.bounds.grace - CLOSE_MARGIN_S
+        self._decisions.note(
+            'stopping',
+            outbound=self._outbound.running,
+            inbound=self._targets.in_flight,
+        )
+        # The target stays in use until the callers of this VM have left.
+        await trio.sleep(LAST_CALLS_S)
+        for connection in list(self._connections):
+            connection.finish()
+        mesh.is_leaving = True
+        self._targets.is_closed = True
+        self._report_soon()
+        await trio.sleep(LAST_WORDS_S)
+        while self._clock() < until and (
+            self._targets.in_flight or self._outbound.running
+        ):
+            await trio.sleep(0.02)
+        self._outbound_scope.cancel()
+        for connection in list(self._connections):
+            connection.finish()
+        await trio.sleep(LAST_WORDS_S)
+        self._decisions.note(
+            'stopped',
+            outbound=self._outbound.running,
+            inbound=self._targets.in_flight,
+        )
+        self._decisions.flush()
+        await self._store.close()
+        await self._targets.close()
+        self._nursery.cancel_scope.cancel()
+
+    # Other nodes
+
+    async def _send(self, peer, call):
+        """Carry a call to a peer; return its result."""
+        if peer.name == self._mesh.identity.name:
+            return await self._targets.run(call)
+        link = self._links.get(peer.name)
+        if link is None:
+            return hop_messages.Result(
+                0, hop_messages.Outcome.NOT_HANDED_ON, 'no-link'
+            )
+        return await link.call(call)
+
+    def _meet_all(self, records):
+        for record in records:
+            self._meet(record.name, record.host, record.port)
+
+    def _meet(self, name, host, port):
+        if name == self._mesh.identity.name:
+            return
+        held = self._mesh.fleet.get(name)
+        is_moved = held and (held.host, held.port) != (host, port)
+        peer = self._mesh.fleet.meet(name, host, port, self._clock())
+        if is_moved and name in self._links:
+            self._links.pop(name).stop()
+        if name in self._links:
+            return
+        link = links.Link(
+            peer, self._hello, self._receive, self._clock, self._rng
+        )
+        self._links[name] = link
+        self._nursery.start_soon(link.run)
+
+    def _hello(self):
+        return hop_messages.Hello(self._new_report())
+
+    def _new_report(self):
+        return self._mesh.report(
+            self._targets.load(), self._targets.evidence, self._clock()
+        )
+
+    def _hear_own(self):
+        """Take this node's own state in, as that of any other."""
+        report = self._new_report()
+        self._mesh.fleet.hear(report, self._clock())
+        return report
+
+    def _receive(self, peer, message):
+        """Take in what came on a link that this node opened."""
+        match message:
+            case hop_messages.Report():
+                self._hear(message)
+            case hop_messages.Configuration():
+                self._store.take_content(message, peer.name)
+            case hop_messages.Ping(number):
+                self._links[peer.name].send(hop_messages.Pong(number))
+
+    def _hear(self, report):
+        now = self._clock()
+        mesh = self._mesh
+        if not mesh.fleet.hear(report, now):
+            return
+        for verdict in report.verdicts:
+            if mesh.rollouts.hear_verdict(verdict, now):
+                mesh.decisions.note(
+                    'rollout-heard',
+                    service=verdict.service,
+                    version=verdict.version,
+                    state=verdict.state.name,
+                    peer=report.name,
+                )
+                self._report_soon()
+        self._fetch(report, now)
+
+    def _fetch(self, report, now):
+        """Ask a peer for a configuration that is newer than the own one."""
+        if report.generation <= self._mesh.generation:
+            return
+        link = self._links.get(report.name)
+        if link is None:
+            return
+        link.send(hop_messages.FetchConfiguration(report.generation))
+
+    async def _serve_link(self, stream):
+        """Serve a link that another node opened."""
+        links.set_user_timeout(stream)
+        frames = links.FrameStream(stream, 'a node that called')
+        server = _LinkServer(frames, self._targets, self._mesh, self._greet)
+        self._accepted.add(server)
+        try:
+            async with trio.open_nursery() as nursery:
+                server.nursery = nursery
+                await frames.run(server.receive)
+                nursery.cancel_scope.cancel()
+        finally:
+            self._accepted.discard(server)
+
+    def _greet(self, frames, report):
+        """Answer the first frame of a link: who this node is."""
+        self._meet(report.name, report.host, report.port)
+        self._hear(report)
+        frames.send(self._new_report())
+
+    def _report_soon(self):
+        self._report_wanted.set()
+
+    async def _report(self):
+        """Tell all nodes that call this one how it is."""
+        while True:
+            size = len(self._accepted)
+            period = max(REPORT_PERIOD_S, REPORT_PERIOD_PER_NODE_S * size)
+            with trio.move_on_after(period):
+                await self._report_wanted.wait()
+                await trio.sleep(REPORT_DELAY_S)
+            self._report_wanted = trio.Event()
+            data = hop.encode(self._hear_own())
+            for server in list(self._accepted):
+                server.frames.send_bytes(data)
+
+    # What happens by time
+
+    async def _tick(self):
+        while True:
+            await trio.sleep(TICK_S)
+            now = self._clock()
+            mesh = self._mesh
+            for action in mesh.rollouts.step(
+                mesh.fleet, now, self._store.is_first()
+            ):
+                self._store.write_status(action)
+            for link in self._links.values():
+                link.check(now)
+            for name in mesh.fleet.forget(now):
+                link = self._links.pop(name, None)
+                if link is not None:
+                    link.stop()
+            if not mesh.is_stopping:
+                mesh.is_ready = self._may_be_ready(now)
+
+    def _may_be_ready(self, now):
+        mesh = self._mesh
+        if mesh.configuration is None:
+            return False
+        if now - self._started_at > READY_ANYWAY_S:
+            return True
+        others = mesh.fleet.others
+        return bool(others) and all(peer.is_linked for peer in others)
+
+    async def _flush(self):
+        while True:
+            await trio.sleep(FLUSH_PERIOD_S)
+            self._decisions.flush()
+
+    async def _sweep(self):
+        while True:
+            await trio.sleep(SWEEP_PERIOD_S)
+            now = time.monotonic()
+            for connection in list(self._connections):
+                connection.check_progress(now)
+
+    # Callers
+
+    async def _serve_caller(self, stream):
+        await self._serve_http(stream, self._outbound.serve, True)
+
+    async def _serve_http(self, stream, serve, is_caller):
+        configuration = self._mesh.configuration
+        limits = documents.CallerLimits()
+        if configuration is not None:
+            limits = configuration.document.caller_limits
+        connection = caller_connections.CallerConnection(
+            stream, serve, time.monotonic, limits
+        )
+        if is_caller:
+            self._connections.add(connection)
+        try:
+            await connection.run()
+        except OSError as error:
+            loguru.logger.debug('a connection ended: {}', error)
+        finally:
+            self._connections.discard(connection)
+            if connection.refusal is not None:
+                self._decisions.note(
+                    'request-refused',
+                    status=connection.refusal.status,
+                    code=connection.refusal.code.value,
+                    why=connection.refusal.detail,
+                )
+
+    # The platform and the target
+
+    def _plain(self, answer):
+        handler = plain_http.PlainHandler(answer)
+
+        async def serve(stream):
+            await self._serve_http(stream, handler.serve, False)
+
+        return serve
+
+    async def _ready(self, method, path, body):
+        if self._mesh.is_ready:
+            return plain_http.PlainAnswer(200, b'ready\n')
+        return plain_http.PlainAnswer(503, b'not ready\n')
+
+    async def _read_metrics(self, method, path, body):
+        return plain_http.PlainAnswer(200, self._metrics.text())
+
+    def _target_changed(self):
+        """Act on a change of the target beside this node."""
+        target = self._mesh.watch.target
+        self._targets.target_changed()
+        self._decisions.note(
+            'target',
+            instance=target.instance,
+            version=target.version,
+            state=target.state.name,
+        )
+        self._hear_own()
+        self._report_soon()
+
+    async def _control(self, method, path, body):
+        """Take in what the target beside this node says of itself."""
+        control = self._adapter.read_control(method, path, body)
+        if control is None:
+            loguru.logger.error(
+                '{} {} with {} bytes is nothing that a target says',
+                method,
+                path,
+                len(body),
+            )
+            return plain_http.PlainAnswer(400, b'not understood\n')
+        watch = self._mesh.watch
+        before = watch.target
+        if not watch.apply(control, self._clock()):
+            return plain_http.PlainAnswer(200, b'{}', plain_http.JSON)
+        self._target_changed()
+        if before is None or before.state is not watch.target.state:
+            await self._store.remember()
+        return plain_http.PlainAnswer(200, b'{}', plain_http.JSON)
+
+
+class _LinkServer:
+    """One link that another node opened: its calls are run here."""
+
+    def __init__(self, frames, target_calls_, mesh, greet):
+        self.frames = frames
+        self.nursery = None
+        self._targets = target_calls_
+        self._mesh = mesh
+        self._greet = greet
+        self._assembler = links.Assembler()
+        self._scopes = {}
+
+    def receive(self, message):
+        """Take in one message."""
+        match message:
+            case hop_messages.Call():
+                self._begin(self._assembler.begin(message))
+            case hop_messages.Part():
+                self._begin(self._assembler.add(message))
+            case hop_messages.Cancel(id_):
+                self._assembler.drop(id_)
+                scope = self._scopes.pop(id_, None)
+                if scope is not None:
+                    scope.cancel()
+            case hop_messages.Hello(report):
+                self._greet(self.frames, report)
+            case hop_messages.Ping(number):
+                self.frames.send(hop_messages.Pong(number))
+            case hop_messages.FetchConfiguration():
+                self.frames.send(
+                    hop_messages.Configuration(
+                        self._mesh.generation, self._mesh.content
+                    )
+                )
+
+    def _begin(self, call):
+        if call is None:
+            return
+        scope = self._scopes[call.id] = trio.CancelScope()
+        self.nursery.start_soon(self._run, call, scope)
+
+    async def _run(self, call, scope):
+        with scope:
+            result = await self._targets.run(call)
+            links.send_with_parts(self.frames, result)
+        self._scopes.pop(call.id, None)
--- /dev/null
+++ b/packages/pumicestand-node/pumicestand_node/outbound_calls.py
@@ -0,0 +1,389 @@
+"""Carries the calls that begin on this VM: route, place, send, answer."""
+
+import collections
+import dataclasses
+import hashlib
+
+import trio
+
+from pumicestand import hop_messages
+from pumicestand import refusals
+from pumicestand import routing
+from pumicestand_node import heads
+
+Outcome = hop_messages.Outcome
+
+# Times that a call may be placed without being handed on. Each is one
+# exchange between nodes and none at a target.
+MAX_PLACEMENTS = 4
+# Time before the end of a call at which its final answer goes out.
+ANSWER_MARGIN_S = 0.01
+# Seconds for which a node gets no calls after a link to it broke.
+AVOID_S = 0.5
+# Seconds after which a refused caller may come back when no node says.
+RETRY_AFTER_S = 0.25
+# Time without which it makes no sense to send a call again, in seconds.
+MIN_LEFT_S = 0.03
+DEFAULT_LEFT_S = 30.0
+
+
+@dataclasses.dataclass(slots=True)
+class _Call:
+    """The state of one call while it is carried out."""
+
+    head: heads.Head
+    body: bytes
+    request_id: str
+    route: object
+    service: str
+    started: float
+    until: float
+    objective_at: float
+    is_returned: bool
+    headers: bytes
+    fingerprint: int
+    placements: int = 0
+    sends: int = 0
+    may_have_run: bool = False
+    tried: set = dataclasses.field(default_factory=set)
+    sent_to: set = dataclasses.field(default_factory=set)
+    last_code: str = ''
+    retry_after: float = 0.0
+    node: str = ''
+
+
+class OutboundCalls:
+    """Serves the requests of callers and of the target on this VM.
+
+    :param mesh: what the node knows: ``configuration``, ``fleet``,
+        ``placement``, ``rollouts``, ``quota``, ``is_stopping`` and
+        ``send(peer, call)``
+    :param headers: the `call_headers.CallHeaders`
+    :param service: that runs on this VM
+    :param clock: returns monotonic seconds
+    """
+
+    def __init__(self, mesh, headers, service, clock):
+        self._mesh = mesh
+        self._headers = headers
+        self._service = service.encode()
+        self._clock = clock
+        self._pickers = {}
+        self._table = None
+        self._table_of = None
+        self._longest = collections.defaultdict(float)
+        self._own_headers = frozenset(
+            (
+                headers.deadline_ms,
+                headers.caller_service,
+                headers.expected_instance,
+                headers.not_run,
+            )
+        )
+        self.running = 0
+        self.counts = collections.Counter()
+        self.record_seconds = None
+
+    async def serve(self, request, connection):
+        """Answer one request; return whether to keep the connection."""
+        self.running += 1
+        try:
+            return await self._serve(request, connection)
+        finally:
+            self.running -= 1
+
+    async def _serve(self, request, connection):
+        started = self._clock()
+        configuration = self._mesh.configuration
+        if configuration is None:
+            return await self._refuse(
+                request,
+                connection,
+                refusals.not_run(
+                    refusals.CallCode.NO_DOCUMENT,
+                    'no configuration is known here yet',
+                    retry_after=RETRY_AFTER_S,
+                ),
+            )
+        if request.expects_continue:
+            await connection.send(b'HTTP/1.1 100 Continue\r\n\r\n')
+        body = await request.read_all()
+        route = self._match(configuration, request.head)
+        if route is None:
+            return await self._refuse(
+                request,
+                connection,
+                refusals.not_run(
+                    refusals.CallCode.NO_ROUTE,
+                    f'no route in generation '
+                    f'{configuration.accepted.generation}',
+                    retry_after=None,
+                    status=404,
+                ),
+            )
+        call = self._begin(request.head, body, route, started)
+        return await self._carry_out(call, request, connection)
+
+    def _match(self, configuration, head):
+        if configuration is not self._table_of:
+            self._table = routing.RouteTable(configuration.document)
+            self._table_of = configuration
+        return self._table.match(head.host, head.path, head.method)
+
+    def _pick_service(self, route):
+        if len(route.to) == 1:
+            return route.to[0].service
+        picker = self._pickers.get((route.name, route.to))
+        if picker is None:
+            picker = self._pickers[(route.name, route.to)] = (
+                routing.WeightedPicker()
+            )
+        return picker.pick(route.to).service
+
+    def _begin(self, head, body, route, started):
+        names = self._headers
+        left = _number(head.header(names.deadline_ms), DEFAULT_LEFT_S * 1000)
+        left /= 1000
+        longest = max(self._longest[route.name], left)
+        self._longest[route.name] = longest
+        # A client that comes back has less time left than it had at first.
+        spent = longest - left if left < longest * 0.98 else 0.0
+        service = self._pick_service(route)
+        self._mesh.quota.note_request(service, started)
+        request_id = (head.header(names.request_id) or b'').decode('latin-1')
+        return _Call(
+            head=head,
+            body=body,
+            request_id=request_id,
+            route=route,
+            service=service,
+            started=started,
+            until=started + min(left, route.timeout) - ANSWER_MARGIN_S,
+            objective_at=started + max(0.0, route.objective - spent),
+            is_returned=spent > 0,
+            headers=self._target_headers(head),
+            fingerprint=_fingerprint(head, body),
+        )
+
+    def _target_headers(self, head):
+        lines = bytearray()
+        for key, value in heads.passed_on(head.headers):
+            if key not in self._own_headers:
+                lines += key + b': ' + value + b'\r\n'
+        lines += self._headers.caller_service + b': '
+        lines += self._service + b'\r\n'
+        return bytes(lines)
+
+    async def _carry_out(self, call, request, connection):
+        result = None
+        with trio.move_on_after(max(0.0, call.until - self._clock())):
+            result = await self._place(call)
+        if result is not None and result.outcome is Outcome.ANSWERED:
+            return await self._pass_back(call, result, request, connection)
+        refusal = self._final_refusal(call, result)
+        self._log(call, refusal.status, refusal.code, result)
+        return await self._refuse(request, connection, refusal)
+
+    async def _place(self, call):
+        """Send the call to nodes until it is answered or given up."""
+        while True:
+            result = await self._place_once(call)
+            if result is None:
+                return None
+            match result.outcome:
+                case Outcome.ANSWERED:
+                    if not self._should_repeat_answer(call, result):
+                        return result
+                case Outcome.NOT_HANDED_ON:
+                    call.last_code = result.code
+                    if result.retry_after_ms:
+                        after = result.retry_after_ms / 1000
+                        held = call.retry_after or after
+                        call.retry_after = min(held, after)
+                    if call.placements < MAX_PLACEMENTS:
+                        continue
+                    return result
+                case Outcome.NOT_RUN:
+                    call.last_code = result.code
+                case Outcome.UNKNOWN:
+                    call.last_code = result.code
+                    call.may_have_run = True
+                    if not call.route.idempotent:
+                        return result
+            if not self._may_send_again(call):
+                return result
+
+    def _should_repeat_answer(self, call, result):
+        """Whether a target's failure is better repeated than passed back."""
+        if result.status < 500 or not call.route.idempotent:
+            return False
+        return self._clock() < call.until - MIN_LEFT_S
+
+    def _may_send_again(self, call):
+        now = self._clock()
+        if call.sends >= call.route.retries.attempts:
+            return False
+        if now > call.until - MIN_LEFT_S:
+            return False
+        mesh = self._mesh
+        peers = mesh.rollouts.split(
+            call.service, mesh.fleet.serving(call.service), now
+        )
+        if mesh.placement.choose(peers, call.tried, now) is None:
+            return False
+        return mesh.quota.take(call.service, mesh.fleet.size, now)
+
+    async def _place_once(self, call):
+        """Send the call to one node; return its result, None without one."""
+        mesh = self._mesh
+        now = self._clock()
+        peers = mesh.rollouts.split(
+            call.service, mesh.fleet.serving(call.service), now
+        )
+        peer = mesh.placement.choose(peers, call.tried, now)
+        if peer is None:
+            call.last_code = call.last_code or 'no-target'
+            return None
+        call.tried.add(peer.name)
+        call.placements += 1
+        call.node = peer.name
+        target = peer.target
+        left = call.until - now
+        message = hop_messages.Call(
+            id=0,
+            service=call.service,
+            version=target.version,
+            instance=target.instance,
+            method=call.head.method,
+            url=call.head.url,
+            headers=call.headers,
+            left_ms=max(1, int(left * 1000)),
+            objective_ms=int((call.objective_at - now) * 1000),
+            priority=call.route.priority,
+            route=call.route.name,
+            request_id=call.request_id,
+            is_idempotent=call.route.idempotent,
+            is_inner=False,
+            is_repeated=call.sends > 0,
+            is_returned=call.is_returned,
+            body=call.body,
+            fingerprint=call.fingerprint,
+        )
+        peer.sent += 1
+        peer.sent_since += 1
+        was_unknown = call.may_have_run
+        call.may_have_run = True
+        try:
+            result = await mesh.send(peer, message)
+        finally:
+            peer.sent -= 1
+        if result is None:
+            # The link broke; the call may have been handed on.
+            peer.avoided_until = self._clock() + AVOID_S
+            call.sends += 1
+            return hop_messages.Result(0, Outcome.UNKNOWN, 'link-lost')
+        call.may_have_run = was_unknown
+        if result.outcome is not Outcome.NOT_HANDED_ON:
+            call.sends += 1
+        if result.id:
+            peer.hear_load(result.load)
+        return result
+
+    def _final_refusal(self, call, result):
+        """Return what the caller is told; it is true in every case."""
+        if result is None and self._clock() >= call.until - 0.001:
+            if call.may_have_run:
+                return refusals.unknown(
+                    refusals.CallCode.DEADLINE,
+                    'given up at its deadline; it may have run',
+                    status=504,
+                )
+            return refusals.not_run(
+                refusals.CallCode.DEADLINE_BEFORE_RUN,
+                'its deadline passed before it was sent',
+                retry_after=RETRY_AFTER_S,
+            )
+        if call.may_have_run:
+            return refusals.unknown(
+                refusals.CallCode.ANSWER_LOST,
+                f'{call.last_code} at {call.node}',
+            )
+        left = call.until - self._clock()
+        after = call.retry_after or RETRY_AFTER_S
+        return refusals.not_run(
+            refusals.CallCode.OVERLOADED
+            if call.last_code == 'overloaded'
+            else refusals.CallCode.NO_TARGET,
+            f'{call.last_code}; {call.placements} nodes were asked',
+            retry_after=round(max(0.01, min(after, left / 3)), 3),
+        )
+
+    async def _pass_back(self, call, result, request, connection):
+        keep = self._may_keep(request)
+        status = result.status
+        framing = b'content-length: %d\r\n' % len(result.body)
+        if call.head.method == 'HEAD' or status in (204, 304):
+            framing = b''
+        parts = [
+            b'HTTP/1.1 %d ' % status,
+            result.reason,
+            b'\r\n',
+            result.headers,
+            framing,
+        ]
+        if not keep:
+            parts.append(b'connection: close\r\n')
+        parts.append(b'\r\n')
+        parts.append(result.body)
+        self._log(call, status, '', result)
+        await connection.send(b''.join(parts))
+        return keep
+
+    def _may_keep(self, request):
+        return (
+            request.head.keep_alive
+            and request.is_complete
+            and not self._mesh.is_stopping
+        )
+
+    async def _refuse(self, request, connection, refusal):
+        self.counts[('refused', refusal.code.value, refusal.status)] += 1
+        keep = self._may_keep(request)
+        with_body = request.head.method != 'HEAD'
+        await connection.send(heads.write_refusal(refusal, keep, with_body))
+        return keep
+
+    def _log(self, call, status, code, result):
+        now = self._clock()
+        self.counts[('answered', call.service, status)] += 1
+        if self.record_seconds is not None:
+            self.record_seconds(call.route.name, '', now - call.started)
+        self._mesh.decisions.note(
+            'call',
+            id=call.request_id,
+            route=call.route.name,
+            service=call.service,
+            node=call.node,
+            status=status,
+            code=str(code),
+            why=call.last_code,
+            placements=call.placements,
+            sends=call.sends,
+            ms=round((now - call.started) * 1000, 1),
+            work_ms=round(result.work_ms, 1) if result else None,
+            generation=self._mesh.configuration.accepted.generation,
+        )
+
+
+def _number(value, default):
+    if value is None or not value.isdigit() or len(value) > 9:
+        return default
+    return int(value)
+
+
+def _fingerprint(head, body):
+    """Return a number that repetitions of one request share."""
+    digest = hashlib.blake2b(body, digest_size=8)
+    digest.update(head.method.encode() + b' ' + head.url)
+    return int.from_bytes(digest.digest())
+
--- a/packages/pumicestand/pumicestand/documents.py
+++ b/packages/pumicestand/pumicestand/documents.py
@@ -70,6 +70,9 @@
     :param resources: what a target must have to take these calls
     :param timeout: seconds until the call is given up
     :param idempotent: whether a call may run more than once
+    :param objective: seconds within which callers want the answer; 0 if
+        the operator states none
+    :param priority: 0 goes before all others
     """
 
     name: str
@@ -81,6 +84,8 @@
     timeout: float
     idempotent: bool
     retries: Retries
+    objective: float = 0.0
+    priority: int = 0
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -136,6 +141,22 @@
         return self.bad
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class CallerLimits:
+    """What a caller may send, and how long it may take.
+
+    :param head_bytes: of a request's head
+    :param body_bytes: of a request's body
+    :param head_timeout: seconds in which a head must be whole
+    :param idle_timeout: seconds that a connection may be without a request
+    """
+
+    head_bytes: int = 32_768
+    body_bytes: int = 67_108_864
+    head_timeout: float = 10.0
+    idle_timeout: float = 75.0
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class Document:
     """All services, routes and moves of one environment."""
@@ -143,6 +164,7 @@
     services: tuple[Service, ...] = ()
     routes: tuple[Route, ...] = ()
     moves: tuple[Move, ...] = ()
+    caller_limits: CallerLimits = CallerLimits()
 
     def service(self, name):
         """Return the service of that name, or None."""
--- /dev/null
+++ b/packages/pumicestand/pumicestand/fleet.py
@@ -0,0 +1,129 @@
+"""What a node knows of the others and of the targets beside them.
+
+Each node says everything about itself, directly, to all that call it; a
+report replaces the one before. A target is of use only to a node that
+reaches the node beside it, so nothing is passed on from third parties.
+"""
+
+import dataclasses
+
+from pumicestand import hop_messages
+from pumicestand import messages
+
+# A node that has not been reached for so long is no longer dialled; it
+# dials others itself when it is back.
+FORGET_AFTER_S = 45.0
+
+
+@dataclasses.dataclass(slots=True)
+class Peer:
+    """Another node as this one sees it; the node itself is one, too.
+
+    :param is_linked: whether calls can be sent there
+    :param sent: calls from here that have no result yet
+    :param sent_since: calls sent since its load was last heard
+    :param avoided_until: monotonic seconds until which it gets no calls
+        after one failed there
+    :param unreached_since: monotonic seconds, None while it is linked
+    """
+
+    name: str
+    host: str
+    port: int
+    report: hop_messages.Report | None = None
+    load: hop_messages.Load = hop_messages.Load()
+    is_linked: bool = False
+    sent: int = 0
+    sent_since: int = 0
+    avoided_until: float = 0.0
+    unreached_since: float | None = None
+
+    @property
+    def target(self):
+        """The target beside the node, or None."""
+        return self.report.target if self.report else None
+
+    def serves(self, service):
+        """Whether its target takes calls of a service now."""
+        target = self.target
+        return (
+            self.is_linked
+            and target is not None
+            and target.service == service
+            and target.state is messages.TargetState.SERVING
+            and not self.report.is_leaving
+            and self.load.slots > 0
+        )
+
+    def hear_load(self, load):
+        """Take in how busy its target is."""
+        self.load = load
+        self.sent_since = 0
+
+
+class Fleet:
+    """All nodes that this one knows, by name.
+
+    :param own_name: name of this node
+    """
+
+    def __init__(self, own_name):
+        self._own_name = own_name
+        self._peers = {}
+
+    @property
+    def peers(self):
+        """All known nodes, this one included."""
+        return self._peers.values()
+
+    @property
+    def others(self):
+        """All known nodes but this one."""
+        return [p for p in self._peers.values() if p.name != self._own_name]
+
+    @property
+    def size(self):
+        """How many nodes are linked, this one included."""
+        linked = sum(1 for peer in self.others if peer.is_linked)
+        return linked + 1
+
+    def get(self, name):
+        """Return a `Peer`, or None."""
+        return self._peers.get(name)
+
+    def meet(self, name, host, port, now):
+        """Return the `Peer` of a name, new if it was not known."""
+        peer = self._peers.get(name)
+        if peer is None:
+            peer = Peer(name, host, port, unreached_since=now)
+            self._peers[name] = peer
+        elif (peer.host, peer.port) != (host, port):
+            # Another VM has taken the node's name over.
+            peer.host, peer.port = host, port
+            peer.unreached_since = now
+        return peer
+
+    def hear(self, report, now):
+        """Take a report in; return whether it was news."""
+        peer = self.meet(report.name, report.host, report.port, now)
+        if peer.report is not None and peer.report.order >= report.order:
+            return False
+        peer.report = report
+        peer.hear_load(report.load)
+        return True
+
+    def serving(self, service):
+        """Return the peers whose targets take calls of a service."""
+        return [p for p in self._peers.values() if p.serves(service)]
+
+    def forget(self, now):
+        """Drop nodes not reached for long; return their names."""
+        gone = [
+            peer.name
+            for peer in self.others
+            if peer.unreached_since is not None
+            and now - peer.unreached_since > FORGET_AFTER_S
+        ]
+        for name in gone:
+            del self._peers[name]
+        return gone
--- /dev/null
+++ b/packages/pumicestand/pumicestand/hop.capnp
@@ -0,0 +1,128 @@
+@0xd3a1f0c29b7e4851;
+# What two nodes say to each other on a link. Times are in milliseconds.
+
+struct HopFrame {
+  union {
+    hello @0 :Report;
+    report @1 :Report;
+    call @2 :Call;
+    part @3 :Part;
+    cancel @4 :UInt64;
+    result @5 :Result;
+    ping @6 :UInt32;
+    pong @7 :UInt32;
+    fetch @8 :UInt64;
+    configuration @9 :Configuration;
+    crash @10 :Crash;
+  }
+}
+
+struct Target {
+  instance @0 :Text;
+  service @1 :Text;
+  version @2 :Text;
+  host @3 :Text;
+  port @4 :UInt16;
+  slots @5 :UInt16;
+  state @6 :UInt8;
+  startedMs @7 :UInt64;
+}
+
+struct Load {
+  running @0 :UInt16;
+  queued @1 :UInt16;
+  slots @2 :UInt16;
+  workMs @3 :Float32;
+  waitMs @4 :Float32;
+  failing @5 :Float32;
+}
+
+struct Evidence {
+  route @0 :Text;
+  version @1 :Text;
+  calls @2 :UInt32;
+  errors @3 :UInt32;
+  workMs @4 :Float64;
+  timed @5 :UInt32;
+}
+
+struct Verdict {
+  service @0 :Text;
+  version @1 :Text;
+  state @2 :UInt8;
+  durationMs @3 :UInt32;
+  elapsedMs @4 :UInt32;
+  key @5 :UInt64;
+  revision @6 :UInt64;
+  stored @7 :UInt8;
+}
+
+struct Report {
+  name @0 :Text;
+  incarnation @1 :UInt64;
+  sequence @2 :UInt64;
+  zone @3 :Text;
+  host @4 :Text;
+  port @5 :UInt16;
+  target @6 :Target;
+  load @7 :Load;
+  leaving @8 :Bool;
+  storeReachable @9 :Bool;
+  generation @10 :UInt64;
+  evidence @11 :List(Evidence);
+  verdicts @12 :List(Verdict);
+  hasTarget @13 :Bool;
+  ready @14 :Bool;
+}
+
+struct Call {
+  id @0 :UInt64;
+  service @1 :Text;
+  version @2 :Text;
+  instance @3 :Text;
+  method @4 :Text;
+  url @5 :Data;
+  headers @6 :Data;
+  leftMs @7 :UInt32;
+  objectiveMs @8 :Int32;
+  priority @9 :UInt16;
+  route @10 :Text;
+  requestId @11 :Text;
+  idempotent @12 :Bool;
+  inner @13 :Bool;
+  repeated @14 :Bool;
+  returned @15 :Bool;
+  body @16 :Data;
+  rest @17 :UInt32;
+  fingerprint @18 :UInt64;
+}
+
+struct Part {
+  id @0 :UInt64;
+  body @1 :Data;
+  last @2 :Bool;
+}
+
+struct Result {
+  id @0 :UInt64;
+  outcome @1 :UInt8;
+  code @2 :Text;
+  retryAfterMs @3 :UInt32;
+  status @4 :UInt16;
+  reason @5 :Data;
+  headers @6 :Data;
+  body @7 :Data;
+  rest @8 :UInt32;
+  load @9 :Load;
+  workMs @10 :Float32;
+}
+
+struct Configuration {
+  generation @0 :UInt64;
+  content @1 :Data;
+}
+
+struct Crash {
+  instance @0 :Text;
+  fingerprints @1 :List(UInt64);
+}
--- /dev/null
+++ b/packages/pumicestand/pumicestand/hop.py
@@ -0,0 +1,315 @@
+"""Turns messages on a link into Cap'n Proto frames and back.
+
+A frame stands behind its length in four bytes. What can't be read is
+refused, and the link with it: after one broken frame no border is known.
+"""
+
+import pathlib
+import struct
+
+import capnp
+
+from pumicestand import errors
+from pumicestand import hop_messages
+from pumicestand import messages
+
+# A frame holds a report, a configuration or one part of a body.
+MAX_FRAME_BYTES = 4_000_000
+_NOT_STORED = 255
+LENGTH = struct.Struct('>I')
+
+_schema = capnp.load(str(pathlib.Path(__file__).with_name('hop.capnp')))
+_Frame = _schema.HopFrame
+
+
+def encode(message):
+    """Return the bytes of a message behind their length."""
+    builder = _Frame.new_message()
+    _write(builder, message)
+    data = builder.to_bytes()
+    return LENGTH.pack(len(data)) + data
+
+
+def _write(builder, message):
+    match message:
+        case hop_messages.Call():
+            _write_call(builder.init('call'), message)
+        case hop_messages.Result():
+            _write_result(builder.init('result'), message)
+        case hop_messages.Part(id_, body, is_last):
+            part = builder.init('part')
+            part.id, part.body, part.last = id_, body, is_last
+        case hop_messages.Cancel(id_):
+            builder.cancel = id_
+        case hop_messages.Report():
+            _write_report(builder.init('report'), message)
+        case hop_messages.Hello(report):
+            _write_report(builder.init('hello'), report)
+        case hop_messages.Ping(number):
+            builder.ping = number
+        case hop_messages.Pong(number):
+            builder.pong = number
+        case hop_messages.FetchConfiguration(generation):
+            builder.fetch = generation
+        case hop_messages.Configuration(generation, content):
+            configuration = builder.init('configuration')
+            configuration.generation = generation
+            configuration.content = content
+        case hop_messages.CrashNotice(instance, fingerprints):
+            crash = builder.init('crash')
+            crash.instance = instance
+            crash.fingerprints = list(fingerprints)
+
+
+def _write_call(builder, call):
+    builder.id = call.id
+    builder.service = call.service
+    builder.version = call.version
+    builder.instance = call.instance
+    builder.method = call.method
+    builder.url = call.url
+    builder.headers = call.headers
+    builder.leftMs = call.left_ms
+    builder.objectiveMs = call.objective_ms
+    builder.priority = call.priority
+    builder.route = call.route
+    builder.requestId = call.request_id
+    builder.idempotent = call.is_idempotent
+    builder.inner = call.is_inner
+    builder.repeated = call.is_repeated
+    builder.returned = call.is_returned
+    builder.body = call.body
+    builder.rest = call.rest
+    builder.fingerprint = call.fingerprint
+
+
+def _write_result(builder, result):
+    builder.id = result.id
+    builder.outcome = int(result.outcome)
+    builder.code = result.code
+    builder.retryAfterMs = result.retry_after_ms
+    builder.status = result.status
+    builder.reason = result.reason
+    builder.headers = result.headers
+    builder.body = result.body
+    builder.rest = result.rest
+    builder.workMs = result.work_ms
+    _write_load(builder.init('load'), result.load)
+
+
+def _write_load(builder, load):
+    builder.running = load.running
+    builder.queued = load.queued
+    builder.slots = load.slots
+    builder.workMs = load.work_ms
+    builder.waitMs = load.wait_ms
+    builder.failing = load.failing
+
+
+def _write_target(builder, target):
+    builder.instance = target.instance
+    builder.service = target.service
+    builder.version = target.version
+    builder.host = target.host
+    builder.port = target.port
+    builder.slots = target.slots
+    builder.state = int(target.state)
+    builder.startedMs = target.started_ms
+
+
+def _write_report(builder, report):
+    builder.name = report.name
+    builder.incarnation = report.incarnation
+    builder.sequence = report.sequence
+    builder.zone = report.zone
+    builder.host = report.host
+    builder.port = report.port
+    builder.leaving = report.is_leaving
+    builder.ready = report.is_ready
+    builder.storeReachable = report.store_reachable
+    builder.generation = report.generation
+    builder.hasTarget = report.target is not None
+    if report.target is not None:
+        _write_target(builder.init('target'), report.target)
+    _write_load(builder.init('load'), report.load)
+    items = builder.init('evidence', len(report.evidence))
+    for item, evidence in zip(items, report.evidence, strict=True):
+        item.route = evidence.route
+        item.version = evidence.version
+        item.calls = evidence.calls
+        item.errors = evidence.errors
+        item.timed = evidence.timed
+        item.workMs = evidence.work_ms
+    items = builder.init('verdicts', len(report.verdicts))
+    for item, verdict in zip(items, report.verdicts, strict=True):
+        item.service = verdict.service
+        item.version = verdict.version
+        item.state = int(verdict.state)
+        item.durationMs = verdict.duration_ms
+        item.elapsedMs = verdict.elapsed_ms
+        item.key = verdict.key
+        item.revision = verdict.revision
+        stored = verdict.stored
+        item.stored = _NOT_STORED if stored is None else int(stored)
+
+
+def decode(data, peer):
+    """Return the message of a frame.
+
+    :param data: the bytes behind the length
+    :param peer: who sent it, for the error
+    :raises errors.FrameRefused: if it can't be read
+    """
+    try:
+        with _Frame.from_bytes(data) as frame:
+            return _read(frame)
+    except (capnp.KjException, ValueError, UnicodeDecodeError) as error:
+        raise errors.FrameRefused(
+            errors.Code.FRAME_INVALID,
+            f'a frame of {len(data)} bytes: {error}',
+            peer=peer,
+        ) from error
+
+
+def _read(frame):
+    match frame.which():
+        case 'call':
+            return _read_call(frame.call)
+        case 'result':
+            return _read_result(frame.result)
+        case 'part':
+            part = frame.part
+            return hop_messages.Part(part.id, part.body, part.last)
+        case 'cancel':
+            return hop_messages.Cancel(frame.cancel)
+        case 'report':
+            return _read_report(frame.report)
+        case 'hello':
+            return hop_messages.Hello(_read_report(frame.hello))
+        case 'ping':
+            return hop_messages.Ping(frame.ping)
+        case 'pong':
+            return hop_messages.Pong(frame.pong)
+        case 'fetch':
+            return hop_messages.FetchConfiguration(frame.fetch)
+        case 'configuration':
+            held = frame.configuration
+            return hop_messages.Configuration(held.generation, held.content)
+        case 'crash':
+            crash = frame.crash
+            return hop_messages.CrashNotice(
+                crash.instance, tuple(crash.fingerprints)
+            )
+    raise ValueError('an unknown kind of frame')
+
+
+def _read_call(reader):
+    return hop_messages.Call(
+        id=reader.id,
+        service=reader.service,
+        version=reader.version,
+        instance=reader.instance,
+        method=reader.method,
+        url=reader.url,
+        headers=reader.headers,
+        left_ms=reader.leftMs,
+        objective_ms=reader.objectiveMs,
+        priority=reader.priority,
+        route=reader.route,
+        request_id=reader.requestId,
+        is_idempotent=reader.idempotent,
+        is_inner=reader.inner,
+        is_repeated=reader.repeated,
+        is_returned=reader.returned,
+        body=reader.body,
+        rest=reader.rest,
+        fingerprint=reader.fingerprint,
+    )
+
+
+def _read_result(reader):
+    return hop_messages.Result(
+        id=reader.id,
+        outcome=hop_messages.Outcome(reader.outcome),
+        code=reader.code,
+        retry_after_ms=reader.retryAfterMs,
+        status=reader.status,
+        reason=reader.reason,
+        headers=reader.headers,
+        body=reader.body,
+        rest=reader.rest,
+        load=_read_load(reader.load),
+        work_ms=reader.workMs,
+    )
+
+
+def _read_load(reader):
+    return hop_messages.Load(
+        running=reader.running,
+        queued=reader.queued,
+        slots=reader.slots,
+        work_ms=reader.workMs,
+        wait_ms=reader.waitMs,
+        failing=reader.failing,
+    )
+
+
+def _read_target(reader):
+    return hop_messages.Target(
+        instance=reader.instance,
+        service=reader.service,
+        version=reader.version,
+        host=reader.host,
+        port=reader.port,
+        slots=reader.slots,
+        state=messages.TargetState(reader.state),
+        started_ms=reader.startedMs,
+    )
+
+
+def _read_verdict(reader):
+    stored = None
+    if reader.stored != _NOT_STORED:
+        stored = hop_messages.RolloutState(reader.stored)
+    return hop_messages.Verdict(
+        service=reader.service,
+        version=reader.version,
+        state=hop_messages.RolloutState(reader.state),
+        duration_ms=reader.durationMs,
+        elapsed_ms=reader.elapsedMs,
+        key=reader.key,
+        revision=reader.revision,
+        stored=stored,
+    )
+
+
+def _read_report(reader):
+    return hop_messages.Report(
+        name=reader.name,
+        incarnation=reader.incarnation,
+        sequence=reader.sequence,
+        zone=reader.zone,
+        host=reader.host,
+        port=reader.port,
+        target=_read_target(reader.target) if reader.hasTarget else None,
+        load=_read_load(reader.load),
+        is_leaving=reader.leaving,
+        is_ready=reader.ready,
+        store_reachable=reader.storeReachable,
+        generation=reader.generation,
+        evidence=tuple(
+            hop_messages.Evidence(
+                item.route,
+                item.version,
+                item.calls,
+                item.errors,
+                item.timed,
+                item.workMs,
+            )
+            for item in reader.evidence
+        ),
+        verdicts=tuple(
+            _read_verdict(item)
+            for item in reader.verdicts
+        ),
+    )
--- /dev/null
+++ b/packages/pumicestand/pumicestand/hop_messages.py
@@ -0,0 +1,276 @@
+"""What two nodes say to each other on a link, as data classes.
+
+`hop` turns them into frames and back.
+"""
+
+import dataclasses
+import enum
+
+from pumicestand import messages
+
+
+class Outcome(enum.IntEnum):
+    """What became of a call that was handed to another node.
+
+    The order matters: only the first two mean that the call has not run.
+    """
+
+    NOT_HANDED_ON = 0
+    NOT_RUN = 1
+    UNKNOWN = 2
+    ANSWERED = 3
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Target:
+    """The target beside a node, as it announced itself.
+
+    :param instance: names one start of the target, mostly
+    :param started_ms: milliseconds since the epoch at its start
+    """
+
+    instance: str
+    service: str
+    version: str
+    host: str
+    port: int
+    slots: int
+    state: messages.TargetState = messages.TargetState.SERVING
+    started_ms: int = 0
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Load:
+    """How busy the target beside a node is.
+
+    :param running: calls that run at the target
+    :param queued: calls that wait at its node
+    :param slots: calls that it runs at once; 0 if it takes none now
+    :param work_ms: typical time of one call at the target
+    :param wait_ms: expected wait of a call that arrives now
+    :param failing: fraction of its latest answers that were failures
+    """
+
+    running: int = 0
+    queued: int = 0
+    slots: int = 0
+    work_ms: float = 0.0
+    wait_ms: float = 0.0
+    failing: float = 0.0
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Evidence:
+    """What a node counted of its target on one route; only grows.
+
+    :param timed: calls that were answered while the target was warm
+    :param work_ms: sum over the timed calls
+    """
+
+    route: str
+    version: str
+    calls: int = 0
+    errors: int = 0
+    timed: int = 0
+    work_ms: float = 0.0
+
+
+class RolloutState(enum.IntEnum):
+    """How far a roll-out is; a higher one wins."""
+
+    RUNNING = 0
+    COMPLETE = 1
+    ROLLED_BACK = 2
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Verdict:
+    """What a node holds of a roll-out.
+
+    :param state: what it acts on
+    :param duration_ms: that the operator allows
+    :param elapsed_ms: since the order was first heard of
+    :param key: equal for all revisions of one order
+    :param revision: of the store's object
+    :param stored: what the store says of it, None if nothing yet
+    """
+
+    service: str
+    version: str
+    state: RolloutState
+    duration_ms: int = 0
+    elapsed_ms: int = 0
+    key: int = 0
+    revision: int = 0
+    stored: RolloutState | None = None
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Report:
+    """All that a node says of itself; a later one replaces it.
+
+    :param incarnation: rises with each start of the process
+    :param sequence: rises with each report of one incarnation
+    :param generation: of the configuration that it acts on, 0 for none
+    """
+
+    name: str
+    incarnation: int
+    sequence: int
+    zone: str
+    host: str
+    port: int
+    target: Target | None = None
+    load: Load = Load()
+    is_leaving: bool = False
+    is_ready: bool = False
+    store_reachable: bool = False
+    generation: int = 0
+    evidence: tuple[Evidence, ...] = ()
+    verdicts: tuple[Verdict, ...] = ()
+
+    @property
+    def order(self):
+        """What decides between two reports of one node."""
+        return (self.incarnation, self.sequence)
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Hello:
+    """The first frame on a link, from the node that opened it."""
+
+    report: Report
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Call:
+    """A call for the target beside the receiver.
+
+    :param version: the only version that may run it, empty for any
+    :param instance: the only instance that may run it
+    :param headers: lines of the head for the target, without those of one
+        connection
+    :param left_ms: time until the call is given up, from now
+    :param objective_ms: time left until its answer is late
+    :param is_inner: a target that runs another call waits for it
+    :param is_repeated: an earlier send of it may have reached a target
+    :param is_returned: the client was told to come back and has
+    :param rest: bytes of the body that follow in parts
+    :param fingerprint: equal for calls that are repetitions of one another
+    """
+
+    id: int
+    service: str
+    version: str
+    instance: str
+    method: str
+    url: bytes
+    headers: bytes
+    left_ms: int
+    objective_ms: int
+    priority: int
+    route: str
+    request_id: str
+    is_idempotent: bool
+    is_inner: bool = False
+    is_repeated: bool = False
+    is_returned: bool = False
+    body: bytes = b''
+    rest: int = 0
+    fingerprint: int = 0
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Part:
+    """More of the body of a call or of its result."""
+
+    id: int
+    body: bytes
+    is_last: bool
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Cancel:
+    """The sender no longer waits for a call."""
+
+    id: int
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Result:
+    """What became of a call.
+
+    :param code: why there is no answer of a target
+    :param retry_after_ms: when room is expected, 0 if that is not known
+    :param headers: lines of the answer's head, without those of one
+        connection
+    :param rest: bytes of the body that follow in parts
+    :param work_ms: time from the send to the target until its answer
+    """
+
+    id: int
+    outcome: Outcome
+    code: str = ''
+    retry_after_ms: int = 0
+    status: int = 0
+    reason: bytes = b''
+    headers: bytes = b''
+    body: bytes = b''
+    rest: int = 0
+    load: Load = Load()
+    work_ms: float = 0.0
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Ping:
+    """Asks whether the link still carries frames."""
+
+    number: int
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Pong:
+    """Answers a ping."""
+
+    number: int
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class FetchConfiguration:
+    """Asks for a configuration of at least a generation."""
+
+    generation: int
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Configuration:
+    """A whole configuration.
+
+    :param content: as the operator wrote it, compressed by zlib
+    """
+
+    generation: int
+    content: bytes
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class CrashNotice:
+    """A target crashed while it ran calls with these fingerprints."""
+
+    instance: str
+    fingerprints: tuple[int, ...]
+
+
+Message = (
+    Hello
+    | Report
+    | Call
+    | Part
+    | Cancel
+    | Result
+    | Ping
+    | Pong
+    | FetchConfiguration
+    | Configuration
+    | CrashNotice
+)
--- a/packages/pumicestand/pumicestand/metrics.py
+++ b/packages/pumicestand/pumicestand/metrics.py
@@ -44,13 +44,20 @@
         :param labels: names for the parts of the counter's keys, tuples
         """
         counts = collections.Counter()
+        self.observe(name, counts, labels, description, unit)
+        return counts
+
+    def observe(self, name, counts, labels, description, unit=''):
+        """Have a scraper read a `collections.Counter` that exists already.
+
+        :param labels: names for the parts of the counter's keys, tuples
+        """
         self._meter.create_observable_counter(
             name,
             callbacks=[lambda options: list(_observe(counts, labels))],
             unit=unit,
             description=description,
         )
-        return counts
 
     def gauge(self, name, read, description):
         """Have a function read when a scraper asks.
--- a/packages/pumicestand/pumicestand/refusals.py
+++ b/packages/pumicestand/pumicestand/refusals.py
@@ -37,6 +37,7 @@
     MALFORMED = 'malformed'
     ABSOLUTE_URL = 'absolute-url'
     HEADERS_TOO_LARGE = 'headers-too-large'
+    BODY_TOO_LARGE = 'body-too-large'
     NO_HOST = 'no-host'
     NOT_SUPPORTED = 'not-supported'
 
@@ -47,14 +48,15 @@
 
     :param status: the HTTP status
     :param detail: what is wrong, for the caller's log
-    :param retry_after: seconds after which to come back, None for never
+    :param retry_after: seconds after which to come back, with fractions;
+        None for never
     """
 
     status: int
     outcome: Outcome
     code: CallCode
     detail: str
-    retry_after: int | None = None
+    retry_after: float | None = None
 
 
 def not_run(code, detail, retry_after=1, status=503):
--- /dev/null
+++ b/packages/pumicestand/pumicestand/target_queue.py
@@ -0,0 +1,189 @@
+"""Who may run at a target now, who waits, and who is refused.
+
+One node stands before each target, so it knows exactly what runs there. It
+decides when a call arrives: a call that can't be answered in time is
+refused at once, with the time at which room is expected.
+"""
+
+import dataclasses
+import itertools
+
+# The share of a new observation in the running mean of work.
+WORK_WEIGHT = 0.08
+# Assumed work of a call before any was observed, in seconds.
+FIRST_WORK_S = 0.1
+# A call returns its answer over two links; kept free before its deadline.
+RETURN_S = 0.01
+# Bounds for the time after which a refused caller may come back, seconds.
+MIN_RETRY_AFTER_S = 0.05
+MAX_RETRY_AFTER_S = 1.0
+
+
+@dataclasses.dataclass(slots=True)
+class Ticket:
+    """A call that wants to run; times are monotonic seconds.
+
+    :param deadline: when it is given up
+    :param objective_at: until when its answer is in time
+    """
+
+    priority: int
+    is_inner: bool
+    is_returned: bool
+    deadline: float
+    objective_at: float
+    route: str = ''
+    number: int = 0
+    started_at: float | None = None
+
+    @property
+    def rank(self):
+        """What orders tickets that wait: the lower goes first."""
+        return (
+            not self.is_inner,
+            self.priority,
+            not self.is_returned,
+            self.number,
+        )
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Start:
+    """The call may run now."""
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Wait:
+    """The call waits for a slot."""
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Refuse:
+    """The call is not run.
+
+    :param retry_after: seconds until room is expected
+    """
+
+    retry_after: float
+
+
+class TargetQueue:
+    """The slots of one target and the calls that wait for them."""
+
+    def __init__(self):
+        self._slots = 0
+        self._running = 0
+        self._waiting = []
+        self._numbers = itertools.count(1)
+        self._work = FIRST_WORK_S
+        self._work_of = {}
+
+    @property
+    def slots(self):
+        """Calls that the target runs at once."""
+        return self._slots
+
+    @property
+    def running(self):
+        """Calls that run at the target."""
+        return self._running
+
+    @property
+    def queued(self):
+        """Calls that wait."""
+        return len(self._waiting)
+
+    @property
+    def work(self):
+        """Typical seconds of one call at the target."""
+        return self._work
+
+    def set_slots(self, slots):
+        """Note how many calls the target runs at once."""
+        self._slots = slots
+
+    def expected_wait(self, ahead=None):
+        """Return the seconds that a new call would wait.
+
+        :param ahead: calls that wait before it, all by default
+        """
+        if self._slots <= 0:
+            return float('inf')
+        if ahead is None:
+            ahead = len(self._waiting)
+        excess = self._running + ahead + 1 - self._slots
+        return max(0, excess) * self._work / self._slots
+
+    def work_of(self, route):
+        """Return the typical seconds of a call of one route."""
+        return self._work_of.get(route, self._work)
+
+    def offer(self, ticket, now):
+        """Decide on a new call.
+
+        :returns: `Start`, `Wait` or `Refuse`
+        """
+        ticket.number = next(self._numbers)
+        if self._slots <= 0:
+            return Refuse(MIN_RETRY_AFTER_S)
+        if self._running < self._slots and not self._waiting:
+            if now + RETURN_S >= ticket.deadline:
+                return Refuse(0.0)
+            self._start(ticket, now)
+            return Start()
+        ahead = sum(1 for other in self._waiting if other.rank < ticket.rank)
+        wait = self.expected_wait(ahead)
+        finish = now + wait + self.work_of(ticket.route) + RETURN_S
+        if finish > self._latest_finish(ticket):
+            return Refuse(self._retry_after(wait))
+        self._waiting.append(ticket)
+        self._waiting.sort(key=lambda other: other.rank)
+        return Wait()
+
+    def _latest_finish(self, ticket):
+        """Return until when an answer is worth waiting for a slot."""
+        if ticket.is_inner or ticket.is_returned:
+            return ticket.deadline
+        return min(ticket.deadline, ticket.objective_at)
+
+    def _retry_after(self, wait):
+        return min(MAX_RETRY_AFTER_S, max(MIN_RETRY_AFTER_S, wait))
+
+    def _start(self, ticket, now):
+        ticket.started_at = now
+        self._running += 1
+
+    def leave(self, ticket):
+        """Note that a call that waits is no longer wanted."""
+        if ticket in self._waiting:
+            self._waiting.remove(ticket)
+
+    def finish(self, ticket, now, is_answered):
+        """Note that a call no longer runs at the target.
+
+        :param is_answered: whether its time there tells how long work is
+        """
+        self._running -= 1
+        if not is_answered:
+            return
+        work = now - ticket.started_at
+        self._work += WORK_WEIGHT * (work - self._work)
+        held = self._work_of.get(ticket.route, work)
+        self._work_of[ticket.route] = held + WORK_WEIGHT * (work - held)
+
+    def take(self, now):
+        """Return (tickets to start now, tickets to refuse now)."""
+        started, refused = [], []
+        while self._waiting and self._running < self._slots:
+            ticket = self._waiting.pop(0)
+            if now + RETURN_S >= ticket.deadline:
+                refused.append(ticket)
+                continue
+            self._start(ticket, now)
+            started.append(ticket)
+        return started, refused
+
+    def refuse_all(self):
+        """Return all that wait, since the target takes no more calls."""
+        refused, self._waiting = self._waiting, []
+        return refused
--- /dev/null
+++ b/packages/pumicestand/pumicestand/targets.py
@@ -0,0 +1,111 @@
+"""The target beside a node, as its heartbeats tell of it."""
+
+import dataclasses
+
+from pumicestand import hop_messages
+from pumicestand import messages
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Heartbeat:
+    """What a target says of itself.
+
+    :param target: with its state
+    :param sequence: rises with each heartbeat of one start
+    :param cold_left: seconds for which it is still slow after its start
+    """
+
+    target: hop_messages.Target
+    sequence: int
+    cold_left: float = 0.0
+
+    @property
+    def order(self):
+        """What decides between two heartbeats for one address."""
+        return (self.target.started_ms, self.sequence)
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Departure:
+    """A target says that it goes.
+
+    :param started_ms: 0 if it does not say which start it means
+    """
+
+    instance: str
+    started_ms: int = 0
+
+
+class TargetWatch:
+    """Keeps what holds of the target beside this node.
+
+    A state never goes back within one start of a target: a late heartbeat
+    does not make a target that leaves serve again.
+    """
+
+    def __init__(self):
+        self._target = None
+        self._order = (0, 0)
+        self._left = set()
+        self.cold_until = 0.0
+
+    @property
+    def target(self):
+        """The `hop_messages.Target`, or None."""
+        return self._target
+
+    def recall(self, target):
+        """Take what the store remembers, until a heartbeat says more.
+
+        :returns: whether anything changed
+        """
+        if self._target is not None:
+            return False
+        self._target = target
+        self._order = (target.started_ms, 0)
+        return True
+
+    def apply(self, said, now):
+        """Take in what the target says; return whether anything changed."""
+        match said:
+            case Heartbeat():
+                return self.beat(said, now)
+            case Departure():
+                return self.leave(said)
+
+    def beat(self, heartbeat, now):
+        """Take a heartbeat in; return whether anything changed."""
+        if heartbeat.order <= self._order:
+            return False
+        before = self._target
+        target = heartbeat.target
+        is_same = (
+            before is not None
+            and before.instance == target.instance
+            and before.started_ms == target.started_ms
+        )
+        self._order = heartbeat.order
+        self.cold_until = now + heartbeat.cold_left
+        if (target.instance, target.started_ms) in self._left:
+            target = dataclasses.replace(
+                target, state=messages.TargetState.GONE
+            )
+        elif is_same and before.state > target.state:
+            target = dataclasses.replace(target, state=before.state)
+        self._target = target
+        return target != before
+
+    def leave(self, departure):
+        """Note that a target goes; return whether anything changed."""
+        target = self._target
+        if target is None or target.instance != departure.instance:
+            return False
+        if departure.started_ms not in (0, target.started_ms):
+            return False
+        self._left.add((target.instance, target.started_ms))
+        if target.state is messages.TargetState.GONE:
+            return False
+        self._target = dataclasses.replace(
+            target, state=messages.TargetState.GONE
+        )
+        return True
