Place calls by pace, objective and bytes between zones

Ruled out: stale load reports (each result brings the load). Change: time weighs by its square against the objective, bytes to another zone by their number; each target's pace is the ratio of a call's time to what its route takes elsewhere, and fades while nothing tells more; calls overtaken in a queue until they are late are given back at once.

--- a/packages/pumicestand-node/pumicestand_node/mesh.py
+++ b/packages/pumicestand-node/pumicestand_node/mesh.py
@@ -79,6 +79,6 @@
             is_ready=self.is_ready,
             store_reachable=self.store_reachable,
             generation=self.generation,
-            evidence=evidence,
+            evidence=evidence if self.rollouts.is_any_running else (),
             verdicts=self.rollouts.verdicts(now),
         )
--- a/packages/pumicestand-node/pumicestand_node/mesh_node.py
+++ b/packages/pumicestand-node/pumicestand_node/mesh_node.py
@@ -26,7 +26,7 @@
 TICK_S = 0.1
 # Period of reports in a small fleet, and the share of it for each node of a
 # large one: what a node sends stays the same whatever the fleet's size.
-REPORT_PERIOD_S = 0.25
+REPORT_PERIOD_S = 0.4
 REPORT_PERIOD_PER_NODE_S = 0.01
 # Time in which changes are collected into one report.
 REPORT_DELAY_S = 0.01
--- a/packages/pumicestand-node/pumicestand_node/outbound_calls.py
+++ b/packages/pumicestand-node/pumicestand_node/outbound_calls.py
@@ -25,6 +25,10 @@
 # Time without which it makes no sense to send a call again, in seconds.
 MIN_LEFT_S = 0.03
 DEFAULT_LEFT_S = 30.0
+# Bytes of a call and its result beside the bodies, about.
+HOP_BYTES = 800
+# Weight of one answer in the means that are kept of a route's answers.
+MEAN_WEIGHT = 0.05
 
 
 @dataclasses.dataclass(slots=True)
@@ -71,6 +75,8 @@
         self._pickers = {}
         self._table = None
         self._table_of = None
+        self._answer_bytes = {}
+        self._work_ms = {}
         self._longest = collections.defaultdict(float)
         self._own_headers = frozenset(
             (
@@ -226,21 +232,41 @@
         if now > call.until - MIN_LEFT_S:
             return False
         mesh = self._mesh
+        if self._choose(call, now) is None:
+            return False
+        return mesh.quota.take(call.service, mesh.fleet.size, now)
+
+    def _choose(self, call, now):
+        """Return the peer that the call should go to, or None."""
+        mesh = self._mesh
         peers = mesh.rollouts.split(
             call.service, mesh.fleet.serving(call.service), now
         )
-        if mesh.placement.choose(peers, call.tried, now) is None:
-            return False
-        return mesh.quota.take(call.service, mesh.fleet.size, now)
+        size = len(call.body) + self._answer_bytes.get(call.route.name, 0.0)
+        return mesh.placement.choose(
+            peers,
+            call.tried,
+            now,
+            route_ms=self._work_ms.get(call.route.name, 0.0),
+            objective_ms=call.route.objective * 1000,
+            kilobytes=(size + HOP_BYTES) / 1000,
+        )
+
+    def _learn(self, call, result):
+        """Note how large a route's answers are and how long they take."""
+        name = call.route.name
+        for means, value in (
+            (self._answer_bytes, len(result.body)),
+            (self._work_ms, result.work_ms),
+        ):
+            held = means.get(name, value)
+            means[name] = held + MEAN_WEIGHT * (value - held)
 
     async def _place_once(self, call):
         """Send the call to one node; return its result, None without one."""
         mesh = self._mesh
         now = self._clock()
-        peers = mesh.rollouts.split(
-            call.service, mesh.fleet.serving(call.service), now
-        )
-        peer = mesh.placement.choose(peers, call.tried, now)
+        peer = self._choose(call, now)
         if peer is None:
             call.last_code = call.last_code or 'no-target'
             return None
@@ -268,6 +294,7 @@
             is_returned=call.is_returned,
             body=call.body,
             fingerprint=call.fingerprint,
+            expected_ms=self._work_ms.get(call.route.name, 0.0),
         )
         peer.sent += 1
         peer.sent_since += 1
@@ -335,6 +362,7 @@
             parts.append(b'connection: close\r\n')
         parts.append(b'\r\n')
         parts.append(result.body)
+        self._learn(call, result)
         self._log(call, status, '', result)
         await connection.send(b''.join(parts))
         return keep
--- a/packages/pumicestand-node/pumicestand_node/target_calls.py
+++ b/packages/pumicestand-node/pumicestand_node/target_calls.py
@@ -63,6 +63,7 @@
         self._running = {}
         self._unreachable_until = 0.0
         self._failing = 0.0
+        self._pace = target_queue.Pace()
         self.is_closed = False
         self.counts = collections.Counter()
 
@@ -95,6 +96,7 @@
             work_ms=queue.work * 1000,
             wait_ms=wait * 1000,
             failing=self._failing,
+            slowness=self._pace.slowness(self._clock()),
         )
 
     def target_changed(self):
@@ -291,6 +293,8 @@
         is_error = answer.status >= SERVER_ERROR
         self._note_failure(1.0 if is_error else 0.0)
         self._count(call, target, is_error, work)
+        if not is_error:
+            self._pace.note(work * 1000, call.expected_ms, self._clock())
         self.counts[('answered', '')] += 1
         return hop_messages.Result(
             id=call.id,
--- a/packages/pumicestand/pumicestand/hop.capnp
+++ b/packages/pumicestand/pumicestand/hop.capnp
@@ -35,6 +35,7 @@
   workMs @3 :Float32;
   waitMs @4 :Float32;
   failing @5 :Float32;
+  slowness @6 :Float32;
 }
 
 struct Evidence {
@@ -95,6 +96,7 @@
   body @16 :Data;
   rest @17 :UInt32;
   fingerprint @18 :UInt64;
+  expectedMs @19 :Float32;
 }
 
 struct Part {
--- a/packages/pumicestand/pumicestand/hop.py
+++ b/packages/pumicestand/pumicestand/hop.py
@@ -81,6 +81,7 @@
     builder.body = call.body
     builder.rest = call.rest
     builder.fingerprint = call.fingerprint
+    builder.expectedMs = call.expected_ms
 
 
 def _write_result(builder, result):
@@ -104,6 +105,7 @@
     builder.workMs = load.work_ms
     builder.waitMs = load.wait_ms
     builder.failing = load.failing
+    builder.slowness = load.slowness
 
 
 def _write_target(builder, target):
@@ -224,6 +226,7 @@
         body=reader.body,
         rest=reader.rest,
         fingerprint=reader.fingerprint,
+        expected_ms=reader.expectedMs,
     )
 
 
@@ -251,6 +254,7 @@
         work_ms=reader.workMs,
         wait_ms=reader.waitMs,
         failing=reader.failing,
+        slowness=reader.slowness,
     )
 
 
--- a/packages/pumicestand/pumicestand/hop_messages.py
+++ b/packages/pumicestand/pumicestand/hop_messages.py
@@ -49,6 +49,8 @@
     :param work_ms: typical time of one call at the target
     :param wait_ms: expected wait of a call that arrives now
     :param failing: fraction of its latest answers that were failures
+    :param slowness: how long calls take there, as a multiple of how long
+        their routes' calls take everywhere
     """
 
     running: int = 0
@@ -57,6 +59,7 @@
     work_ms: float = 0.0
     wait_ms: float = 0.0
     failing: float = 0.0
+    slowness: float = 1.0
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -156,6 +159,8 @@
     :param is_repeated: an earlier send of it may have reached a target
     :param is_returned: the client was told to come back and has
     :param rest: bytes of the body that follow in parts
+    :param expected_ms: how long calls of its route take, by the sender's
+        experience with all targets; 0 if it has none
     :param fingerprint: equal for calls that are repetitions of one another
     """
 
@@ -178,6 +183,7 @@
     body: bytes = b''
     rest: int = 0
     fingerprint: int = 0
+    expected_ms: float = 0.0
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/packages/pumicestand/pumicestand/placing.py
+++ b/packages/pumicestand/pumicestand/placing.py
@@ -1,30 +1,41 @@
-"""Which node gets a call: the one where it is expected to finish first."""
+"""Which node gets a call: the one where it costs its caller least.
 
-# Factor by which the expected time varies between equal choices, so that
+A call that is answered well within its objective gains nothing by being
+answered sooner, so time weighs by its square against the objective. Bytes
+between availability zones cost money; they weigh by their number.
+"""
+
+# Factor by which the weight of time varies between equal choices, so that
 # nodes with the same news do not all choose the same target.
-SPREAD = 0.2
-# Time that another availability zone costs, in milliseconds: the link's
-# delay there and back, and a weight for the price of bytes between zones.
-OTHER_ZONE_MS = 6.0
+SPREAD = 0.25
+# What a kilobyte to another availability zone weighs, in objectives: the
+# price of 20 to 30 KB there is about that of an answer that comes too late.
+ZONE_WEIGHT_PER_KB = 0.04
+# Delay of a link to another availability zone, there and back, in ms.
+ZONE_DELAY_MS = 3.0
 # How much longer a call takes at a target that fails all its answers.
 FAILURE_FACTOR = 8.0
-# Typical time of a call while a target has not run any.
+# Typical time of a call while none has been answered, in ms.
 UNKNOWN_WORK_MS = 50.0
+# How much longer work takes at a target whose slots are all taken.
+BUSY_FACTOR = 0.5
+
 
+def expected_ms(peer, route_ms):
+    """Return how long a call sent to a peer now is expected to take.
 
-def expected_ms(peer, zone):
-    """Return how long a call sent to a peer now is expected to take."""
+    :param route_ms: how long calls of its route take everywhere, 0 if that
+        is not known
+    """
     load = peer.load
-    work = load.work_ms or UNKNOWN_WORK_MS
+    # What waits there is of all routes, the call itself of one.
+    mixed = load.work_ms or UNKNOWN_WORK_MS
+    work = (route_ms or UNKNOWN_WORK_MS) * load.slowness
     there = load.running + load.queued + peer.sent_since
     excess = max(0, there + 1 - load.slots)
-    # A target slows down as it fills, before a call has to wait.
     busy = min(1.0, there / load.slots)
-    cost = work * (1 + 0.5 * busy) + excess * work / load.slots
-    cost *= 1 + FAILURE_FACTOR * load.failing
-    if peer.report.zone != zone:
-        cost += OTHER_ZONE_MS
-    return cost
+    expected = work * (1 + BUSY_FACTOR * busy) + excess * mixed / load.slots
+    return expected * (1 + FAILURE_FACTOR * load.failing)
 
 
 class Placement:
@@ -38,18 +49,32 @@
         self._rng = rng
         self._zone = zone
 
-    def choose(self, candidates, excluded, now):
+    def choose(
+        self, candidates, excluded, now, route_ms, objective_ms, kilobytes
+    ):
         """Return the best peer, or None if there is none.
 
         :param candidates: the peers that serve
         :param excluded: names of peers that were tried already
+        :param route_ms: how long calls of the route take everywhere
+        :param objective_ms: within which the answer is wanted
+        :param kilobytes: of the request and its answer, as expected
         """
         open_ = [p for p in candidates if p.name not in excluded]
         calm = [p for p in open_ if p.avoided_until <= now]
         best, best_cost = None, float('inf')
         for peer in calm or open_:
-            noise = 1 + SPREAD * self._rng.random()
-            cost = expected_ms(peer, self._zone) * noise
+            cost = self._cost(peer, route_ms, objective_ms, kilobytes)
             if cost < best_cost:
                 best, best_cost = peer, cost
         return best
+
+    def _cost(self, peer, route_ms, objective_ms, kilobytes):
+        """Return what a call costs at a peer, in objectives."""
+        expected = expected_ms(peer, route_ms)
+        weight = 0.0
+        if peer.report.zone != self._zone:
+            expected += ZONE_DELAY_MS
+            weight = ZONE_WEIGHT_PER_KB * kilobytes
+        late = expected / max(1.0, objective_ms)
+        return late * late * (1 + SPREAD * self._rng.random()) + weight
--- a/packages/pumicestand/pumicestand/rollouts.py
+++ b/packages/pumicestand/pumicestand/rollouts.py
@@ -112,6 +112,14 @@
         self._bases = {}
         self._unordered_since = {}
 
+    @property
+    def is_any_running(self):
+        """Whether evidence is needed."""
+        return any(
+            rollout.state is State.RUNNING
+            for rollout in self._rollouts.values()
+        )
+
     def verdicts(self, now):
         """Return what this node holds of each roll-out, for its reports."""
         return tuple(
--- a/packages/pumicestand/pumicestand/target_queue.py
+++ b/packages/pumicestand/pumicestand/target_queue.py
@@ -12,6 +12,11 @@
 WORK_WEIGHT = 0.08
 # Assumed work of a call before any was observed, in seconds.
 FIRST_WORK_S = 0.1
+# The share of one call in the ratio to other targets, the largest ratio of
+# one call that counts, and the time after which half of it is forgotten.
+PACE_WEIGHT = 0.04
+MAX_SLOWNESS = 10.0
+PACE_HALF_LIFE_S = 4.0
 # A call returns its answer over two links; kept free before its deadline.
 RETURN_S = 0.01
 # Bounds for the time after which a refused caller may come back, seconds.
@@ -67,6 +72,37 @@
     retry_after: float
 
 
+class Pace:
+    """How long a target takes for its calls, compared with the others.
+
+    Targets get different mixes of calls, so their mean times can't be
+    compared; the ratio to what each call takes elsewhere can.
+    """
+
+    def __init__(self):
+        self._slowness = 1.0
+        self._noted_at = None
+
+    def note(self, work_ms, expected_ms, now):
+        """Take in the time of one call.
+
+        :param expected_ms: what calls of its route take everywhere
+        """
+        if expected_ms <= 0:
+            return
+        ratio = min(MAX_SLOWNESS, work_ms / expected_ms)
+        held = self.slowness(now)
+        self._slowness = held + PACE_WEIGHT * (ratio - held)
+        self._noted_at = now
+
+    def slowness(self, now):
+        """Return the ratio; it tends to 1 while no call tells more."""
+        if self._noted_at is None:
+            return 1.0
+        idle = max(0.0, now - self._noted_at)
+        return 1 + (self._slowness - 1) * 0.5 ** (idle / PACE_HALF_LIFE_S)
+
+
 class TargetQueue:
     """The slots of one target and the calls that wait for them."""
 
@@ -173,7 +209,7 @@
 
     def take(self, now):
         """Return (tickets to start now, tickets to refuse now)."""
-        started, refused = [], []
+        started, refused = [], self._take_hopeless(now)
         while self._waiting and self._running < self._slots:
             ticket = self._waiting.pop(0)
             if now + RETURN_S >= ticket.deadline:
@@ -183,6 +219,17 @@
             started.append(ticket)
         return started, refused
 
+    def _take_hopeless(self, now):
+        """Take out the calls that were overtaken until it is too late."""
+        hopeless = [
+            ticket
+            for ticket in self._waiting
+            if now + self.work_of(ticket.route) > self._latest_finish(ticket)
+        ]
+        for ticket in hopeless:
+            self._waiting.remove(ticket)
+        return hopeless
+
     def refuse_all(self):
         """Return all that wait, since the target takes no more calls."""
         refused, self._waiting = self._waiting, []
