--- a/Makefile
+++ b/Makefile
@@ -4,7 +4,7 @@
 STAMP = $(VENV)/installed
 MEMBERS = packages/pumicestand packages/pumicestand-node \
 	packages/pumicestandctl packages/pumicestand-standins
-SOURCES = packages benchmarks tests
+SOURCES = packages platform benchmarks tests
 
 .PHONY: install demo test lint format lock capacity
 
--- a/packages/pumicestand-node/pumicestand_node/caller_connections.py
+++ b/packages/pumicestand-node/pumicestand_node/caller_connections.py
@@ -12,10 +12,12 @@
 from pumicestand import documents
 from pumicestand import refusals
 from pumicestand_node import heads
+from pumicestand_node import socket_io
 
 READ_BYTES = 16_384
 MAX_BUFFERED_BODY_BYTES = 131_072
 MAX_QUEUED_REQUESTS = 8
+DEFAULT_LIMITS = documents.CallerLimits()
 BODY_STALL_S = 30.0
 CLOSE_LINGER_S = 1.0
 
@@ -162,9 +164,7 @@
     :param limits: the `documents.CallerLimits` in force when it was opened
     """
 
-    def __init__(
-        self, stream, serve, clock, limits=documents.CallerLimits()
-    ):
+    def __init__(self, stream, serve, clock, limits=DEFAULT_LIMITS):
         self._stream = stream
         self._serve = serve
         self._clock = clock
@@ -215,7 +215,7 @@
     async def send(self, data):
         """Send bytes of an answer."""
         self._has_sent = True
-        await self._stream.send_all(data)
+        await socket_io.send_all(self._stream, data)
 
     def _add_request(self, request):
         self._requests.append(request)
@@ -236,7 +236,7 @@
                 self._room = trio.Event()
                 await self._room.wait()
             try:
-                data = await self._stream.receive_some(READ_BYTES)
+                data = await socket_io.receive_some(self._stream, READ_BYTES)
             except (trio.BrokenResourceError, trio.ClosedResourceError):
                 data = b''
             if not data:
@@ -345,14 +345,14 @@
         if self._refusal is None or is_mid_answer:
             await trio.aclose_forcefully(self._stream)
             return
-        # The caller may still be sending; without a pause its kernel would
+        # The caller may still be socket_io; without a pause its kernel would
         # drop the answer when it learns that nobody reads.
         with trio.move_on_after(CLOSE_LINGER_S):
             await self._stream.send_all(
                 heads.write_refusal(self._refusal, keep_alive=False)
             )
             await self._stream.send_eof()
-            while await self._stream.receive_some(READ_BYTES):
+            while await socket_io.receive_some(self._stream, READ_BYTES):
                 pass
         await trio.aclose_forcefully(self._stream)
 
--- a/packages/pumicestand-node/pumicestand_node/links.py
+++ b/packages/pumicestand-node/pumicestand_node/links.py
@@ -14,6 +14,7 @@
 from pumicestand import errors
 from pumicestand import hop
 from pumicestand import hop_messages
+from pumicestand_node import socket_io
 
 READ_BYTES = 65_536
 # Bytes of a body in one frame.
@@ -40,6 +41,7 @@
         self._peer = peer
         self._out = []
         self._out_bytes = 0
+        self._is_writing = False
         self._wake = trio.Event()
         self._scope = trio.CancelScope()
         self.is_closed = False
@@ -52,6 +54,14 @@
         """Queue a frame that is encoded already."""
         if self.is_closed:
             return
+        if not self._is_writing and not self._out:
+            try:
+                data = socket_io.send_now(self._stream, data)
+            except (trio.BrokenResourceError, trio.ClosedResourceError):
+                self.stop()
+                return
+            if not data:
+                return
         self._out.append(data)
         self._out_bytes += len(data)
         if self._out_bytes > MAX_BACKLOG_BYTES:
@@ -78,9 +88,7 @@
         except* (trio.BrokenResourceError, trio.ClosedResourceError, OSError):
             pass
         except* errors.FrameRefused as group:
-            loguru.logger.warning(
-                'a link is closed: {}', group.exceptions[0]
-            )
+            loguru.logger.warning('a link is closed: {}', group.exceptions[0])
         finally:
             self.is_closed = True
             await trio.aclose_forcefully(self._stream)
@@ -91,13 +99,15 @@
             self._wake = trio.Event()
             data, self._out = b''.join(self._out), []
             self._out_bytes = 0
+            self._is_writing = True
             await self._stream.send_all(data)
+            self._is_writing = False
 
     async def _read(self, receive):
         buffer = bytearray()
         size = hop.LENGTH.size
         while True:
-            data = await self._stream.receive_some(READ_BYTES)
+            data = await socket_io.receive_some(self._stream, READ_BYTES)
             if not data:
                 return
             buffer += data
@@ -195,7 +205,6 @@
         self._stream = None
         self._pending = {}
         self._assembler = Assembler()
-        self._next_id = 1
         self._heard_at = 0.0
         self._asked_at = None
         self._scope = trio.CancelScope()
@@ -281,6 +290,7 @@
 
         If it is cancelled, the other node is told.
 
+        :param call: with an id that no other call of this node has
         :returns: a `hop_messages.Result`, None if the link broke
         """
         stream = self._stream
@@ -288,10 +298,9 @@
             return hop_messages.Result(
                 0, hop_messages.Outcome.NOT_HANDED_ON, 'no-link'
             )
-        id_ = self._next_id
-        self._next_id += 1
+        id_ = call.id
         pending = self._pending[id_] = _Pending()
-        send_with_parts(stream, dataclasses.replace(call, id=id_))
+        send_with_parts(stream, call)
         try:
             await pending.event.wait()
         finally:
--- a/packages/pumicestand-node/pumicestand_node/mesh_node.py
+++ b/packages/pumicestand-node/pumicestand_node/mesh_node.py
@@ -88,7 +88,11 @@
             lambda fingerprints: None,
         )
         self._outbound = outbound_calls.OutboundCalls(
-            self._mesh, adapter.headers, settings.service, self._clock
+            self._mesh,
+            adapter.headers,
+            settings.service,
+            self._targets.running,
+            self._clock,
         )
         self._store = mesh_store.MeshStore(
             self._mesh,
@@ -150,10 +154,21 @@
         opened = await listeners.open_listeners(address.host, address.port)
         scope = scope or trio.CancelScope()
 
+        async def serve_guarded(stream):
+            try:
+                await serve(stream)
+            except Exception as error:
+                # One connection never ends the process.
+                loguru.logger.opt(exception=error).error(
+                    'a connection at port {} failed: {!r}',
+                    address.port,
+                    error,
+                )
+
         async def run():
             with scope:
                 await trio.serve_listeners(
-                    serve, opened, handler_nursery=self._nursery
+                    serve_guarded, opened, handler_nursery=self._nursery
                 )
             for listener in opened:
                 await listener.aclose()
--- a/packages/pumicestand-node/pumicestand_node/outbound_calls.py
+++ b/packages/pumicestand-node/pumicestand_node/outbound_calls.py
@@ -3,6 +3,7 @@
 import collections
 import dataclasses
 import hashlib
+import itertools
 
 import trio
 
@@ -25,6 +26,10 @@
 # Time without which it makes no sense to send a call again, in seconds.
 MIN_LEFT_S = 0.03
 DEFAULT_LEFT_S = 30.0
+# Clients' first attempts differ by up to a seventh in the time they have.
+RETURNED_PART = 0.8
+# A target names its own calls after the one that it runs.
+PARENT_SEPARATOR = '.'
 # Bytes of a call and its result beside the bodies, about.
 HOP_BYTES = 800
 # Weight of one answer in the means that are kept of a route's answers.
@@ -44,6 +49,7 @@
     until: float
     objective_at: float
     is_returned: bool
+    is_inner: bool
     headers: bytes
     fingerprint: int
     placements: int = 0
@@ -64,17 +70,20 @@
         ``send(peer, call)``
     :param headers: the `call_headers.CallHeaders`
     :param service: that runs on this VM
+    :param running: returns the call of an id that runs at this VM's target
     :param clock: returns monotonic seconds
     """
 
-    def __init__(self, mesh, headers, service, clock):
+    def __init__(self, mesh, headers, service, running, clock):
         self._mesh = mesh
         self._headers = headers
+        self._running = running
         self._service = service.encode()
         self._clock = clock
         self._pickers = {}
         self._table = None
         self._table_of = None
+        self._ids = itertools.count(1)
         self._answer_bytes = {}
         self._work_ms = {}
         self._longest = collections.defaultdict(float)
@@ -152,11 +161,16 @@
         left /= 1000
         longest = max(self._longest[route.name], left)
         self._longest[route.name] = longest
+        request_id = (head.header(names.request_id) or b'').decode('latin-1')
+        parent = self._running(request_id.partition(PARENT_SEPARATOR)[0])
         # A client that comes back has less time left than it had at first.
-        spent = longest - left if left < longest * 0.98 else 0.0
+        is_returned = parent is None and left < longest * RETURNED_PART
+        spent = longest - left if is_returned else 0.0
         service = self._pick_service(route)
-        self._mesh.quota.note_request(service, started)
-        request_id = (head.header(names.request_id) or b'').decode('latin-1')
+        quota = self._mesh.quota
+        quota.note_request(service, started)
+        if parent is not None and parent.is_repeated:
+            quota.note_repeat(service, started)
         return _Call(
             head=head,
             body=body,
@@ -166,7 +180,8 @@
             started=started,
             until=started + min(left, route.timeout) - ANSWER_MARGIN_S,
             objective_at=started + max(0.0, route.objective - spent),
-            is_returned=spent > 0,
+            is_returned=is_returned,
+            is_inner=parent is not None,
             headers=self._target_headers(head),
             fingerprint=_fingerprint(head, body),
         )
@@ -276,7 +291,7 @@
         target = peer.target
         left = call.until - now
         message = hop_messages.Call(
-            id=0,
+            id=next(self._ids),
             service=call.service,
             version=target.version,
             instance=target.instance,
@@ -289,7 +304,7 @@
             route=call.route.name,
             request_id=call.request_id,
             is_idempotent=call.route.idempotent,
-            is_inner=False,
+            is_inner=call.is_inner,
             is_repeated=call.sends > 0,
             is_returned=call.is_returned,
             body=call.body,
@@ -312,8 +327,7 @@
         call.may_have_run = was_unknown
         if result.outcome is not Outcome.NOT_HANDED_ON:
             call.sends += 1
-        if result.id:
-            peer.hear_load(result.load)
+        peer.hear_load(result.load)
         return result
 
     def _final_refusal(self, call, result):
@@ -414,4 +428,3 @@
     digest = hashlib.blake2b(body, digest_size=8)
     digest.update(head.method.encode() + b' ' + head.url)
     return int.from_bytes(digest.digest())
-
--- a/packages/pumicestand-node/pumicestand_node/target_calls.py
+++ b/packages/pumicestand-node/pumicestand_node/target_calls.py
@@ -82,6 +82,10 @@
         """What was counted for roll-outs."""
         return tuple(self._evidence.values())
 
+    def running(self, request_id):
+        """Return the call of an id if it runs at the target, else None."""
+        return self._running.get(request_id)
+
     def load(self):
         """Return the `hop_messages.Load`."""
         queue = self._queue
@@ -94,7 +98,7 @@
             queued=queue.queued,
             slots=slots,
             work_ms=queue.work * 1000,
-            wait_ms=wait * 1000,
+            queue_ms=wait * 1000,
             failing=self._failing,
             slowness=self._pace.slowness(self._clock()),
         )
@@ -206,14 +210,16 @@
             self._end(ticket, False)
             return self._result(call, Outcome.NOT_HANDED_ON, code)
         is_answered = False
-        self._running[ticket.number] = call.fingerprint
+        self._running[call.request_id] = call
         try:
             result = await self._exchange(call, ticket)
             is_answered = result.outcome is Outcome.ANSWERED
         finally:
-            self._running.pop(ticket.number, None)
+            self._running.pop(call.request_id, None)
             self._end(ticket, is_answered)
-        return dataclasses.replace(result, load=self.load())
+        # The slot is free by now, and the next call may have it.
+        result.load = self.load()
+        return result
 
     async def _exchange(self, call, ticket):
         target = self._watch.target
@@ -317,9 +323,7 @@
                 target.port,
                 error,
             )
-            return self._result(
-                call, Outcome.NOT_HANDED_ON, 'connect-failed'
-            )
+            return self._result(call, Outcome.NOT_HANDED_ON, 'connect-failed')
         self._note_failure(1.0)
         self._count(call, target, True, None)
         return self._result(call, Outcome.UNKNOWN, 'answer-lost')
--- a/packages/pumicestand-node/pumicestand_node/target_exchange.py
+++ b/packages/pumicestand-node/pumicestand_node/target_exchange.py
@@ -12,6 +12,7 @@
 import trio
 
 from pumicestand_node import heads
+from pumicestand_node import socket_io
 
 READ_BYTES = 65_536
 MAX_ANSWER_BYTES = 67_108_864
@@ -119,19 +120,22 @@
 
 
 class TargetConnection:
-    """One connection to a target."""
+    """One connection to a target.
+
+    `is_clean` tells whether the last answer left it fit for another call.
+    """
 
     def __init__(self, stream):
         self._stream = stream
         self._parser = _AnswerParser()
         self._at_end = False
         self._is_body_sent = False
-        self._is_usable = True
+        self.is_clean = True
         self.idle_until = 0.0
 
     def is_reusable(self, now):
         """Whether it is open, quiet and not idle for too long."""
-        if not self._is_usable or now >= self.idle_until:
+        if not self.is_clean or now >= self.idle_until:
             return False
         poll = select.poll()
         poll.register(self._stream.socket.fileno(), select.POLLIN)
@@ -143,14 +147,14 @@
         :param is_own: tells of an answer whether it belongs to the request
         :raises ExchangeFailed: if no whole answer came
         """
-        self._is_usable = False
+        self.is_clean = False
         self._is_body_sent = False
         if len(body) <= MAX_PLAIN_BODY_BYTES:
             await self._send(head + body)
             answer = await self._read_own(is_own)
         else:
             answer = await self._exchange_long(head, body, is_own)
-        self._is_usable = (
+        self.is_clean = (
             answer.keep_alive
             and self._is_body_sent
             and not self._at_end
@@ -181,7 +185,7 @@
 
     async def _send(self, data):
         try:
-            await self._stream.send_all(data)
+            await socket_io.send_all(self._stream, data)
         except (trio.BrokenResourceError, OSError) as error:
             raise ExchangeFailed(f'send: {error}', True) from error
         self._is_body_sent = True
@@ -199,7 +203,7 @@
 
     async def _receive(self):
         try:
-            data = await self._stream.receive_some(READ_BYTES)
+            data = await socket_io.receive_some(self._stream, READ_BYTES)
         except (trio.BrokenResourceError, OSError) as error:
             raise ExchangeFailed(f'receive: {error}', True) from error
         try:
@@ -258,7 +262,7 @@
         """Keep a connection after an answer, or close it."""
         now = self._clock()
         connection.idle_until = now + _idle_seconds(answer)
-        if address == self._address and connection.is_reusable(now):
+        if address == self._address and connection.is_clean:
             self._idle.append(connection)
             return
         await connection.close()
--- /dev/null
+++ b/packages/pumicestand-standins/pumicestand_standins/objects.py
@@ -0,0 +1,206 @@
+"""A stand-in for the platform's metadata store, with faults and counters.
+
+Objects of a kind and a name, one revision counter, conditional writes,
+watches from a revision, and a history that can be forgotten.
+"""
+
+import collections
+import dataclasses
+import json
+import urllib.parse
+
+import trio
+
+from pumicestand_standins import http_server
+
+PAGE_ITEMS = 500
+MAX_WAIT_S = 30.0
+
+
+@dataclasses.dataclass(slots=True)
+class Faults:
+    """What is wrong with the store at the moment.
+
+    :param down: every call is answered by 503
+    :param busy: every call is answered by 429
+    :param reset: every call is cut without an answer
+    :param silent: no call is answered
+    :param slow_s: seconds that each call takes longer
+    :param lost_writes: so many writes take effect without an answer
+    :param deaf: watches hear nothing of changes
+    :param spoilt: so many answers are no JSON
+    """
+
+    down: bool = False
+    busy: bool = False
+    reset: bool = False
+    silent: bool = False
+    slow_s: float = 0.0
+    lost_writes: int = 0
+    deaf: bool = False
+    spoilt: int = 0
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class _Change:
+    revision: int
+    kind: str
+    data: dict
+    is_deleted: bool
+
+
+class ObjectStore:
+    """The store's objects and rules.
+
+    :param page_items: objects in one page of a list
+    """
+
+    def __init__(self, page_items=PAGE_ITEMS):
+        self._page_items = page_items
+        self._objects = {}
+        self._history = []
+        self._forgotten = 0
+        self._revision = 1
+        self._changed = trio.Event()
+        self.faults = Faults()
+        self.counters = collections.Counter()
+
+    def get(self, kind, name):
+        """Return an object's data, or None."""
+        return self._objects.get((kind, name))
+
+    def put(self, kind, name, spec=None, status=None):
+        """Write an object as the operator does, without a condition."""
+        held = self._objects.get((kind, name))
+        data = {
+            'spec': spec if spec is not None or not held else held['spec'],
+            'status': status,
+        }
+        return self._store(kind, name, data, held)
+
+    def forget_history(self):
+        """Drop all history; watches from before must list anew."""
+        self._forgotten = self._revision
+        self._history = []
+        self._wake()
+
+    def _store(self, kind, name, data, held):
+        self._revision += 1
+        created = held['metadata']['created'] if held else self._revision
+        stored = {
+            'metadata': {
+                'name': name,
+                'revision': self._revision,
+                'created': created,
+                'finalizers': [],
+                'deleting': False,
+            },
+            'spec': data.get('spec'),
+            'status': data.get('status'),
+        }
+        self._objects[(kind, name)] = stored
+        self._history.append(_Change(self._revision, kind, stored, False))
+        self._wake()
+        return stored
+
+    def _wake(self):
+        self._changed.set()
+        self._changed = trio.Event()
+
+    async def handle(self, request):
+        """Answer one request of a `http_server.Server`."""
+        faults = self.faults
+        self.counters[request.method] += 1
+        if faults.slow_s:
+            await trio.sleep(faults.slow_s)
+        if faults.silent:
+            await trio.sleep_forever()
+        if faults.reset:
+            return http_server.Raw()
+        if faults.busy:
+            return http_server.to_json({'error': 'busy'}, 429)
+        if faults.down:
+            return http_server.to_json({'error': 'down'}, 503)
+        reply = await self._answer(request)
+        if faults.spoilt:
+            faults.spoilt -= 1
+            return http_server.Reply(200, b'<html>')
+        if request.method != 'GET' and faults.lost_writes:
+            faults.lost_writes -= 1
+            return http_server.Raw()
+        return reply
+
+    async def _answer(self, request):
+        parts = urllib.parse.unquote(request.path).strip('/').split('/')
+        if len(parts) < 2 or parts[0] != 'objects':
+            return http_server.to_json({'error': 'no such path'}, 404)
+        kind, name = parts[1], parts[2] if len(parts) > 2 else None
+        match request.method:
+            case 'GET' if request.query('watch'):
+                return await self._watch(kind, request)
+            case 'GET':
+                return self._list(kind, request)
+            case 'POST':
+                return self._create(kind, json.loads(request.body))
+            case 'PUT':
+                is_status = len(parts) > 3
+                data = json.loads(request.body)
+                return self._replace(kind, name, data, is_status)
+        return http_server.to_json({'error': 'no such method'}, 400)
+
+    def _list(self, kind, request):
+        after = urllib.parse.unquote(request.query('after'))
+        names = sorted(n for k, n in self._objects if k == kind and n > after)
+        page = names[: self._page_items]
+        return http_server.to_json(
+            {
+                'items': [self._objects[(kind, name)] for name in page],
+                'more': len(names) > len(page),
+                'at': self._revision,
+            }
+        )
+
+    def _create(self, kind, data):
+        name = data['metadata']['name']
+        held = self._objects.get((kind, name))
+        if held is not None:
+            return http_server.to_json(held, 409)
+        return http_server.to_json(self._store(kind, name, data, None), 201)
+
+    def _replace(self, kind, name, data, is_status):
+        held = self._objects.get((kind, name))
+        if held is None:
+            return http_server.to_json({'error': 'no such object'}, 404)
+        expected = data.get('metadata', {}).get('revision')
+        if expected not in (None, held['metadata']['revision']):
+            return http_server.to_json(held, 409)
+        new = dict(held)
+        if is_status:
+            new['status'] = data.get('status')
+        else:
+            new['spec'] = data.get('spec')
+        if new == held:
+            return http_server.to_json(held)
+        return http_server.to_json(self._store(kind, name, new, held))
+
+    async def _watch(self, kind, request):
+        at = int(request.query('watch'))
+        wait = min(MAX_WAIT_S, int(request.query('wait_ms', '0')) / 1000)
+        with trio.move_on_after(wait):
+            while True:
+                if at < self._forgotten:
+                    return http_server.to_json({'error': 'gone'}, 410)
+                changed = self._changed
+                if not self.faults.deaf and self._events(kind, at):
+                    break
+                await changed.wait()
+        events = [] if self.faults.deaf else self._events(kind, at)
+        reached = at if self.faults.deaf else self._revision
+        return http_server.to_json({'events': events, 'at': reached})
+
+    def _events(self, kind, at):
+        return [
+            {'object': change.data, 'deleted': change.is_deleted}
+            for change in self._history
+            if change.revision > at and change.kind == kind
+        ]
--- a/packages/pumicestand/pumicestand/hop.capnp
+++ b/packages/pumicestand/pumicestand/hop.capnp
@@ -33,7 +33,7 @@
   queued @1 :UInt16;
   slots @2 :UInt16;
   workMs @3 :Float32;
-  waitMs @4 :Float32;
+  queueMs @4 :Float32;
   failing @5 :Float32;
   slowness @6 :Float32;
 }
--- a/packages/pumicestand/pumicestand/hop.py
+++ b/packages/pumicestand/pumicestand/hop.py
@@ -103,7 +103,7 @@
     builder.queued = load.queued
     builder.slots = load.slots
     builder.workMs = load.work_ms
-    builder.waitMs = load.wait_ms
+    builder.queueMs = load.queue_ms
     builder.failing = load.failing
     builder.slowness = load.slowness
 
@@ -252,7 +252,7 @@
         queued=reader.queued,
         slots=reader.slots,
         work_ms=reader.workMs,
-        wait_ms=reader.waitMs,
+        queue_ms=reader.queueMs,
         failing=reader.failing,
         slowness=reader.slowness,
     )
@@ -312,8 +312,5 @@
             )
             for item in reader.evidence
         ),
-        verdicts=tuple(
-            _read_verdict(item)
-            for item in reader.verdicts
-        ),
+        verdicts=tuple(_read_verdict(item) for item in reader.verdicts),
     )
--- a/packages/pumicestand/pumicestand/hop_messages.py
+++ b/packages/pumicestand/pumicestand/hop_messages.py
@@ -47,7 +47,7 @@
     :param queued: calls that wait at its node
     :param slots: calls that it runs at once; 0 if it takes none now
     :param work_ms: typical time of one call at the target
-    :param wait_ms: expected wait of a call that arrives now
+    :param queue_ms: expected wait of a call that arrives now
     :param failing: fraction of its latest answers that were failures
     :param slowness: how long calls take there, as a multiple of how long
         their routes' calls take everywhere
@@ -57,7 +57,7 @@
     queued: int = 0
     slots: int = 0
     work_ms: float = 0.0
-    wait_ms: float = 0.0
+    queue_ms: float = 0.0
     failing: float = 0.0
     slowness: float = 1.0
 
@@ -202,7 +202,7 @@
     id: int
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
+@dataclasses.dataclass(slots=True)
 class Result:
     """What became of a call.
 
--- a/packages/pumicestand/pumicestand/node_records.py
+++ b/packages/pumicestand/pumicestand/node_records.py
@@ -2,8 +2,9 @@
 
 import dataclasses
 
+import pydantic
+
 from pumicestand import hop_messages
-from pumicestand import messages
 
 KIND = 'pumicestand-nodes'
 
@@ -19,12 +20,12 @@
     target: hop_messages.Target | None = None
 
 
+_ADAPTER = pydantic.TypeAdapter(NodeRecord)
+
+
 def write(record):
     """Return a record as JSON data."""
-    data = dataclasses.asdict(record)
-    if record.target is not None:
-        data['target']['state'] = record.target.state.name
-    return data
+    return _ADAPTER.dump_python(record, mode='json')
 
 
 def read(data):
@@ -37,20 +38,6 @@
     True
     """
     try:
-        target = data['target']
-        if target is not None:
-            state = messages.TargetState[target['state']]
-            target = hop_messages.Target(**{**target, 'state': state})
-        record = NodeRecord(
-            name=data['name'],
-            host=data['host'],
-            port=data['port'],
-            zone=data['zone'],
-            target=target,
-        )
-    except (KeyError, TypeError):
-        return None
-    texts = (record.name, record.host, record.zone)
-    if not all(isinstance(text, str) for text in texts):
+        return _ADAPTER.validate_python(data)
+    except pydantic.ValidationError:
         return None
-    return record if isinstance(record.port, int) else None
--- a/packages/pumicestand/pumicestand/retry_quota.py
+++ b/packages/pumicestand/pumicestand/retry_quota.py
@@ -30,6 +30,10 @@
         """Count a request of a client for a service."""
         self._requests[service].append(now)
 
+    def note_repeat(self, service, now):
+        """Count a repeat that happens whatever the bound."""
+        self._repeats[service].append(now)
+
     def take(self, service, nodes, now):
         """Return whether one more repeat may be sent, and count it.
 
--- a/packages/pumicestand/pumicestand/rollouts.py
+++ b/packages/pumicestand/pumicestand/rollouts.py
@@ -147,7 +147,10 @@
         if held is not None and held.order.revision >= order.revision:
             return False
         self._rollouts[order.service] = _Rollout(
-            order, now, order.status or State.RUNNING, credit=self._rng.random()
+            order,
+            now,
+            order.status or State.RUNNING,
+            credit=self._rng.random(),
         )
         return True
 
--- a/packages/pumicestand/pumicestand/target_queue.py
+++ b/packages/pumicestand/pumicestand/target_queue.py
@@ -17,6 +17,9 @@
 PACE_WEIGHT = 0.04
 MAX_SLOWNESS = 10.0
 PACE_HALF_LIFE_S = 4.0
+# The part of its expected work that a waiting call must still have time for;
+# half of all calls are shorter than the mean.
+HOPELESS_PART = 0.5
 # A call returns its answer over two links; kept free before its deadline.
 RETURN_S = 0.01
 # Bounds for the time after which a refused caller may come back, seconds.
@@ -224,7 +227,8 @@
         hopeless = [
             ticket
             for ticket in self._waiting
-            if now + self.work_of(ticket.route) > self._latest_finish(ticket)
+            if now + HOPELESS_PART * self.work_of(ticket.route)
+            > self._latest_finish(ticket)
         ]
         for ticket in hopeless:
             self._waiting.remove(ticket)
--- /dev/null
+++ b/tests/pumicestand/mesh_fakes.py
@@ -0,0 +1,53 @@
+"""Peers, reports and orders for tests of the mesh's decisions."""
+
+from pumicestand import fleet as fleets
+from pumicestand import hop_messages
+from pumicestand import messages
+from pumicestand import rollouts
+
+
+def make_target(name, service='s', version='v1', **kwargs):
+    return hop_messages.Target(
+        instance=f'i-{name}',
+        service=service,
+        version=version,
+        host='10.0.0.1',
+        port=8000,
+        slots=kwargs.pop('slots', 4),
+        state=kwargs.pop('state', messages.TargetState.SERVING),
+        started_ms=kwargs.pop('started_ms', 1),
+    )
+
+
+def make_report(name, zone='a', incarnation=1, sequence=1, **kwargs):
+    target = kwargs.pop('target', make_target(name))
+    kwargs.setdefault('load', hop_messages.Load(slots=4, work_ms=50.0))
+    return hop_messages.Report(
+        name=name,
+        incarnation=incarnation,
+        sequence=sequence,
+        zone=zone,
+        host='10.0.0.1',
+        port=7000,
+        target=target,
+        **kwargs,
+    )
+
+
+def make_fleet(*reports, own='own'):
+    fleet = fleets.Fleet(own)
+    for report in reports:
+        fleet.hear(report, 0.0)
+        fleet.get(report.name).is_linked = True
+    return fleet
+
+
+def make_order(version='v2', duration=15.0, **kwargs):
+    return rollouts.Order(
+        service='s',
+        version=version,
+        duration=duration,
+        revision=kwargs.pop('revision', 5),
+        key=kwargs.pop('key', 5),
+        status=kwargs.pop('status', None),
+    )
--- /dev/null
+++ b/tests/pumicestand/test_hop.py
@@ -0,0 +1,98 @@
+"""Tests of the frames between nodes."""
+
+import random
+
+import pytest
+
+from pumicestand import errors
+from pumicestand import hop
+from pumicestand import hop_messages
+from tests.pumicestand import mesh_fakes
+
+State = hop_messages.RolloutState
+
+REPORT = mesh_fakes.make_report(
+    'a',
+    is_leaving=True,
+    store_reachable=True,
+    generation=7,
+    evidence=(hop_messages.Evidence('r', 'v1', 5, 1, 4, 80.0),),
+    verdicts=(
+        hop_messages.Verdict('s', 'v2', State.RUNNING, 9000, 10, 5, 6),
+        hop_messages.Verdict(
+            's', 'v2', State.ROLLED_BACK, 1, 2, 3, 4, State.RUNNING
+        ),
+    ),
+)
+CALL = hop_messages.Call(
+    id=3,
+    service='s',
+    version='v1',
+    instance='i',
+    method='POST',
+    url=b'/a/b?c',
+    headers=b'x: y\r\n',
+    left_ms=900,
+    objective_ms=-20,
+    priority=2,
+    route='r',
+    request_id='id',
+    is_idempotent=False,
+    is_inner=True,
+    is_repeated=True,
+    is_returned=True,
+    body=b'body',
+    rest=5,
+    fingerprint=2**63,
+    expected_ms=12.5,
+)
+MESSAGES = [
+    hop_messages.Hello(REPORT),
+    REPORT,
+    mesh_fakes.make_report('b', target=None),
+    CALL,
+    hop_messages.Part(3, b'x' * 10, True),
+    hop_messages.Cancel(3),
+    hop_messages.Result(
+        3,
+        hop_messages.Outcome.ANSWERED,
+        status=200,
+        reason=b'OK',
+        headers=b'a: b\r\n',
+        body=b'z',
+        load=hop_messages.Load(1, 2, 3, 4.0, 5.0, 0.5, 2.0),
+        work_ms=7.0,
+    ),
+    hop_messages.Ping(1),
+    hop_messages.Pong(2),
+    hop_messages.FetchConfiguration(9),
+    hop_messages.Configuration(9, b'content'),
+    hop_messages.CrashNotice('i', (1, 2**64 - 1)),
+]
+
+
+@pytest.mark.parametrize('message', MESSAGES, ids=lambda m: type(m).__name__)
+def test_a_message_survives_its_frame(message):
+    data = hop.encode(message)
+    size = hop.LENGTH.size
+    assert hop.LENGTH.unpack(data[:size])[0] == len(data) - size
+    assert hop.decode(data[size:], 'peer') == message
+
+
+def test_bytes_that_are_no_frame_are_refused():
+    for data in (b'', b'\0' * 8, b'\xff' * 64):
+        with pytest.raises(errors.FrameRefused):
+            hop.decode(data, 'peer')
+
+
+def test_a_spoilt_frame_is_refused_or_read_but_breaks_nothing():
+    rng = random.Random(7)
+    for message in MESSAGES:
+        data = bytearray(hop.encode(message)[hop.LENGTH.size :])
+        for _ in range(50):
+            spoilt = bytearray(data)
+            spoilt[rng.randrange(len(spoilt))] ^= 1 << rng.randrange(8)
+            try:
+                hop.decode(bytes(spoilt), 'peer')
+            except errors.FrameRefused:
+                continue
--- /dev/null
+++ b/tests/pumicestand/test_placing.py
@@ -0,0 +1,84 @@
+"""Tests of the choice of a node for a call."""
+
+import collections
+import random
+
+from pumicestand import hop_messages
+from pumicestand import placing
+from tests.pumicestand import mesh_fakes
+
+
+def load(running=0, slots=4, **kwargs):
+    fields = {'work_ms': 50.0, **kwargs}
+    return hop_messages.Load(running=running, slots=slots, **fields)
+
+
+def peers(**loads):
+    """Return the peers of a fleet; the name's first letter is the zone."""
+    fleet = mesh_fakes.make_fleet(
+        *(
+            mesh_fakes.make_report(name, zone=name[0], load=held)
+            for name, held in loads.items()
+        )
+    )
+    return list(fleet.peers)
+
+
+def choose(candidates, excluded=(), now=1.0, kilobytes=1.0, **kwargs):
+    placement = placing.Placement(random.Random(1), 'a')
+    fields = {'route_ms': 50.0, 'objective_ms': 300.0, **kwargs}
+    peer = placement.choose(
+        candidates, excluded, now, kilobytes=kilobytes, **fields
+    )
+    return peer and peer.name
+
+
+def test_the_own_zone_is_chosen_among_equals():
+    assert choose(peers(b1=load(), a1=load(), c1=load())) == 'a1'
+
+
+def test_a_full_target_loses_to_one_of_another_zone():
+    held = peers(a1=load(running=12), b1=load())
+    assert choose(held) == 'b1'
+
+
+def test_a_long_body_stays_in_the_zone_while_it_is_in_time():
+    held = peers(a1=load(running=5), b1=load())
+    assert choose(held, kilobytes=60.0) == 'a1'
+
+
+def test_a_slow_target_gets_less():
+    held = peers(a1=load(slowness=6.0), a2=load())
+    assert choose(held) == 'a2'
+
+
+def test_a_target_that_fails_its_calls_gets_less():
+    held = peers(a1=load(failing=0.5), a2=load())
+    assert choose(held) == 'a2'
+
+
+def test_a_node_that_was_tried_is_not_chosen_again():
+    held = peers(a1=load(), b1=load())
+    assert choose(held, excluded={'a1'}) == 'b1'
+    assert choose(held, excluded={'a1', 'b1'}) is None
+
+
+def test_a_node_whose_link_broke_is_avoided_unless_it_is_the_only_one():
+    held = peers(a1=load(), b1=load())
+    held[0].avoided_until = 2.0
+    assert choose(held, now=1.0) == 'b1'
+    assert choose(held, now=1.0, excluded={'b1'}) == 'a1'
+    assert choose(held, now=3.0) == 'a1'
+
+
+def test_equal_targets_share_the_calls():
+    placement = placing.Placement(random.Random(1), 'a')
+    held = peers(a1=load(), a2=load(), a3=load())
+    chosen = collections.Counter()
+    for _ in range(300):
+        peer = placement.choose(held, (), 1.0, 50.0, 300.0, 1.0)
+        peer.sent_since += 1
+        if peer.sent_since > 3:
+            peer.sent_since = 0
+        chosen[peer.name] += 1
+    assert min(chosen.values()) > 60
--- /dev/null
+++ b/tests/pumicestand_platform/test_objects.py
@@ -0,0 +1,160 @@
+"""Contract tests of the store's client, with the stand-in's faults."""
+
+import contextlib
+
+import pytest
+import trio
+import trio.testing
+
+from pumicestand import errors
+from pumicestand_platform import objects
+from pumicestand_standins import http_server
+from pumicestand_standins import objects as object_store
+from tests import memory_network
+
+KIND = 'things'
+
+
+@contextlib.asynccontextmanager
+async def open_store(**options):
+    """Yield (client, store, backend)."""
+    async with trio.open_nursery() as nursery:
+        store = object_store.ObjectStore(**options)
+        server = http_server.Server('memory', 1, store.handle)
+        backend = memory_network.MemoryBackend(nursery, server)
+        client = objects.ObjectClient('store', 80, backend)
+        await client.start()
+        yield client, store, backend
+        await client.close()
+        nursery.cancel_scope.cancel()
+
+
+def run(function):
+    """Run a coroutine function on a clock that jumps when all wait."""
+    clock = trio.testing.MockClock(autojump_threshold=0)
+    return trio.run(function, clock=clock)
+
+
+def test_objects_are_created_replaced_and_listed():
+    async def main():
+        async with open_store() as (client, _, _):
+            first = await client.create(KIND, 'a', {'x': 1})
+            assert (first.name, first.spec) == ('a', {'x': 1})
+            second = await client.replace(KIND, 'a', {'x': 2}, first.revision)
+            assert second.revision > first.revision
+            assert second.created == first.created
+            third = await client.replace_status(
+                KIND, 'a', {'y': 3}, second.revision
+            )
+            assert (third.spec, third.status) == ({'x': 2}, {'y': 3})
+            listing = await client.list(KIND)
+            assert listing.items == (third,)
+            assert listing.at == third.revision
+
+    run(main)
+
+
+def test_a_write_under_a_stale_revision_names_the_winner():
+    async def main():
+        async with open_store() as (client, _, _):
+            first = await client.create(KIND, 'a', 1)
+            second = await client.replace(KIND, 'a', 2, first.revision)
+            for attempt in (
+                client.create(KIND, 'a', 3),
+                client.replace(KIND, 'a', 3, first.revision),
+                client.replace_status(KIND, 'a', 3, first.revision),
+            ):
+                with pytest.raises(errors.Conflict) as caught:
+                    await attempt
+                assert caught.value.winner == second.revision
+
+    run(main)
+
+
+def test_a_long_list_is_read_in_pages():
+    async def main():
+        async with open_store(page_items=3) as (client, store, _):
+            for number in range(8):
+                store.put(KIND, f'n{number}', number)
+            listing = await client.list(KIND)
+            assert [item.spec for item in listing.items] == list(range(8))
+            assert store.counters['GET'] == 3
+
+    run(main)
+
+
+def test_a_watch_waits_and_goes_on_from_where_it_was():
+    async def main():
+        async with open_store() as (client, store, _):
+            at = (await client.list(KIND)).at
+            async with trio.open_nursery() as nursery:
+
+                async def write():
+                    await trio.sleep(1)
+                    store.put('others', 'z', 0)
+                    store.put(KIND, 'a', 1)
+
+                nursery.start_soon(write)
+                events = await client.watch(KIND, at, 5.0)
+            assert [e.object.name for e in events.events] == ['a']
+            more = await client.watch(KIND, events.at, 1.0)
+            assert more.events == ()
+
+    run(main)
+
+
+def test_a_forgotten_history_demands_a_new_list():
+    async def main():
+        async with open_store() as (client, store, _):
+            at = (await client.list(KIND)).at
+            store.put(KIND, 'a', 1)
+            store.forget_history()
+            with pytest.raises(errors.WatchExpired):
+                await client.watch(KIND, at, 1.0)
+
+    run(main)
+
+
+@pytest.mark.parametrize(
+    'fault', ['down', 'busy', 'reset', 'silent', 'slow', 'spoilt', 'refused']
+)
+def test_a_read_fails_with_a_code_under_each_fault(fault):
+    async def main():
+        async with open_store() as (client, store, backend):
+            match fault:
+                case 'refused':
+                    backend.refuses = True
+                case 'slow':
+                    store.faults.slow_s = 5.0
+                case 'spoilt':
+                    store.faults.spoilt = 1
+                case _:
+                    setattr(store.faults, fault, True)
+            with pytest.raises(errors.StoreUnavailable) as caught:
+                await client.list(KIND)
+            assert caught.value.step == 'list'
+            assert caught.value.peer == 'store:80'
+
+    run(main)
+
+
+@pytest.mark.parametrize('fault', ['lost_writes', 'reset', 'silent'])
+def test_a_write_without_an_answer_may_have_taken_effect(fault):
+    async def main():
+        async with open_store() as (client, store, _):
+            setattr(store.faults, fault, 1)
+            with pytest.raises(errors.StoreAnswerLost):
+                await client.create(KIND, 'a', 1)
+
+    run(main)
+
+
+def test_an_answer_of_another_form_is_an_error_with_a_code():
+    async def main():
+        async with open_store() as (client, store, _):
+            store.put(KIND, 'a', 1)
+            del store.get(KIND, 'a')['metadata']['revision']
+            with pytest.raises(errors.StoreRejected):
+                await client.list(KIND)
+
+    run(main)
--- /dev/null
+++ b/tests/pumicestand_platform/test_settings.py
@@ -0,0 +1,80 @@
+"""Tests of the platform's settings file."""
+
+import pytest
+
+from pumicestand import errors
+from pumicestand_node import mesh_settings
+from pumicestand_platform import settings
+
+TEXT = """
+node_name=sidecar-a-1
+zone=zone-a
+region=region-a
+ip=10.1.0.8
+service=shop
+listen.outbound=10.1.0.8:8304
+listen.ready=10.1.0.8:8302
+listen.control=10.1.0.8:8306
+internal_ports=7620,7635
+platform.address=10.200.1.7:8309
+bounds.grace_s=6
+bounds.drain_s=2
+bounds.retry_budget_ratio=0.2
+bounds.retry_budget_slack=60
+bounds.budget_window_s=10
+a.field.of.tomorrow=x
+"""
+
+
+def replace(field, value):
+    lines = [
+        f'{field}={value}' if line.startswith(f'{field}=') else line
+        for line in TEXT.splitlines()
+    ]
+    return '\n'.join(lines)
+
+
+def test_the_file_becomes_the_product_s_settings():
+    read = settings.parse(TEXT)
+    assert read.name == 'sidecar-a-1'
+    assert read.service == 'shop'
+    assert read.link == mesh_settings.Address('10.1.0.8', 7620)
+    assert read.store == mesh_settings.Address('10.200.1.7', 8309)
+    assert read.bounds.retry_constant == 60
+    assert read.bounds.grace == 6
+
+
+@pytest.mark.parametrize(
+    ('field', 'value'),
+    [
+        ('node_name', ''),
+        ('listen.outbound', 'nowhere'),
+        ('platform.address', '10.1.1.1:x'),
+        ('internal_ports', '7620'),
+        ('bounds.grace_s', 'soon'),
+        ('bounds.budget_window_s', '0'),
+    ],
+)
+def test_a_bad_field_is_named_with_its_value(field, value):
+    with pytest.raises(errors.SettingsError) as caught:
+        settings.parse(replace(field, value))
+    assert f'{field}={value!r}' in str(caught.value)
+
+
+def test_a_missing_field_is_named():
+    text = TEXT.replace('platform.address', 'platform.other')
+    with pytest.raises(errors.SettingsError, match=r'platform\.address'):
+        settings.parse(text)
+
+
+def test_a_missing_file_is_an_error_that_says_what_to_do(tmp_path):
+    path = str(tmp_path / 'none')
+    with pytest.raises(errors.SettingsError, match='PUMICESTAND_SETTINGS'):
+        settings.load({settings.PATH_VARIABLE: path})
+
+
+def test_the_file_is_found_by_its_variable(tmp_path):
+    path = tmp_path / 'node.conf'
+    path.write_text(TEXT, encoding='utf-8')
+    environment = {settings.PATH_VARIABLE: str(path)}
+    assert settings.load(environment) == settings.parse(TEXT)
