Close a link whose address another node has taken over

Ruled out: a race between hello and report; the order on a link is fixed. Change: a report under another name closes the link and introduces its sender; a peer that moves is unlinked at once.

--- a/packages/pumicestand-node/pumicestand_node/links.py
+++ b/packages/pumicestand-node/pumicestand_node/links.py
@@ -269,6 +269,15 @@
                 self._finish(self._assembler.add(message))
             case hop_messages.Pong():
                 pass
+            case hop_messages.Report(name=name) if name != self._peer.name:
+                # Another node has taken the address over.
+                loguru.logger.warning(
+                    'at the address of {} is {} now; the link is closed',
+                    self._peer.name,
+                    name,
+                )
+                self._receive(self._peer, message)
+                self.stop()
             case hop_messages.Report():
                 if not self._peer.is_linked:
                     self._peer.is_linked = True
--- a/packages/pumicestand-node/pumicestand_node/mesh_node.py
+++ b/packages/pumicestand-node/pumicestand_node/mesh_node.py
@@ -264,6 +264,7 @@
         """Take in what came on a link that this node opened."""
         match message:
             case hop_messages.Report():
+                self._meet(message.name, message.host, message.port)
                 self._hear(message)
             case hop_messages.Configuration():
                 self._store.take_content(message, peer.name)
--- a/packages/pumicestand/pumicestand/fleet.py
+++ b/packages/pumicestand/pumicestand/fleet.py
@@ -100,6 +100,7 @@
         elif (peer.host, peer.port) != (host, port):
             # Another VM has taken the node's name over.
             peer.host, peer.port = host, port
+            peer.is_linked = False
             peer.unreached_since = now
         return peer
 
