Work on pipelined requests side by side, answer them in order

Ruled out: slowdown of full targets (time at a target does not rise with the calls that run there, trial with a line for each call); placing. Change: each request of a connection has its own task; answers go out in the order of the requests; what must not be repeated still waits for its turn, and a stopping node closes only behind the last request it has begun.

--- a/packages/pumicestand-node/pumicestand_node/caller_connections.py
+++ b/packages/pumicestand-node/pumicestand_node/caller_connections.py
@@ -1,7 +1,7 @@
 """Connections from callers: requests are read strictly, answers written.
 
 One task reads, so that a caller who leaves is noticed while its call runs;
-one works on the requests in their order.
+each request has a task, and their answers go out in order.
 """
 
 import collections
@@ -17,8 +17,11 @@
 READ_BYTES = 16_384
 MAX_BUFFERED_BODY_BYTES = 131_072
 MAX_QUEUED_REQUESTS = 8
+# Requests that are worked on while earlier ones are not answered yet.
+OVERLAPPING_METHODS = frozenset(('GET', 'HEAD'))
 DEFAULT_LIMITS = documents.CallerLimits()
 BODY_STALL_S = 30.0
+# Time in which a caller may read the last answer before the close.
 CLOSE_LINGER_S = 1.0
 
 
@@ -154,11 +157,43 @@
         self._request = None
 
 
+class Answering:
+    """One request and its place among the answers of its connection.
+
+    Answers go out in the order of the requests; the work on them may
+    overlap.
+
+    :param previous: set once the answer before is out, None if there is none
+    """
+
+    def __init__(self, connection, request, previous):
+        self._connection = connection
+        self._previous = previous
+        self.request = request
+        self.done = trio.Event()
+        self.scope = trio.CancelScope()
+
+    @property
+    def has_successor(self):
+        """Whether work has begun on a request behind this one."""
+        return self._connection.is_followed(self)
+
+    async def wait_for_turn(self):
+        """Wait until all earlier answers are out."""
+        if self._previous is not None:
+            await self._previous.wait()
+
+    async def send(self, data):
+        """Send bytes of the answer, in its turn."""
+        await self.wait_for_turn()
+        await self._connection.send(data)
+
+
 class CallerConnection:
     """One connection from a caller.
 
     :param stream: a trio stream
-    :param serve: coroutine function (request, connection) that answers a
+    :param serve: coroutine function (request, answering) that answers a
         request and returns whether the connection may be kept
     :param clock: returns seconds
     :param limits: the `documents.CallerLimits` in force when it was opened
@@ -168,17 +203,14 @@
         self._stream = stream
         self._serve = serve
         self._clock = clock
-        self._requests = collections.deque()
-        self._work = trio.Event()
+        self._answering = collections.deque()
         self._room = trio.Event()
         self._scope = trio.CancelScope()
-        self._call_scope = None
         self._limits = limits
         self._parser = _RequestParser(self._add_request, self._make_room)
         self._refusal = None
+        self._nursery = None
         self._at_end = False
-        self._answering = None
-        self._has_sent = False
         self.is_closing = False
         self.progress_at = clock()
 
@@ -187,17 +219,23 @@
         try:
             with self._scope:
                 async with trio.open_nursery() as nursery:
-                    nursery.start_soon(self._work_on_requests)
+                    self._nursery = nursery
                     await self._read()
+                    await self._finish_answers()
+                    nursery.cancel_scope.cancel()
         finally:
             await trio.aclose_forcefully(self._stream)
 
     def finish(self):
         """End the connection once no call runs on it."""
         self.is_closing = True
-        if self._answering is None and not self._requests:
+        if not self._answering:
             self._scope.cancel()
 
+    def is_followed(self, answering):
+        """Whether work has begun on a request behind another."""
+        return self._answering[-1] is not answering
+
     def check_progress(self, now):
         """End the connection if the caller is too slow."""
         waited = now - self.progress_at
@@ -209,17 +247,21 @@
             if waited > BODY_STALL_S:
                 self._scope.cancel()
             return
-        if self._answering is None and waited > self._limits.idle_timeout:
+        if not self._answering and waited > self._limits.idle_timeout:
             self._scope.cancel()
 
     async def send(self, data):
         """Send bytes of an answer."""
-        self._has_sent = True
         await socket_io.send_all(self._stream, data)
 
     def _add_request(self, request):
-        self._requests.append(request)
-        self._work.set()
+        """Begin to work on a request; what can't be repeated waits."""
+        if self._at_end:
+            return
+        previous = self._answering[-1].done if self._answering else None
+        answering = Answering(self, request, previous)
+        self._answering.append(answering)
+        self._nursery.start_soon(self._answer, answering)
 
     def _make_room(self):
         self._room.set()
@@ -228,10 +270,10 @@
         request = self._parser.request
         if request is not None and request.is_buffer_full:
             return True
-        return len(self._requests) > MAX_QUEUED_REQUESTS
+        return len(self._answering) > MAX_QUEUED_REQUESTS
 
     async def _read(self):
-        while True:
+        while not self._at_end:
             while self._needs_room():
                 self._room = trio.Event()
                 await self._room.wait()
@@ -240,21 +282,17 @@
             except (trio.BrokenResourceError, trio.ClosedResourceError):
                 data = b''
             if not data:
-                self._end_of_stream()
+                # Nobody waits for the answers any more.
+                self._at_end = True
+                self._scope.cancel()
                 return
             self.progress_at = self._clock()
+            if self._at_end:
+                # Bytes behind the last answer; a reset would drop it.
+                continue
             if not self._feed(data):
                 return
 
-    def _end_of_stream(self):
-        """Give up the call that runs: nobody waits for its answer."""
-        self._at_end = True
-        if self._parser.request is not None:
-            self._parser.request.end(is_broken=True)
-        if self._answering is not None:
-            self._call_scope.cancel()
-        self._work.set()
-
     def _feed(self, data):
         """Parse bytes; return whether to read on."""
         parser = self._parser
@@ -299,62 +337,68 @@
         broken = self._parser.request
         if broken is not None:
             broken.end(is_broken=True)
-            if broken in self._requests:
-                self._requests.remove(broken)
-            elif broken is self._answering:
-                self._call_scope.cancel()
+            if self._answering and self._answering[-1].request is broken:
+                self._answering[-1].scope.cancel()
         self._at_end = True
-        self._work.set()
-
-    async def _work_on_requests(self):
-        """Answer the requests in their order; the last act is to close."""
-        try:
-            while await self._answer_next():
-                pass
-            await self._close()
-        finally:
-            self._scope.cancel()
 
-    async def _answer_next(self):
-        while not self._requests:
-            if self._at_end or self.is_closing:
-                return False
-            self._work = trio.Event()
-            await self._work.wait()
-        request = self._requests.popleft()
-        self._make_room()
-        self._answering = request
-        self._has_sent = False
-        with trio.CancelScope() as self._call_scope:
+    async def _answer(self, answering):
+        """Answer one request; the last answer ends the connection."""
+        keep = False
+        with answering.scope:
+            if answering.request.head.method not in OVERLAPPING_METHODS:
+                await answering.wait_for_turn()
+            # A request may be refused before its task runs.
+            await trio.lowlevel.checkpoint_if_cancelled()
             try:
-                keep = await self._serve(request, self)
+                keep = await self._serve(answering.request, answering)
             except (
                 trio.BrokenResourceError,
                 trio.ClosedResourceError,
                 CallerGone,
             ):
-                return False
-        self._answering = None
+                keep = False
+            # Its own answer is out; what is behind may go.
+            await answering.wait_for_turn()
+        self._answering.remove(answering)
+        answering.done.set()
+        self._make_room()
         self.progress_at = self._clock()
-        if self._call_scope.cancelled_caught:
-            return False
-        return keep and not self.is_closing
+        if self._refusal is not None:
+            return
+        if not keep or (self.is_closing and not self._answering):
+            await self._close()
 
     async def _close(self):
-        is_mid_answer = self._answering is not None and self._has_sent
-        if self._refusal is None or is_mid_answer:
-            await trio.aclose_forcefully(self._stream)
+        """End the connection behind the answer that was sent last."""
+        self._at_end = True
+        for answering in self._answering:
+            answering.scope.cancel()
+        await self._linger()
+        self._scope.cancel()
+
+    async def _linger(self):
+        """Let the caller read all; a reset could take the answer away."""
+        try:
+            await self._stream.send_eof()
+        except (trio.BrokenResourceError, trio.ClosedResourceError):
+            return
+        except trio.BusyResourceError:
+            return
+        await trio.sleep(CLOSE_LINGER_S)
+
+    async def _finish_answers(self):
+        """After a request that was refused: all answers, then the refusal."""
+        while self._answering:
+            await self._answering[-1].done.wait()
+        if self._refusal is None:
             return
-        # The caller may still be socket_io; without a pause its kernel would
-        # drop the answer when it learns that nobody reads.
         with trio.move_on_after(CLOSE_LINGER_S):
-            await self._stream.send_all(
+            await self.send(
                 heads.write_refusal(self._refusal, keep_alive=False)
             )
             await self._stream.send_eof()
-            while await socket_io.receive_some(self._stream, READ_BYTES):
+            while await self._stream.receive_some(READ_BYTES):
                 pass
-        await trio.aclose_forcefully(self._stream)
 
     @property
     def refusal(self):
--- a/packages/pumicestand-node/pumicestand_node/outbound_calls.py
+++ b/packages/pumicestand-node/pumicestand_node/outbound_calls.py
@@ -360,7 +360,8 @@
         )
 
     async def _pass_back(self, call, result, request, connection):
-        keep = self._may_keep(request)
+        await connection.wait_for_turn()
+        keep = self._may_keep(request, connection)
         status = result.status
         framing = b'content-length: %d\r\n' % len(result.body)
         if call.head.method == 'HEAD' or status in (204, 304):
@@ -381,16 +382,18 @@
         await connection.send(b''.join(parts))
         return keep
 
-    def _may_keep(self, request):
+    def _may_keep(self, request, connection):
+        """Whether to keep the connection; requests begun are answered."""
         return (
             request.head.keep_alive
             and request.is_complete
-            and not self._mesh.is_stopping
+            and (connection.has_successor or not self._mesh.is_stopping)
         )
 
     async def _refuse(self, request, connection, refusal):
         self.counts[('refused', refusal.code.value, refusal.status)] += 1
-        keep = self._may_keep(request)
+        await connection.wait_for_turn()
+        keep = self._may_keep(request, connection)
         with_body = request.head.method != 'HEAD'
         await connection.send(heads.write_refusal(refusal, keep, with_body))
         return keep
--- /dev/null
+++ b/tests/pumicestand/test_fleet.py
@@ -0,0 +1,59 @@
+"""Tests of what a node knows of the others."""
+
+from pumicestand import fleet as fleets
+from pumicestand import hop_messages
+from pumicestand import messages
+from tests.pumicestand import mesh_fakes
+
+
+def test_a_report_replaces_an_earlier_one_only():
+    fleet = mesh_fakes.make_fleet(mesh_fakes.make_report('a', sequence=5))
+    assert not fleet.hear(mesh_fakes.make_report('a', sequence=4), 1.0)
+    assert fleet.hear(mesh_fakes.make_report('a', sequence=6), 1.0)
+    restarted = mesh_fakes.make_report('a', incarnation=2, sequence=1)
+    assert fleet.hear(restarted, 1.0)
+    assert not fleet.hear(mesh_fakes.make_report('a', sequence=9), 1.0)
+
+
+def test_only_reachable_targets_that_serve_are_offered():
+    fleet = mesh_fakes.make_fleet(
+        mesh_fakes.make_report('good'),
+        mesh_fakes.make_report('leaving', is_leaving=True),
+        mesh_fakes.make_report('none', target=None),
+        mesh_fakes.make_report('full', load=hop_messages.Load(slots=0)),
+        mesh_fakes.make_report(
+            'draining',
+            target=mesh_fakes.make_target(
+                'draining', state=messages.TargetState.DRAINING
+            ),
+        ),
+        mesh_fakes.make_report(
+            'other', target=mesh_fakes.make_target('other', service='t')
+        ),
+        mesh_fakes.make_report('cut'),
+    )
+    fleet.get('cut').is_linked = False
+    assert [p.name for p in fleet.serving('s')] == ['good']
+
+
+def test_a_node_at_a_new_address_is_not_linked_any_more():
+    fleet = mesh_fakes.make_fleet(mesh_fakes.make_report('a'))
+    peer = fleet.meet('a', '10.9.9.9', 7000, 3.0)
+    assert not peer.is_linked
+    assert (peer.host, peer.unreached_since) == ('10.9.9.9', 3.0)
+
+
+def test_a_node_not_reached_for_long_is_forgotten():
+    fleet = mesh_fakes.make_fleet(mesh_fakes.make_report('a'))
+    fleet.get('a').unreached_since = 1.0
+    assert fleet.forget(2.0) == []
+    assert fleet.forget(1.1 + fleets.FORGET_AFTER_S) == ['a']
+    assert fleet.get('a') is None
+
+
+def test_the_node_itself_counts_but_is_no_other():
+    fleet = mesh_fakes.make_fleet(
+        mesh_fakes.make_report('own'), mesh_fakes.make_report('a')
+    )
+    assert [p.name for p in fleet.others] == ['a']
+    assert fleet.size == 2
