--- a/packages/pumicestand-node/pumicestand_node/outbound_calls.py
+++ b/packages/pumicestand-node/pumicestand_node/outbound_calls.py
@@ -137,6 +137,15 @@
                 ),
             )
         call = self._begin(request.head, body, route, started)
+        if self._mesh.is_leaving and not call.is_inner:
+            # What runs here may still make calls; callers go elsewhere.
+            refusal = refusals.not_run(
+                refusals.CallCode.STOPPING,
+                'this node stops',
+                retry_after=RETRY_AFTER_S,
+            )
+            self._log(call, refusal.status, refusal.code, None)
+            return await self._refuse(request, connection, refusal)
         return await self._carry_out(call, request, connection)
 
     def _match(self, configuration, head):
@@ -249,7 +258,7 @@
         mesh = self._mesh
         if self._choose(call, now) is None:
             return False
-        return mesh.quota.take(call.service, mesh.fleet.size, now)
+        return mesh.quota.take(call.service, mesh.fleet.known, now)
 
     def _choose(self, call, now):
         """Return the peer that the call should go to, or None."""
--- a/packages/pumicestand-node/pumicestand_node/target_calls.py
+++ b/packages/pumicestand-node/pumicestand_node/target_calls.py
@@ -92,7 +92,7 @@
         slots = queue.slots
         if self._refusal_code() is not None:
             slots = 0
-        wait = queue.expected_wait() if slots else 0.0
+        wait = queue.expected_wait(self._clock()) if slots else 0.0
         return hop_messages.Load(
             running=queue.running,
             queued=queue.queued,
--- a/packages/pumicestand/pumicestand/fleet.py
+++ b/packages/pumicestand/pumicestand/fleet.py
@@ -87,6 +87,11 @@
         linked = sum(1 for peer in self.others if peer.is_linked)
         return linked + 1
 
+    @property
+    def known(self):
+        """How many nodes there may be, unreachable ones included."""
+        return max(1, len(self._peers))
+
     def get(self, name):
         """Return a `Peer`, or None."""
         return self._peers.get(name)
--- a/packages/pumicestand/pumicestand/retry_quota.py
+++ b/packages/pumicestand/pumicestand/retry_quota.py
@@ -7,8 +7,11 @@
 
 import collections
 
-# Kept back of the bound, for windows that nodes cut differently.
-SAFETY = 0.8
+# The part of the bound that a node's own repeats may take. The calls that a
+# repeated run makes in its turn count as repeats, too, at the service that
+# they go to; with up to one and a half of them for a run they take as much,
+# and windows that nodes cut differently take the rest.
+SAFETY = 0.4
 
 
 class RetryQuota:
--- a/packages/pumicestand/pumicestand/rollouts.py
+++ b/packages/pumicestand/pumicestand/rollouts.py
@@ -139,13 +139,11 @@
     def hear_order(self, order, now):
         """Take an order in as the store holds it; return if it is news."""
         held = self._rollouts.get(order.service)
-        if held is not None and held.order.key == order.key:
-            if order.revision <= held.order.revision:
-                return False
-            held.order = order
-            return self._raise(held, order.status, 'the store says so')
         if held is not None and held.order.revision >= order.revision:
             return False
+        if held is not None and _is_same(held.order, order):
+            held.order = order
+            return self._raise(held, order.status, 'the store says so')
         self._rollouts[order.service] = _Rollout(
             order,
             now,
@@ -288,6 +286,14 @@
         rollout.is_due = True
 
 
+def _is_same(held, order):
+    """Whether an order is a later revision of one that is held."""
+    if held.key != order.key:
+        return False
+    # An operator who takes the state away wants the order carried out anew.
+    return held.status is None or order.status is not None
+
+
 def _sum_up(order, fleet):
     """Return the evidence by route, of the new version and the others."""
     new = collections.defaultdict(_Sum)
--- a/packages/pumicestand/pumicestand/target_queue.py
+++ b/packages/pumicestand/pumicestand/target_queue.py
@@ -7,6 +7,7 @@
 
 import dataclasses
 import itertools
+import math
 
 # The share of a new observation in the running mean of work.
 WORK_WEIGHT = 0.08
@@ -17,6 +18,10 @@
 PACE_WEIGHT = 0.04
 MAX_SLOWNESS = 10.0
 PACE_HALF_LIFE_S = 4.0
+# Time over which the demand of more urgent calls is counted, in seconds, and
+# the slots that a call counts on however many of them there are.
+DEMAND_WINDOW_S = 1.0
+MIN_FREE_SLOTS = 0.5
 # The part of its expected work that a waiting call must still have time for;
 # half of all calls are shorter than the mean.
 HOPELESS_PART = 0.5
@@ -44,15 +49,15 @@
     number: int = 0
     started_at: float | None = None
 
+    @property
+    def urgency(self):
+        """What all calls of one kind share; the lower goes first."""
+        return (not self.is_inner, self.priority)
+
     @property
     def rank(self):
         """What orders tickets that wait: the lower goes first."""
-        return (
-            not self.is_inner,
-            self.priority,
-            not self.is_returned,
-            self.number,
-        )
+        return (*self.urgency, not self.is_returned, self.number)
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -75,6 +80,27 @@
     retry_after: float
 
 
+class _Demand:
+    """How many slots the calls of each urgency need, lately."""
+
+    def __init__(self):
+        self._slots = {}
+
+    def note(self, urgency, work, now):
+        """Count a call that arrived; its work is in seconds."""
+        held, since = self._slots.get(urgency, (0.0, now))
+        faded = held * math.exp((since - now) / DEMAND_WINDOW_S)
+        self._slots[urgency] = (faded + work / DEMAND_WINDOW_S, now)
+
+    def above(self, urgency, now):
+        """Return the slots that more urgent calls need."""
+        return sum(
+            slots * math.exp((since - now) / DEMAND_WINDOW_S)
+            for other, (slots, since) in self._slots.items()
+            if other < urgency
+        )
+
+
 class Pace:
     """How long a target takes for its calls, compared with the others.
 
@@ -116,6 +142,7 @@
         self._numbers = itertools.count(1)
         self._work = FIRST_WORK_S
         self._work_of = {}
+        self._demand = _Demand()
 
     @property
     def slots(self):
@@ -141,17 +168,29 @@
         """Note how many calls the target runs at once."""
         self._slots = slots
 
-    def expected_wait(self, ahead=None):
+    def expected_wait(self, now, ticket=None):
         """Return the seconds that a new call would wait.
 
-        :param ahead: calls that wait before it, all by default
+        What waits before it takes the slots first, and so do more urgent
+        calls that are still to come, at the rate at which they came lately.
+
+        :param ticket: of the call; one behind all others by default
         """
         if self._slots <= 0:
             return float('inf')
-        if ahead is None:
-            ahead = len(self._waiting)
-        excess = self._running + ahead + 1 - self._slots
-        return max(0, excess) * self._work / self._slots
+        ahead = [
+            other
+            for other in self._waiting
+            if ticket is None or other.rank < ticket.rank
+        ]
+        if self._running < self._slots and not ahead:
+            return 0.0
+        urgent = 0.0
+        if ticket is not None:
+            urgent = self._demand.above(ticket.urgency, now)
+        free = max(MIN_FREE_SLOTS, self._slots - urgent)
+        work = sum(self.work_of(other.route) for other in ahead)
+        return (work + self._work) / free
 
     def work_of(self, route):
         """Return the typical seconds of a call of one route."""
@@ -163,6 +202,7 @@
         :returns: `Start`, `Wait` or `Refuse`
         """
         ticket.number = next(self._numbers)
+        self._demand.note(ticket.urgency, self.work_of(ticket.route), now)
         if self._slots <= 0:
             return Refuse(MIN_RETRY_AFTER_S)
         if self._running < self._slots and not self._waiting:
@@ -170,8 +210,7 @@
                 return Refuse(0.0)
             self._start(ticket, now)
             return Start()
-        ahead = sum(1 for other in self._waiting if other.rank < ticket.rank)
-        wait = self.expected_wait(ahead)
+        wait = self.expected_wait(now, ticket)
         finish = now + wait + self.work_of(ticket.route) + RETURN_S
         if finish > self._latest_finish(ticket):
             return Refuse(self._retry_after(wait))
--- a/tests/pumicestand/test_rollouts.py
+++ b/tests/pumicestand/test_rollouts.py
@@ -243,3 +243,18 @@
     )
     states = [action.state for _, action in run_good(held, fleet)]
     assert states[-1] is State.COMPLETE
+
+
+def test_an_order_for_a_third_version_starts_unproven():
+    """The operator replaces the order; its object stays the same."""
+    held = make_rollouts(mesh_fakes.make_order(status=State.COMPLETE))
+    third = mesh_fakes.make_order(version='v3', revision=9, key=6)
+    assert held.hear_order(third, 20.0)
+    assert held.state_of('s') == (third, State.RUNNING)
+
+
+def test_an_order_whose_state_was_taken_away_runs_again():
+    held = make_rollouts(mesh_fakes.make_order(status=State.ROLLED_BACK))
+    again = mesh_fakes.make_order(revision=9)
+    assert held.hear_order(again, 20.0)
+    assert held.state_of('s') == (again, State.RUNNING)
