--- a/packages/pumicestand-node/pumicestand_node/socket_io.py
+++ b/packages/pumicestand-node/pumicestand_node/socket_io.py
@@ -6,10 +6,20 @@
 """
 
 import os
+import select
 
 import trio
 
 
+def has_pending(stream):
+    """Return whether an idle socket was closed or has bytes to read."""
+    if not isinstance(stream, trio.SocketStream):
+        return False
+    poll = select.poll()
+    poll.register(stream.socket.fileno(), select.POLLIN)
+    return bool(poll.poll(0))
+
+
 def send_now(stream, data):
     """Return the bytes of data that the kernel did not take.
 
--- a/packages/pumicestand-node/pumicestand_node/target_connections.py
+++ b/packages/pumicestand-node/pumicestand_node/target_connections.py
@@ -1,10 +1,10 @@
 """Connections to targets: kept, checked before use, read strictly."""
 
-import select
-
 import httptools
 import trio
 
+from pumicestand_node import socket_io
+
 READ_BYTES = 16_384
 MAX_IDLE_S = 20.0
 CONNECT_TIMEOUT_S = 1.0
@@ -112,13 +112,6 @@
         )
 
 
-def socket_pending(stream):
-    """Return whether an idle socket was closed or has bytes to read."""
-    poll = select.poll()
-    poll.register(stream.socket.fileno(), select.POLLIN)
-    return bool(poll.poll(0))
-
-
 class TargetConnection:
     """One connection to a target, for one call at a time.
 
@@ -225,7 +218,10 @@
     """
 
     def __init__(
-        self, clock, connect=trio.open_tcp_stream, has_pending=socket_pending
+        self,
+        clock,
+        connect=trio.open_tcp_stream,
+        has_pending=socket_io.has_pending,
     ):
         self._clock = clock
         self._connect = connect
--- a/packages/pumicestand-node/pumicestand_node/target_exchange.py
+++ b/packages/pumicestand-node/pumicestand_node/target_exchange.py
@@ -6,7 +6,6 @@
 """
 
 import dataclasses
-import select
 
 import httptools
 import trio
@@ -137,9 +136,7 @@
         """Whether it is open, quiet and not idle for too long."""
         if not self.is_clean or now >= self.idle_until:
             return False
-        poll = select.poll()
-        poll.register(self._stream.socket.fileno(), select.POLLIN)
-        return not poll.poll(0)
+        return not socket_io.has_pending(self._stream)
 
     async def exchange(self, head, body, is_own):
         """Send a request and return its `Answer`.
