--- a/packages/pumicestand-node/pumicestand_node/mesh_node.py
+++ b/packages/pumicestand-node/pumicestand_node/mesh_node.py
@@ -41,7 +41,7 @@
 # Time for which the links stay open once no more calls are taken.
 LAST_WORDS_S = 0.1
 # Part of the grace period kept back for closing, in seconds.
-CLOSE_MARGIN_S = 0.5
+CLOSE_MARGIN_S = 0.9
 GC_THRESHOLD = 20_000
 
 
--- a/tests/pumicestand_node/test_mesh_calls.py
+++ b/tests/pumicestand_node/test_mesh_calls.py
@@ -56,6 +56,7 @@
     requests: list = dataclasses.field(default_factory=list)
     connects: int = 0
     refuses: bool = False
+    hangs_for: bytes = b''
 
 
 class Bench:
@@ -146,6 +147,8 @@
         """Do what the script says; return whether to go on."""
         steps = self.script.steps
         step = steps.pop(0) if steps else OK
+        if id_ == self.script.hangs_for:
+            step = 'hang'
         if step not in (SHED, ELSEWHERE):
             self.script.runs.append(id_)
         match step:
@@ -380,6 +383,8 @@
 
 def test_a_slow_first_answer_does_not_hold_up_the_work_behind_it():
     async def test(bench):
+        # The two may reach the target in either order.
+        bench.script.hangs_for = b'a'
         stream = await bench.open()
         await stream.send_all(
             make_request(id_='a', close=False) + make_request(id_='b')
@@ -393,7 +398,7 @@
         assert data.startswith(b'HTTP/1.1 504')
         assert b'HTTP/1.1 200' in data
 
-    play(test, 'hang')
+    play(test)
 
 
 def test_what_may_not_be_repeated_waits_for_its_turn():
