Refuse YAML aliases, merge keys, deep nesting and oversized text

Cause: half a kilobyte of nested aliases kept read_yaml busy for minutes, and an alias that contains itself ended in a bare RecursionError. The parser composes aliases in no time; what expands them is the construction of plain data. Ruled out: a bound on time or on the expanded size (the place to name would be arbitrary). Change: the text's events are checked before it is composed: no aliases, no merge keys, 32 levels, 4 MB; each refusal has code, line and remedy. Four of the new tests failed before (deep nesting did not; the nested case was not run then, as it does not end).

--- a/packages/pumicestand/pumicestand/readers.py
+++ b/packages/pumicestand/pumicestand/readers.py
@@ -16,6 +16,11 @@
 from pumicestand import schema
 
 MAX_CONTENT_BYTES = 1_000_000
+# Comments and indentation make the operator's text longer than the content.
+MAX_TEXT_BYTES = 4 * MAX_CONTENT_BYTES
+# The schema nests six levels; deeper text is no document.
+MAX_DEPTH = 32
+_MERGE_KEY = '<<'
 _LOADER = getattr(yaml, 'CSafeLoader', yaml.SafeLoader)
 
 _REMEDIES = {
@@ -84,9 +89,51 @@
     return result
 
 
+def _check_text(text):
+    """Refuse what could expand or nest without bound, before it does."""
+    if len(text) > MAX_TEXT_BYTES:
+        _refuse(
+            errors.Code.DOCUMENT_TOO_LARGE,
+            f'the text has {len(text)} characters, {MAX_TEXT_BYTES} are read',
+            (1, 1),
+            'split services off into an environment of their own',
+        )
+    depth = 0
+    for event in yaml.parse(text, _LOADER):
+        mark = event.start_mark
+        position = (mark.line + 1, mark.column + 1)
+        match event:
+            case yaml.AliasEvent():
+                _refuse(
+                    errors.Code.DOCUMENT_SYNTAX,
+                    f'the alias *{event.anchor}; a document has none',
+                    position,
+                    'write the value out at this place',
+                )
+            case yaml.ScalarEvent(value=value) if value == _MERGE_KEY:
+                _refuse(
+                    errors.Code.DOCUMENT_SYNTAX,
+                    'a merge key; a document has none',
+                    position,
+                    'write the keys out at this place',
+                )
+            case yaml.CollectionStartEvent():
+                depth += 1
+            case yaml.CollectionEndEvent():
+                depth -= 1
+        if depth > MAX_DEPTH:
+            _refuse(
+                errors.Code.DOCUMENT_SYNTAX,
+                f'more than {MAX_DEPTH} levels',
+                position,
+                'correct the brackets or the indentation',
+            )
+
+
 def _load(text):
     loader = _LOADER(text)
     try:
+        _check_text(text)
         node = loader.get_single_node()
         positions = Positions()
         if node is None:
--- a/tests/pumicestand/test_readers.py
+++ b/tests/pumicestand/test_readers.py
@@ -153,3 +153,45 @@
     with pytest.raises(errors.DocumentRefused) as caught:
         readers.read_yaml(chain(7))
     assert caught.value.code == errors.Code.DOCUMENT_CYCLE
+
+
+def nested_aliases(levels):
+    """Return a short document that expands to 9 ** levels values."""
+    lines = ['a0: &a0 [x, x, x, x, x, x, x, x, x]']
+    for level in range(1, levels):
+        inner = ', '.join([f'*a{level - 1}'] * 9)
+        lines.append(f'a{level}: &a{level} [{inner}]')
+    return '\n'.join(lines)
+
+
+@pytest.mark.parametrize(
+    ('text', 'line'),
+    [
+        (nested_aliases(9), 2),
+        ('a: &a [*a]', 1),
+        ('base: &base {x: 1}\nother:\n  <<: *base', 3),
+        ('schema: x\nother:\n  <<: {x: 1}', 3),
+    ],
+    ids=['nested', 'in itself', 'merged alias', 'merged mapping'],
+)
+def test_aliases_and_merge_keys_are_refused_before_they_expand(text, line):
+    with pytest.raises(errors.DocumentRefused) as caught:
+        readers.read_yaml(text)
+    assert caught.value.code is errors.Code.DOCUMENT_SYNTAX
+    assert caught.value.line == line
+    assert caught.value.remedy
+
+
+@pytest.mark.parametrize('open_, close', ['[]', ('{a: ', '}')])
+def test_deep_nesting_is_refused(open_, close):
+    text = 'a: ' + open_ * 3000 + close * 3000
+    with pytest.raises(errors.DocumentRefused) as caught:
+        readers.read_yaml(text)
+    assert caught.value.code is errors.Code.DOCUMENT_SYNTAX
+
+
+def test_an_oversized_text_is_refused_before_it_is_parsed():
+    text = GOOD + '#' * readers.MAX_TEXT_BYTES
+    with pytest.raises(errors.DocumentRefused) as caught:
+        readers.read_yaml(text)
+    assert caught.value.code is errors.Code.DOCUMENT_TOO_LARGE
