--- /dev/null
+++ b/tests/pumicestand/test_decision_log.py
@@ -0,0 +1,56 @@
+"""Tests of the log of decisions: bounded, and never waited for."""
+
+import json
+
+from pumicestand import decision_log
+
+
+def make_log(now=(5.0,), takes=True):
+    written = []
+
+    def write(data):
+        written.append(data)
+        return takes
+
+    clock = list(now)
+    log = decision_log.DecisionLog('p', lambda: clock[0], write)
+    return log, written, clock
+
+
+def read(written):
+    return [json.loads(line) for line in b''.join(written).splitlines()]
+
+
+def test_a_decision_is_one_line_with_its_inputs():
+    log, written, _ = make_log()
+    log.note('call', id='x', status=503, why='overloaded', empty='')
+    log.flush()
+    (line,) = read(written)
+    assert line['process'] == 'p'
+    assert (line['event'], line['id']) == ('call', 'x')
+    assert 'empty' not in line
+
+
+def test_lines_are_bounded_and_failures_outlast_successes():
+    log, written, clock = make_log()
+    for number in range(2000):
+        log.note('call', id=number, status=200)
+    for number in range(2000):
+        log.note('call', id=number, status=503)
+    log.flush()
+    successes = decision_log.MAX_LINES_PER_S // 4
+    lines = read(written)
+    assert sum(line['status'] == 200 for line in lines) == successes
+    assert log.dropped == 4000 - len(lines)
+    clock[0] = 6.0
+    log.note('call', id='later', status=503)
+    log.flush()
+    assert read(written)[-1]['id'] == 'later'
+
+
+def test_what_a_full_pipe_does_not_take_is_counted():
+    log, _, _ = make_log(takes=False)
+    log.note('a')
+    log.note('b')
+    log.flush()
+    assert log.dropped == 2
--- /dev/null
+++ b/tests/pumicestand_node/test_mesh_store.py
@@ -0,0 +1,263 @@
+"""Tests of a node's part towards the store, on the stand-in's faults."""
+
+import contextlib
+import random
+
+import pytest
+import trio
+import trio.testing
+
+from pumicestand import decision_log
+from pumicestand import hop_messages
+from pumicestand import node_records
+from pumicestand import rollouts
+from pumicestand_node import mesh as meshes
+from pumicestand_node import mesh_settings
+from pumicestand_node import mesh_store
+from pumicestand_platform import configuration
+from tests.pumicestand import mesh_fakes
+from tests.pumicestand_platform import test_configuration
+from tests.pumicestand_platform import test_objects
+
+State = hop_messages.RolloutState
+BOUNDS = mesh_settings.MeshBounds(6.0, 0.2, 60.0, 10.0)
+
+
+class Node:
+    """One node's mesh and store agent."""
+
+    def __init__(self, client, name, seed=1):
+        identity = node_records.NodeRecord(name, '10.0.0.1', 7000, 'a')
+        log = decision_log.DecisionLog(name, lambda: 1.0, lambda d: True)
+        rng = random.Random(seed)
+        self.mesh = meshes.Mesh(identity, 1, BOUNDS, log, rng)
+        self.met = []
+        self.told = 0
+        self.agent = mesh_store.MeshStore(
+            self.mesh,
+            client,
+            configuration.Translator(),
+            trio.current_time,
+            rng,
+            self.met.extend,
+            lambda: None,
+            self.tell,
+        )
+
+    def tell(self):
+        self.told += 1
+
+
+@contextlib.asynccontextmanager
+async def open_nodes(*names, version='0000001f'):
+    """Yield (nodes, store) with a configuration in the store."""
+    async with test_objects.open_store() as (client, store, _):
+        spec = {**test_configuration.SPEC, 'version': version}
+        store.put('config', 'main', spec)
+        async with trio.open_nursery() as nursery:
+            nodes = [Node(client, name) for name in names]
+            for node in nodes:
+                await node.agent.start(nursery)
+            yield nodes, store
+            nursery.cancel_scope.cancel()
+
+
+def put_configuration(store, version):
+    spec = {**test_configuration.SPEC, 'version': version}
+    store.put('config', 'main', spec)
+
+
+def put_order(store, version='v2'):
+    spec = {'service': 's', 'target_version': version, 'duration_s': 12}
+    store.put('rollouts', 's', spec)
+
+
+run = test_objects.run
+
+
+def test_nodes_that_start_together_find_each_other():
+    async def main():
+        async with open_nodes('a', 'b', 'c') as (nodes, _):
+            await trio.sleep(1)
+            for node in nodes:
+                others = {'a', 'b', 'c'} - {node.mesh.identity.name}
+                known = {record.name for record in node.met}
+                # The later of two to write sees the earlier.
+                assert known <= others
+            pairs = {
+                frozenset((node.mesh.identity.name, record.name))
+                for node in nodes
+                for record in node.met
+            }
+            assert len(pairs) == 3
+
+    run(main)
+
+
+def test_a_restarted_node_recalls_its_target():
+    async def main():
+        async with test_objects.open_store() as (client, store, _):
+            target = mesh_fakes.make_target('t')
+            record = node_records.NodeRecord(
+                'a', '10.0.0.1', 7000, 'a', target
+            )
+            store.put(node_records.KIND, 'a', node_records.write(record))
+            async with trio.open_nursery() as nursery:
+                node = Node(client, 'a')
+                await node.agent.start(nursery)
+                await trio.sleep(1)
+                assert node.mesh.watch.target == target
+                nursery.cancel_scope.cancel()
+
+    run(main)
+
+
+def test_a_record_of_another_writer_names_no_node():
+    async def main():
+        async with open_nodes('a') as (_, store):
+            store.put(node_records.KIND, 'x', {'name': 7})
+            async with trio.open_nursery() as nursery:
+                client = test_objects.objects.ObjectClient(
+                    'store',
+                    80,
+                    test_objects.memory_network.MemoryBackend(
+                        nursery,
+                        test_objects.http_server.Server(
+                            'memory', 1, store.handle
+                        ),
+                    ),
+                )
+                node = Node(client, 'b')
+                await node.agent.start(nursery)
+                await trio.sleep(1)
+                assert [record.name for record in node.met] == ['a']
+                nursery.cancel_scope.cancel()
+
+    run(main)
+
+
+def test_a_change_is_in_force_within_two_seconds():
+    async def main():
+        async with open_nodes('a') as ((node,), store):
+            await trio.sleep(1)
+            assert node.mesh.generation == 0x1F
+            put_configuration(store, '00000020')
+            await trio.sleep(0.1)
+            assert node.mesh.generation == 0x20
+
+    run(main)
+
+
+@pytest.mark.parametrize(
+    'fault', ['down', 'busy', 'reset', 'silent', 'deaf', 'forgotten']
+)
+def test_a_change_during_a_fault_is_in_force_soon_after_it(fault):
+    async def main():
+        async with open_nodes('a') as ((node,), store):
+            await trio.sleep(1)
+            if fault != 'forgotten':
+                setattr(store.faults, fault, True)
+            await trio.sleep(3)
+            put_configuration(store, '00000020')
+            if fault in ('deaf', 'forgotten'):
+                store.forget_history()
+            await trio.sleep(3)
+            if fault != 'forgotten':
+                setattr(store.faults, fault, False)
+            await trio.sleep(2.5)
+            assert node.mesh.generation == 0x20
+            assert node.mesh.store_reachable
+
+    run(main)
+
+
+def test_an_older_configuration_is_never_taken():
+    async def main():
+        async with open_nodes('a') as ((node,), store):
+            await trio.sleep(1)
+            put_configuration(store, '00000003')
+            await trio.sleep(1)
+            assert node.mesh.generation == 0x1F
+
+    run(main)
+
+
+def test_what_is_no_configuration_changes_nothing():
+    async def main():
+        async with open_nodes('a') as ((node,), store):
+            await trio.sleep(1)
+            store.put('config', 'main', {'version': 'x'})
+            await trio.sleep(1)
+            assert node.mesh.generation == 0x1F
+
+    run(main)
+
+
+def test_a_node_says_that_it_lost_the_store():
+    async def main():
+        async with open_nodes('a') as ((node,), store):
+            await trio.sleep(1)
+            told = node.told
+            store.faults.down = True
+            await trio.sleep(6)
+            assert not node.mesh.store_reachable
+            assert node.told > told
+
+    run(main)
+
+
+def test_an_acknowledgement_does_not_wait_for_a_lost_store():
+    async def main():
+        async with open_nodes('a') as ((node,), store):
+            await trio.sleep(1)
+            store.faults.silent = True
+            node.mesh.watch.recall(mesh_fakes.make_target('t'))
+            before = trio.current_time()
+            await node.agent.remember()
+            waited = trio.current_time() - before
+            assert waited <= mesh_store.REMEMBER_S
+            store.faults.silent = False
+            await trio.sleep(4)
+            record = store.get(node_records.KIND, 'a')['spec']
+            assert record['target']['instance'] == 'i-t'
+
+    run(main)
+
+
+@pytest.mark.parametrize('fault', [None, 'lost_writes', 'conflict'])
+def test_a_roll_out_s_state_reaches_the_store(fault):
+    async def main():
+        async with open_nodes('a') as ((node,), store):
+            put_order(store)
+            await trio.sleep(1)
+            order, _ = node.mesh.rollouts.state_of('s')
+            if fault == 'lost_writes':
+                store.faults.lost_writes = 1
+            if fault == 'conflict':
+                store.put('rollouts', 's', status={'note': 'x'})
+            action = rollouts.WriteStatus(order, State.RUNNING, '')
+            node.agent.write_status(action)
+            await trio.sleep(2)
+            order, _ = node.mesh.rollouts.state_of('s')
+            if order.status is None:
+                node.agent.write_status(
+                    rollouts.WriteStatus(order, State.RUNNING, '')
+                )
+                await trio.sleep(1)
+            status = store.get('rollouts', 's')['status']
+            assert status == {'state': 'running', 'target_version': 'v2'}
+            order, _ = node.mesh.rollouts.state_of('s')
+            assert order.status is State.RUNNING
+
+    run(main)
+
+
+def test_the_first_in_rank_writes_and_a_node_without_the_store_does_not():
+    async def main():
+        async with open_nodes('a') as ((node,), _):
+            await trio.sleep(1)
+            assert node.agent.is_first()
+            node.mesh.store_reachable = False
+            assert not node.agent.is_first()
+
+    run(main)
