Hear a restarted node whose clock went back

Cause, found by reading: incarnations come from the time of day. A node that restarts after its clock was set back reports under a lower incarnation than before; its peers took its reports for old ones and went by its last words. Ruled out: writing the incarnation to the store (one more call at each start, and none while the store is away). Change: the first report on a new connection counts whatever its incarnation, since only the process that runs now can send it. The test failed before.

--- a/packages/pumicestand-node/pumicestand_node/links.py
+++ b/packages/pumicestand-node/pumicestand_node/links.py
@@ -246,6 +246,10 @@
         frames = FrameStream(stream, self._peer.name)
         frames.send(self._hello())
         self._stream = frames
+        # Whoever answers on a new connection is the process that runs now;
+        # what was heard before may bear a higher incarnation, since these
+        # come from clocks, and clocks go back.
+        self._peer.report = None
         self._heard_at = self._clock()
         self._asked_at = None
         try:
--- a/tests/pumicestand_node/test_links.py
+++ b/tests/pumicestand_node/test_links.py
@@ -46,12 +46,12 @@
         self.heard = []
         self.sides = []
         self.refuses = False
-        fleet = fleets.Fleet('own')
-        self.peer = fleet.meet('peer', '10.0.0.1', 7000, 0.0)
+        self.fleet = fleets.Fleet('own')
+        self.peer = self.fleet.meet('peer', '10.0.0.1', 7000, 0.0)
         self.link = links.Link(
             self.peer,
             lambda: hop_messages.Hello(mesh_fakes.make_report('own')),
-            lambda peer, message: self.heard.append(message),
+            self.receive,
             trio.current_time,
             random.Random(1),
         )
@@ -59,6 +59,11 @@
         monkeypatch.setattr(links, 'set_user_timeout', lambda stream: None)
         nursery.start_soon(self.link.run)
 
+    def receive(self, peer, message):
+        self.heard.append(message)
+        if isinstance(message, hop_messages.Report):
+            self.fleet.hear(message, trio.current_time())
+
     async def connect(self, host, port):
         if self.refuses:
             raise OSError('refused')
@@ -258,3 +263,18 @@
         assert not harness.peer.is_linked
 
     play(test)
+
+
+def test_a_peer_whose_clock_went_back_is_heard_after_its_restart(play):
+    """Incarnations come from clocks; a new connection outranks them."""
+
+    async def test(harness):
+        fleet = harness.fleet
+        late = mesh_fakes.make_report('peer', incarnation=9, sequence=9)
+        fleet.hear(late, 0.0)
+        harness.sides[0].frames.stop()
+        await trio.sleep(2)
+        assert fleet.get('peer').is_linked
+        assert fleet.get('peer').report.incarnation == 1
+
+    play(test)
