--- a/packages/pumicestand-node/pumicestand_node/mesh.py
+++ b/packages/pumicestand-node/pumicestand_node/mesh.py
@@ -76,7 +76,6 @@
             target=self.watch.target,
             load=load,
             is_leaving=self.is_leaving,
-            is_ready=self.is_ready,
             store_reachable=self.store_reachable,
             generation=self.generation,
             evidence=evidence if self.rollouts.is_any_running else (),
--- a/packages/pumicestand-node/pumicestand_node/mesh_store.py
+++ b/packages/pumicestand-node/pumicestand_node/mesh_store.py
@@ -217,23 +217,20 @@
     def _is_watcher(self):
         """Whether this node should watch, by what it knows of the others."""
         mesh = self._mesh
-        own = mesh.identity.name
         if mesh.is_leaving:
             return False
-        names = [
-            peer.name
-            for peer in mesh.fleet.others
-            if peer.is_linked
-            and peer.report.store_reachable
-            and not peer.report.is_leaving
-        ]
-        return own in ranking.rank('watch', [own, *names])[:WATCHERS]
+        return mesh.identity.name in self._rank('watch')[:WATCHERS]
 
     def is_first(self):
         """Whether this node is the one that writes for the fleet."""
         mesh = self._mesh
         if not mesh.store_reachable or mesh.is_leaving:
             return False
+        return self._rank('write')[0] == mesh.identity.name
+
+    def _rank(self, key):
+        """Return this node and those that reach the store, best first."""
+        mesh = self._mesh
         names = [
             peer.name
             for peer in mesh.fleet.others
@@ -241,8 +238,7 @@
             and peer.report.store_reachable
             and not peer.report.is_leaving
         ]
-        own = mesh.identity.name
-        return ranking.rank('write', [own, *names])[0] == own
+        return ranking.rank(key, [mesh.identity.name, *names])
 
     async def _follow(self, kind, take):
         """Read a kind at the start; watch it while this node ranks first."""
--- a/packages/pumicestand-node/pumicestand_node/target_calls.py
+++ b/packages/pumicestand-node/pumicestand_node/target_calls.py
@@ -86,13 +86,11 @@
         slots = queue.slots
         if self._refusal_code() is not None:
             slots = 0
-        wait = queue.expected_wait(self._clock()) if slots else 0.0
         return hop_messages.Load(
             running=queue.running,
             queued=queue.queued,
             slots=slots,
             work_ms=queue.work * 1000,
-            queue_ms=wait * 1000,
             failing=self._failing,
             slowness=self._pace.slowness(self._clock()),
         )
--- a/packages/pumicestand/pumicestand/hop.capnp
+++ b/packages/pumicestand/pumicestand/hop.capnp
@@ -32,9 +32,8 @@
   queued @1 :UInt16;
   slots @2 :UInt16;
   workMs @3 :Float32;
-  queueMs @4 :Float32;
-  failing @5 :Float32;
-  slowness @6 :Float32;
+  failing @4 :Float32;
+  slowness @5 :Float32;
 }
 
 struct Evidence {
@@ -72,7 +71,6 @@
   evidence @11 :List(Evidence);
   verdicts @12 :List(Verdict);
   hasTarget @13 :Bool;
-  ready @14 :Bool;
 }
 
 struct Call {
--- a/packages/pumicestand/pumicestand/hop.py
+++ b/packages/pumicestand/pumicestand/hop.py
@@ -98,7 +98,6 @@
     builder.queued = load.queued
     builder.slots = load.slots
     builder.workMs = load.work_ms
-    builder.queueMs = load.queue_ms
     builder.failing = load.failing
     builder.slowness = load.slowness
 
@@ -122,7 +121,6 @@
     builder.host = report.host
     builder.port = report.port
     builder.leaving = report.is_leaving
-    builder.ready = report.is_ready
     builder.storeReachable = report.store_reachable
     builder.generation = report.generation
     builder.hasTarget = report.target is not None
@@ -241,7 +239,6 @@
         queued=reader.queued,
         slots=reader.slots,
         work_ms=reader.workMs,
-        queue_ms=reader.queueMs,
         failing=reader.failing,
         slowness=reader.slowness,
     )
@@ -287,7 +284,6 @@
         target=_read_target(reader.target) if reader.hasTarget else None,
         load=_read_load(reader.load),
         is_leaving=reader.leaving,
-        is_ready=reader.ready,
         store_reachable=reader.storeReachable,
         generation=reader.generation,
         evidence=tuple(
--- a/packages/pumicestand/pumicestand/hop_messages.py
+++ b/packages/pumicestand/pumicestand/hop_messages.py
@@ -47,7 +47,6 @@
     :param queued: calls that wait at its node
     :param slots: calls that it runs at once; 0 if it takes none now
     :param work_ms: typical time of one call at the target
-    :param queue_ms: expected wait of a call that arrives now
     :param failing: fraction of its latest answers that were failures
     :param slowness: how long calls take there, as a multiple of how long
         their routes' calls take everywhere
@@ -57,7 +56,6 @@
     queued: int = 0
     slots: int = 0
     work_ms: float = 0.0
-    queue_ms: float = 0.0
     failing: float = 0.0
     slowness: float = 1.0
 
@@ -126,7 +124,6 @@
     target: Target | None = None
     load: Load = Load()
     is_leaving: bool = False
-    is_ready: bool = False
     store_reachable: bool = False
     generation: int = 0
     evidence: tuple[Evidence, ...] = ()
--- a/packages/pumicestand/pumicestand/target_queue.py
+++ b/packages/pumicestand/pumicestand/target_queue.py
@@ -168,26 +168,20 @@
         """Note how many calls the target runs at once."""
         self._slots = slots
 
-    def expected_wait(self, now, ticket=None):
+    def expected_wait(self, now, ticket):
         """Return the seconds that a new call would wait.
 
         What waits before it takes the slots first, and so do more urgent
         calls that are still to come, at the rate at which they came lately.
 
-        :param ticket: of the call; one behind all others by default
+        :param ticket: of the call
         """
         if self._slots <= 0:
             return float('inf')
-        ahead = [
-            other
-            for other in self._waiting
-            if ticket is None or other.rank < ticket.rank
-        ]
+        ahead = [other for other in self._waiting if other.rank < ticket.rank]
         if self._running < self._slots and not ahead:
             return 0.0
-        urgent = 0.0
-        if ticket is not None:
-            urgent = self._demand.above(ticket.urgency, now)
+        urgent = self._demand.above(ticket.urgency, now)
         free = max(MIN_FREE_SLOTS, self._slots - urgent)
         work = sum(self.work_of(other.route) for other in ahead)
         return (work + self._work) / free
--- a/tests/pumicestand/test_hop.py
+++ b/tests/pumicestand/test_hop.py
@@ -59,7 +59,7 @@
         reason=b'OK',
         headers=b'a: b\r\n',
         body=b'z',
-        load=hop_messages.Load(1, 2, 3, 4.0, 5.0, 0.5, 2.0),
+        load=hop_messages.Load(1, 2, 3, 4.0, 0.5, 2.0),
         work_ms=7.0,
     ),
     hop_messages.Ping(1),
