Give each node of the store's tests its own connections

Cause: test_nodes_that_start_together_find_each_other failed once in about six runs. Three nodes shared one client with six connections; all three watch two kinds, and when the watches were first the list of nodes waited for a connection until its time was up.

Change: open_nodes makes a client for each node and closes it afterwards. The check is the same.

Conclusion: the test ran out of connections, the code did not.

--- a/tests/pumicestand_node/test_mesh_store.py
+++ b/tests/pumicestand_node/test_mesh_store.py
@@ -15,6 +15,7 @@
 from pumicestand_node import mesh_settings
 from pumicestand_node import mesh_store
 from pumicestand_platform import configuration
+from pumicestand_platform import objects
 from tests.pumicestand import mesh_fakes
 from tests.pumicestand_platform import test_configuration
 from tests.pumicestand_platform import test_objects
@@ -51,15 +52,21 @@
 @contextlib.asynccontextmanager
 async def open_nodes(*names, version='0000001f'):
     """Yield (nodes, store) with a configuration in the store."""
-    async with test_objects.open_store() as (client, store, _):
+    async with test_objects.open_store() as (_, store, backend):
         spec = {**test_configuration.SPEC, 'version': version}
         store.put('config', 'main', spec)
         async with trio.open_nursery() as nursery:
-            nodes = [Node(client, name) for name in names]
+            # Each has its own connections: waiting watches take up two.
+            nodes = [
+                Node(objects.ObjectClient('store', 80, backend), name)
+                for name in names
+            ]
             for node in nodes:
                 await node.agent.start(nursery)
             yield nodes, store
             nursery.cancel_scope.cancel()
+        for node in nodes:
+            await node.agent.close()
 
 
 def put_configuration(store, version):
