Tell only the load while nothing else changed; let narrow links be narrow

Each of 58 nodes sent all it says of itself to 57 others every 0.6 s. A short frame stood behind whole bodies: on a link of 5 Mbit/s an upload takes half a second. Placing did not know of links, and a link that was busy for 1.3 s was taken for dead with the calls on it.

Ruled out: processor time (0.06 of a core on average).

Change: a report is the load alone unless something else has changed, at most every 2 s. Parts of bodies wait behind all other frames. Settings give the rate of the VM's link; reports tell it and how much of it is in use; placing adds the time that a body takes there. A link may be silent for as long as a few bodies take on it. A call's deadline passes on while its body arrives.

--- a/packages/pumicestand-node/pumicestand_node/link_server.py
+++ b/packages/pumicestand-node/pumicestand_node/link_server.py
@@ -1,5 +1,7 @@
 """Links that other nodes opened: their calls are run here."""
 
+import dataclasses
+
 import trio
 
 from pumicestand import hop_messages
@@ -13,16 +15,19 @@
     :param targets: the `target_calls.TargetCalls`
     :param mesh: the `mesh.Mesh`
     :param greet: called with (frames, report) for the first frame
+    :param clock: returns monotonic seconds
     """
 
-    def __init__(self, frames, targets, mesh, greet):
+    def __init__(self, frames, targets, mesh, greet, clock):
         self.frames = frames
         self._targets = targets
         self._mesh = mesh
         self._greet = greet
+        self._clock = clock
         self._nursery = None
         self._assembler = links.Assembler()
         self._scopes = {}
+        self._begun = {}
 
     async def run(self):
         """Serve the link until it ends; its calls end with it."""
@@ -34,11 +39,13 @@
     def _receive(self, message):
         match message:
             case hop_messages.Call():
+                self._begun[message.id] = self._clock()
                 self._begin(self._assembler.begin(message))
             case hop_messages.Part():
                 self._begin(self._assembler.add(message))
             case hop_messages.Cancel(id_):
                 self._assembler.drop(id_)
+                self._begun.pop(id_, None)
                 scope = self._scopes.pop(id_, None)
                 if scope is not None:
                     scope.cancel()
@@ -56,6 +63,14 @@
     def _begin(self, call):
         if call is None:
             return
+        took_ms = int((self._clock() - self._begun.pop(call.id)) * 1000)
+        if took_ms > 0:
+            # Its deadline passes on while its body arrives.
+            call = dataclasses.replace(
+                call,
+                left_ms=max(0, call.left_ms - took_ms),
+                objective_ms=call.objective_ms - took_ms,
+            )
         scope = self._scopes[call.id] = trio.CancelScope()
         self._nursery.start_soon(self._run, call, scope)
 
--- a/packages/pumicestand-node/pumicestand_node/links.py
+++ b/packages/pumicestand-node/pumicestand_node/links.py
@@ -5,6 +5,7 @@
 parts, so that a long one does not hold up the calls beside it.
 """
 
+import collections
 import dataclasses
 import socket
 
@@ -14,11 +15,14 @@
 from pumicestand import errors
 from pumicestand import hop
 from pumicestand import hop_messages
+from pumicestand import link_meter
 from pumicestand_node import socket_io
 
 READ_BYTES = 65_536
-# Bytes of a body in one frame.
+# Bytes of a body in one frame, and of bodies handed to the kernel at once:
+# a short frame waits for no more than these, 50 ms at 5 Mbit/s.
 PART_BYTES = 16_384
+BULK_BYTES = 32_768
 # Bytes waiting to be sent at which a link counts as stuck.
 MAX_BACKLOG_BYTES = 16_000_000
 CONNECT_TIMEOUT_S = 1.0
@@ -34,13 +38,24 @@
 
 
 class FrameStream:
-    """Frames over a stream, written by one task and read by one."""
+    """Frames over a stream, written by one task and read by one.
 
-    def __init__(self, stream, peer):
+    Parts of bodies wait behind all other frames.
+
+    :param stream: the connection
+    :param peer: name of the other node, for errors
+    :param meter: the `link_meter.LinkMeter` of this VM
+    :param clock: returns monotonic seconds
+    """
+
+    def __init__(self, stream, peer, meter, clock):
         self._stream = stream
         self._peer = peer
+        self._meter = meter
+        self._clock = clock
         self._out = []
-        self._out_bytes = 0
+        self._parts = collections.deque()
+        self._backlog = 0
         self._is_writing = False
         self._wake = trio.Event()
         self._scope = trio.CancelScope()
@@ -54,7 +69,8 @@
         """Queue a frame that is encoded already."""
         if self.is_closed:
             return
-        if not self._is_writing and not self._out:
+        self._meter.note_sent(len(data), self._clock())
+        if not self._is_writing and not self._out and not self._parts:
             try:
                 data = socket_io.send_now(self._stream, data)
             except (trio.BrokenResourceError, trio.ClosedResourceError):
@@ -62,9 +78,20 @@
                 return
             if not data:
                 return
-        self._out.append(data)
-        self._out_bytes += len(data)
-        if self._out_bytes > MAX_BACKLOG_BYTES:
+        self._queue(self._out, data)
+
+    def send_part(self, part):
+        """Queue a part of a body behind the frames that are no parts."""
+        if self.is_closed:
+            return
+        data = hop.encode(part)
+        self._meter.note_sent(len(data), self._clock())
+        self._queue(self._parts, data)
+
+    def _queue(self, queue, data):
+        queue.append(data)
+        self._backlog += len(data)
+        if self._backlog > MAX_BACKLOG_BYTES:
             self.stop()
             return
         self._wake.set()
@@ -95,14 +122,25 @@
 
     async def _write(self):
         while True:
-            await self._wake.wait()
-            self._wake = trio.Event()
-            data, self._out = b''.join(self._out), []
-            self._out_bytes = 0
+            while not self._out and not self._parts:
+                await self._wake.wait()
+                self._wake = trio.Event()
+            data = self._take_next()
+            self._backlog -= len(data)
             self._is_writing = True
             await self._stream.send_all(data)
             self._is_writing = False
 
+    def _take_next(self):
+        """Return the bytes to write next."""
+        if self._out:
+            data, self._out = b''.join(self._out), []
+            return data
+        data = self._parts.popleft()
+        while self._parts and len(data) + len(self._parts[0]) <= BULK_BYTES:
+            data += self._parts.popleft()
+        return data
+
     async def _read(self, receive):
         buffer = bytearray()
         size = hop.LENGTH.size
@@ -110,6 +148,7 @@
             data = await socket_io.receive_some(self._stream, READ_BYTES)
             if not data:
                 return
+            self._meter.note_received(len(data), self._clock())
             buffer += data
             position = 0
             while len(buffer) - position >= size:
@@ -143,7 +182,7 @@
     for start in range(PART_BYTES, len(body), PART_BYTES):
         piece = body[start : start + PART_BYTES]
         is_last = start + PART_BYTES >= len(body)
-        stream.send(hop_messages.Part(message.id, piece, is_last))
+        stream.send_part(hop_messages.Part(message.id, piece, is_last))
 
 
 class Assembler:
@@ -194,14 +233,16 @@
     :param receive: called with (peer, message) for all but results
     :param clock: returns monotonic seconds
     :param rng: a `random.Random`
+    :param meter: the `link_meter.LinkMeter` of this VM
     """
 
-    def __init__(self, peer, hello, receive, clock, rng):
+    def __init__(self, peer, hello, receive, clock, rng, meter):
         self._peer = peer
         self._hello = hello
         self._receive = receive
         self._clock = clock
         self._rng = rng
+        self._meter = meter
         self._stream = None
         self._pending = {}
         self._assembler = Assembler()
@@ -243,7 +284,7 @@
         return stream
 
     async def _carry(self, stream):
-        frames = FrameStream(stream, self._peer.name)
+        frames = FrameStream(stream, self._peer.name, self._meter, self._clock)
         frames.send(self._hello())
         self._stream = frames
         # Whoever answers on a new connection is the process that runs now;
@@ -333,7 +374,7 @@
             self._asked_at = now
             self._stream.send(hop_messages.Ping(1))
             return
-        if now - self._asked_at > DEAD_AFTER_S - PING_AFTER_S:
+        if now - self._asked_at > self._answer_time():
             loguru.logger.warning(
                 'the link to {} is silent for {:.1f} s with {} calls on it '
                 'and is closed',
@@ -343,6 +384,15 @@
             )
             self._stream.stop()
 
+    def _answer_time(self):
+        """Return the seconds in which a living peer answers a ping.
+
+        On a narrow link the answer stands behind the bodies of other calls.
+        """
+        report = self._peer.report
+        rates = (self._meter.rate, report.link_rate if report else 0.0)
+        return DEAD_AFTER_S - PING_AFTER_S + link_meter.silence_s(*rates)
+
 
 def set_user_timeout(stream):
     """Have the kernel give up a connection whose bytes go unacknowledged."""
--- a/packages/pumicestand-node/pumicestand_node/mesh.py
+++ b/packages/pumicestand-node/pumicestand_node/mesh.py
@@ -1,9 +1,12 @@
 """What one node knows of the mesh, shared by its controllers and shells."""
 
+import dataclasses
+
 from pumicestand import blackboard
 from pumicestand import documents
 from pumicestand import fleet as fleets
 from pumicestand import hop_messages
+from pumicestand import link_meter
 from pumicestand import placing
 from pumicestand import retry_quota
 from pumicestand import rollouts as all_rollouts
@@ -18,21 +21,26 @@
     :param bounds: the settings' `MeshBounds`
     :param decisions: a `decision_log.DecisionLog`
     :param rng: a `random.Random`
+    :param link_rate: what the VM's link carries, in bytes per second; 0 if
+        that is not known
     """
 
-    def __init__(self, identity, incarnation, bounds, decisions, rng):
+    def __init__(
+        self, identity, incarnation, bounds, decisions, rng, link_rate=0.0
+    ):
         self.identity = identity
         self.incarnation = incarnation
         self.decisions = decisions
         self.configuration = None
         self.content = b''
         self.fleet = fleets.Fleet(identity.name)
-        self.placement = placing.Placement(rng, identity.zone)
+        self.placement = placing.Placement(rng, identity.name, identity.zone)
         self.rollouts = all_rollouts.Rollouts(rng)
         self.quota = retry_quota.RetryQuota(
             bounds.retry_ratio, bounds.retry_constant, bounds.retry_window
         )
         self.watch = targets.TargetWatch()
+        self.link_meter = link_meter.LinkMeter(link_rate)
         self.is_stopping = False
         self.is_leaving = False
         self.is_ready = False
@@ -59,6 +67,7 @@
             generation=generation,
             source=source,
             routes=len(document.routes),
+            kilobytes=len(content) // 1000,
         )
         return True
 
@@ -74,10 +83,13 @@
             host=identity.host,
             port=identity.port,
             target=self.watch.target,
-            load=load,
+            load=dataclasses.replace(
+                load, link_busy=self.link_meter.busy(now)
+            ),
             is_leaving=self.is_leaving,
             store_reachable=self.store_reachable,
             generation=self.generation,
+            link_rate=self.link_meter.rate,
             evidence=evidence if self.rollouts.is_any_running else (),
             verdicts=self.rollouts.verdicts(now),
         )
--- a/packages/pumicestand-node/pumicestand_node/mesh_links.py
+++ b/packages/pumicestand-node/pumicestand_node/mesh_links.py
@@ -7,10 +7,17 @@
 from pumicestand_node import link_server
 from pumicestand_node import links
 
-# Period of reports in a small fleet, and the share of it for each node of a
-# large one: what a node sends stays the same whatever the fleet's size.
+# Period of reports in a small fleet, the share of it for each node of a
+# larger one, which keeps what a node sends in a second, and the longest:
+# answers carry the load, too, so nodes that exchange calls know it sooner.
 REPORT_PERIOD_S = 0.4
-REPORT_PERIOD_PER_NODE_S = 0.01
+REPORT_PERIOD_PER_NODE_S = 0.02
+MAX_REPORT_PERIOD_S = 2.0
+# Longest period while a roll-out is judged, which takes seconds.
+ROLLOUT_REPORT_PERIOD_S = 1.0
+# Time after which all is told again although only the load has changed; a
+# node that could not use what it heard then asks once more.
+FULL_REPORT_S = 5.0
 # Time in which changes are collected into one report.
 REPORT_DELAY_S = 0.01
 
@@ -34,6 +41,8 @@
         self._links = {}
         self._accepted = set()
         self._report_wanted = trio.Event()
+        self._told = None
+        self._told_at = float('-inf')
         self._nursery = None
 
     async def start(self, nursery):
@@ -89,9 +98,11 @@
     async def serve(self, stream):
         """Serve a link that another node opened."""
         links.set_user_timeout(stream)
-        frames = links.FrameStream(stream, 'a node that called')
+        frames = links.FrameStream(
+            stream, 'a node that called', self._mesh.link_meter, self._clock
+        )
         server = link_server.LinkServer(
-            frames, self._targets, self._mesh, self._greet
+            frames, self._targets, self._mesh, self._greet, self._clock
         )
         self._accepted.add(server)
         try:
@@ -110,7 +121,12 @@
         if name in self._links:
             return
         link = links.Link(
-            peer, self._hello, self._receive, self._clock, self._rng
+            peer,
+            self._hello,
+            self._receive,
+            self._clock,
+            self._rng,
+            self._mesh.link_meter,
         )
         self._links[name] = link
         self._nursery.start_soon(link.run)
@@ -135,6 +151,8 @@
             case hop_messages.Report():
                 self._meet(message.name, message.host, message.port)
                 self._hear(message)
+            case hop_messages.Load():
+                peer.hear_load(message)
             case hop_messages.Configuration():
                 self._take_content(message, peer.name)
 
@@ -166,12 +184,42 @@
     async def _report(self):
         """Tell all nodes that call this one how it is."""
         while True:
-            size = len(self._accepted)
-            period = max(REPORT_PERIOD_S, REPORT_PERIOD_PER_NODE_S * size)
-            with trio.move_on_after(period):
+            is_judging = self._mesh.rollouts.is_any_running
+            with trio.move_on_after(
+                report_period(len(self._accepted), is_judging)
+            ):
                 await self._report_wanted.wait()
                 await trio.sleep(REPORT_DELAY_S)
             self._report_wanted = trio.Event()
-            data = hop.encode(self.hear_own())
+            data = hop.encode(self._next_report(self.hear_own()))
             for server in list(self._accepted):
                 server.frames.send_bytes(data)
+
+    def _next_report(self, report):
+        """Return the report, or only its load if that has changed alone."""
+        now = self._clock()
+        standing = report.standing
+        if (
+            standing == self._told
+            and now - self._told_at < FULL_REPORT_S
+            and not report.evidence
+        ):
+            return report.load
+        self._told, self._told_at = standing, now
+        return report
+
+
+def report_period(nodes, is_judging):
+    """Return the seconds between two reports.
+
+    :param nodes: how many hear them
+    :param is_judging: whether a roll-out is being judged
+
+    >>> report_period(10, False), report_period(89, False)
+    (0.4, 1.78)
+    >>> report_period(660, False), report_period(660, True)
+    (2.0, 1.0)
+    """
+    longest = ROLLOUT_REPORT_PERIOD_S if is_judging else MAX_REPORT_PERIOD_S
+    period = max(REPORT_PERIOD_S, REPORT_PERIOD_PER_NODE_S * nodes)
+    return min(longest, period)
--- a/packages/pumicestand-node/pumicestand_node/mesh_node.py
+++ b/packages/pumicestand-node/pumicestand_node/mesh_node.py
@@ -70,6 +70,7 @@
             settings.bounds,
             self._decisions,
             self._rng,
+            settings.link_rate,
         )
         self._targets = target_calls.TargetCalls(
             self._mesh.watch,
--- a/packages/pumicestand-node/pumicestand_node/mesh_settings.py
+++ b/packages/pumicestand-node/pumicestand_node/mesh_settings.py
@@ -38,6 +38,8 @@
     :param link: where other nodes open links
     :param metrics: where metrics are read
     :param store: the platform's store
+    :param link_rate: what the VM's network link carries, in bytes per
+        second; 0 if that is not known
     """
 
     name: str
@@ -51,4 +53,5 @@
     metrics: Address
     store: Address
     bounds: MeshBounds
+    link_rate: float = 0.0
     log_level: str = 'INFO'
--- a/packages/pumicestand-node/pumicestand_node/outbound_calls.py
+++ b/packages/pumicestand-node/pumicestand_node/outbound_calls.py
@@ -6,6 +6,7 @@
 import trio
 
 from pumicestand import hop_messages
+from pumicestand import placing
 from pumicestand import refusals
 from pumicestand import routing
 from pumicestand_node import heads
@@ -241,9 +242,11 @@
             peers,
             call.tried,
             now,
-            route_ms=self._work_ms.get(call.route.name, 0.0),
-            objective_ms=call.route.objective * 1000,
-            kilobytes=(size + HOP_BYTES) / 1000,
+            placing.Need(
+                work_ms=self._work_ms.get(call.route.name, 0.0),
+                objective_ms=call.route.objective * 1000,
+                kilobytes=(size + HOP_BYTES) / 1000,
+            ),
         )
 
     def _learn(self, call, result):
--- a/packages/pumicestand/pumicestand/hop.capnp
+++ b/packages/pumicestand/pumicestand/hop.capnp
@@ -13,6 +13,7 @@
     pong @7 :UInt32;
     fetch @8 :UInt64;
     configuration @9 :Configuration;
+    load @10 :Load;
   }
 }
 
@@ -34,6 +35,7 @@
   workMs @3 :Float32;
   failing @4 :Float32;
   slowness @5 :Float32;
+  linkBusy @6 :Float32;
 }
 
 struct Evidence {
@@ -71,6 +73,7 @@
   evidence @11 :List(Evidence);
   verdicts @12 :List(Verdict);
   hasTarget @13 :Bool;
+  linkRate @14 :Float64;
 }
 
 struct Call {
--- a/packages/pumicestand/pumicestand/hop.py
+++ b/packages/pumicestand/pumicestand/hop.py
@@ -43,6 +43,8 @@
             builder.cancel = id_
         case hop_messages.Report():
             _write_report(builder.init('report'), message)
+        case hop_messages.Load():
+            _write_load(builder.init('load'), message)
         case hop_messages.Hello(report):
             _write_report(builder.init('hello'), report)
         case hop_messages.Ping(number):
@@ -100,6 +102,7 @@
     builder.workMs = load.work_ms
     builder.failing = load.failing
     builder.slowness = load.slowness
+    builder.linkBusy = load.link_busy
 
 
 def _write_target(builder, target):
@@ -123,6 +126,7 @@
     builder.leaving = report.is_leaving
     builder.storeReachable = report.store_reachable
     builder.generation = report.generation
+    builder.linkRate = report.link_rate
     builder.hasTarget = report.target is not None
     if report.target is not None:
         _write_target(builder.init('target'), report.target)
@@ -179,6 +183,8 @@
             return hop_messages.Cancel(frame.cancel)
         case 'report':
             return _read_report(frame.report)
+        case 'load':
+            return _read_load(frame.load)
         case 'hello':
             return hop_messages.Hello(_read_report(frame.hello))
         case 'ping':
@@ -241,6 +247,7 @@
         work_ms=reader.workMs,
         failing=reader.failing,
         slowness=reader.slowness,
+        link_busy=reader.linkBusy,
     )
 
 
@@ -286,6 +293,7 @@
         is_leaving=reader.leaving,
         store_reachable=reader.storeReachable,
         generation=reader.generation,
+        link_rate=reader.linkRate,
         evidence=tuple(
             hop_messages.Evidence(
                 item.route,
--- a/packages/pumicestand/pumicestand/hop_messages.py
+++ b/packages/pumicestand/pumicestand/hop_messages.py
@@ -43,6 +43,8 @@
 class Load:
     """How busy the target beside a node is.
 
+    It is a message of its own while nothing else of a report has changed.
+
     :param running: calls that run at the target
     :param queued: calls that wait at its node
     :param slots: calls that it runs at once; 0 if it takes none now
@@ -50,6 +52,7 @@
     :param failing: fraction of its latest answers that were failures
     :param slowness: how long calls take there, as a multiple of how long
         their routes' calls take everywhere
+    :param link_busy: fraction of the VM's network link in use
     """
 
     running: int = 0
@@ -58,6 +61,7 @@
     work_ms: float = 0.0
     failing: float = 0.0
     slowness: float = 1.0
+    link_busy: float = 0.0
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -113,6 +117,8 @@
     :param incarnation: rises with each start of the process
     :param sequence: rises with each report of one incarnation
     :param generation: of the configuration that it acts on, 0 for none
+    :param link_rate: what the VM's network link carries, in bytes per
+        second; 0 if that is not known
     """
 
     name: str
@@ -126,6 +132,7 @@
     is_leaving: bool = False
     store_reachable: bool = False
     generation: int = 0
+    link_rate: float = 0.0
     evidence: tuple[Evidence, ...] = ()
     verdicts: tuple[Verdict, ...] = ()
 
@@ -134,6 +141,17 @@
         """What decides between two reports of one node."""
         return (self.incarnation, self.sequence)
 
+    @property
+    def standing(self):
+        """All that others have to hear of at once when it changes."""
+        verdicts = tuple(
+            dataclasses.replace(verdict, elapsed_ms=0)
+            for verdict in self.verdicts
+        )
+        return dataclasses.replace(
+            self, sequence=0, load=Load(), evidence=(), verdicts=verdicts
+        )
+
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Hello:
@@ -257,6 +275,7 @@
 Message = (
     Hello
     | Report
+    | Load
     | Call
     | Part
     | Cancel
--- a/packages/pumicestand/pumicestand/placing.py
+++ b/packages/pumicestand/pumicestand/placing.py
@@ -2,9 +2,14 @@
 
 A call that is answered well within its objective gains nothing by being
 answered sooner, so time weighs by its square against the objective. Bytes
-between availability zones cost money; they weigh by their number.
+between availability zones cost money; they weigh by their number. Bodies
+take their time on the links of both VMs, and links differ.
 """
 
+import dataclasses
+
+from pumicestand import link_meter
+
 # Factor by which the weight of time varies between equal choices, so that
 # nodes with the same news do not all choose the same target.
 SPREAD = 0.25
@@ -38,43 +43,60 @@
     return expected * (1 + FAILURE_FACTOR * load.failing)
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class Need:
+    """What a call needs, as expected.
+
+    :param work_ms: how long calls of its route take everywhere, 0 if that
+        is not known
+    :param objective_ms: within which the answer is wanted
+    :param kilobytes: of the request and its answer
+    """
+
+    work_ms: float
+    objective_ms: float
+    kilobytes: float
+
+
 class Placement:
     """Chooses peers for calls.
 
     :param rng: a `random.Random`
+    :param own_name: of this node
     :param zone: the availability zone of this node
     """
 
-    def __init__(self, rng, zone):
+    def __init__(self, rng, own_name, zone):
         self._rng = rng
+        self._own_name = own_name
         self._zone = zone
 
-    def choose(
-        self, candidates, excluded, now, route_ms, objective_ms, kilobytes
-    ):
+    def choose(self, candidates, excluded, now, need):
         """Return the best peer, or None if there is none.
 
         :param candidates: the peers that serve
         :param excluded: names of peers that were tried already
-        :param route_ms: how long calls of the route take everywhere
-        :param objective_ms: within which the answer is wanted
-        :param kilobytes: of the request and its answer, as expected
+        :param need: the call's `Need`
         """
         open_ = [p for p in candidates if p.name not in excluded]
         calm = [p for p in open_ if p.avoided_until <= now]
         best, best_cost = None, float('inf')
         for peer in calm or open_:
-            cost = self._cost(peer, route_ms, objective_ms, kilobytes)
+            cost = self._cost(peer, need)
             if cost < best_cost:
                 best, best_cost = peer, cost
         return best
 
-    def _cost(self, peer, route_ms, objective_ms, kilobytes):
+    def _cost(self, peer, need):
         """Return what a call costs at a peer, in objectives."""
-        expected = expected_ms(peer, route_ms)
+        expected = expected_ms(peer, need.work_ms)
+        if peer.name != self._own_name:
+            expected += link_meter.transfer_ms(
+                need.kilobytes, peer.report.link_rate, peer.load.link_busy
+            )
         weight = 0.0
         if peer.report.zone != self._zone:
             expected += ZONE_DELAY_MS
-            weight = ZONE_WEIGHT_PER_KB * kilobytes
-        late = expected / max(1.0, objective_ms)
+            weight = ZONE_WEIGHT_PER_KB * need.kilobytes
+        late = expected / max(1.0, need.objective_ms)
         return late * late * (1 + SPREAD * self._rng.random()) + weight
--- /dev/null
+++ b/tests/pumicestand_node/test_mesh_links.py
@@ -0,0 +1,151 @@
+"""Tests of what a node tells the others of itself, and how often."""
+
+import random
+
+import pytest
+import trio
+import trio.testing
+
+from pumicestand import decision_log
+from pumicestand import hop
+from pumicestand import hop_messages
+from pumicestand import node_records
+from pumicestand_node import mesh as meshes
+from pumicestand_node import mesh_links
+from pumicestand_node import mesh_settings
+from tests.pumicestand import mesh_fakes
+
+
+class FakeTargets:
+    """A target whose load is set by the test."""
+
+    def __init__(self):
+        self.held = hop_messages.Load(slots=4)
+        self.evidence = ()
+
+    def load(self):
+        return self.held
+
+
+class FakeFrames:
+    """Collects what is sent on one link."""
+
+    def __init__(self):
+        self.sent = []
+
+    def send_bytes(self, data):
+        self.sent.append(hop.decode(data[hop.LENGTH.size :], 'test'))
+
+
+class FakeServer:
+    def __init__(self):
+        self.frames = FakeFrames()
+
+
+class Harness:
+    """A node that reports to some others."""
+
+    def __init__(self, listeners=1):
+        identity = node_records.NodeRecord('own', '10.0.0.1', 7000, 'a')
+        bounds = mesh_settings.MeshBounds(6.0, 0.2, 60.0, 10.0)
+        log = decision_log.DecisionLog('own', lambda: 1.0, lambda d: True)
+        rng = random.Random(1)
+        self.mesh = meshes.Mesh(identity, 1, bounds, log, rng)
+        self.targets = FakeTargets()
+        self.links = mesh_links.MeshLinks(
+            self.mesh, self.targets, None, trio.current_time, rng
+        )
+        self.servers = [FakeServer() for _ in range(listeners)]
+        self.links._accepted.update(self.servers)
+
+    @property
+    def sent(self):
+        return self.servers[0].frames.sent
+
+
+@pytest.fixture
+def play():
+    """Return a function that runs a test beside a reporting node."""
+
+    def play_(test, listeners=1):
+        async def main():
+            harness = Harness(listeners)
+            async with trio.open_nursery() as nursery:
+                await harness.links.start(nursery)
+                await test(harness)
+                nursery.cancel_scope.cancel()
+
+        clock = trio.testing.MockClock(autojump_threshold=0)
+        trio.run(main, clock=clock)
+
+    return play_
+
+
+def kinds(messages):
+    return [type(message).__name__ for message in messages]
+
+
+def test_a_change_of_the_load_alone_is_told_as_such(play):
+    async def test(harness):
+        await trio.sleep(0.5)
+        harness.targets.held = hop_messages.Load(running=3, slots=4)
+        await trio.sleep(0.5)
+        assert kinds(harness.sent) == ['Report', 'Load']
+        assert harness.sent[-1].running == 3
+
+    play(test)
+
+
+def test_any_other_change_is_told_whole_and_at_once(play):
+    async def test(harness):
+        await trio.sleep(0.5)
+        for change in ('is_leaving', 'store_reachable'):
+            value = not getattr(harness.mesh, change)
+            setattr(harness.mesh, change, value)
+            harness.links.report_soon()
+            await trio.sleep(0.1)
+        assert kinds(harness.sent) == ['Report'] * 3
+        assert harness.sent[-1].is_leaving
+
+    play(test)
+
+
+def test_all_is_told_again_after_some_seconds(play):
+    async def test(harness):
+        await trio.sleep(11)
+        whole = kinds(harness.sent).count('Report')
+        assert whole == 3
+
+    play(test)
+
+
+def test_the_progress_of_a_roll_out_is_no_change(play):
+    """The time since the order differs in each report."""
+
+    async def test(harness):
+        order = mesh_fakes.make_order()
+        harness.mesh.rollouts.hear_order(order, trio.current_time())
+        await trio.sleep(1.5)
+        assert kinds(harness.sent) == ['Report', 'Load', 'Load']
+
+    play(test)
+
+
+def test_evidence_on_a_roll_out_is_told_each_time(play):
+    async def test(harness):
+        order = mesh_fakes.make_order()
+        harness.mesh.rollouts.hear_order(order, trio.current_time())
+        harness.targets.evidence = (hop_messages.Evidence('r', 'v1', 5),)
+        await trio.sleep(1.5)
+        assert kinds(harness.sent) == ['Report'] * 3
+
+    play(test)
+
+
+@pytest.mark.parametrize('nodes', [1, 20, 58, 89, 300, 660])
+def test_what_is_sent_in_a_second_stays_bounded(nodes):
+    for is_judging in (False, True):
+        period = mesh_links.report_period(nodes, is_judging)
+        bound = 1.0 if is_judging else 2.0
+        assert mesh_links.REPORT_PERIOD_S <= period <= bound
+    assert nodes / mesh_links.report_period(nodes, False) <= 330
--- a/tests/pumicestand_platform/test_settings.py
+++ b/tests/pumicestand_platform/test_settings.py
@@ -17,6 +17,7 @@
 listen.control=10.1.0.8:8306
 internal_ports=7620,7635
 platform.address=10.200.1.7:8309
+limits.link_mbps=5.0
 bounds.grace_s=6
 bounds.drain_s=2
 bounds.retry_budget_ratio=0.2
@@ -40,6 +41,7 @@
     assert read.service == 'shop'
     assert read.link == mesh_settings.Address('10.1.0.8', 7620)
     assert read.store == mesh_settings.Address('10.200.1.7', 8309)
+    assert read.link_rate == 625_000
     assert read.bounds.retry_constant == 60
     assert read.bounds.grace == 6
 
