Use idle connections no longer than the target remembers them

Cause: the grown deployments have targets that drop idle connections sooner than they say; what is sent next on one is reset, and a call that may not be repeated is lost with it.

Ruled out: looking at the socket before use, which is done already; the target's side says nothing until the next send.

Change: a connection that was idle and broke before any byte came back lowers the time for which others are used again, for half a minute.

Conclusion: one loss for each target and half a minute remains.

--- a/packages/pumicestand-node/pumicestand_node/target_calls.py
+++ b/packages/pumicestand-node/pumicestand_node/target_calls.py
@@ -234,6 +234,8 @@
             await self._pool.give_back(connection, answer, address)
             return self._judge(call, ticket, target, answer)
         except target_exchange.ExchangeFailed as error:
+            if connection is not None and connection.was_forgotten:
+                self._note_forgotten(connection, target)
             return self._failed(call, target, error)
         finally:
             if connection is not None and not is_kept:
@@ -320,6 +322,16 @@
         self._count(call, target, True, None)
         return self._result(call, Outcome.UNKNOWN, 'answer-lost')
 
+    def _note_forgotten(self, connection, target):
+        bound = self._pool.note_forgotten(connection)
+        loguru.logger.bind(event='connection-forgotten').warning(
+            'target {} dropped a connection that was idle for {:.2f} s; '
+            'none is used again after {:.2f} s',
+            target.instance,
+            connection.rested,
+            bound,
+        )
+
     def _note_failure(self, value):
         self._failing += FAILURE_WEIGHT * (value - self._failing)
 
--- a/packages/pumicestand-node/pumicestand_node/target_exchange.py
+++ b/packages/pumicestand-node/pumicestand_node/target_exchange.py
@@ -20,6 +20,11 @@
 # no time, and what is kept off the time that it states.
 DEFAULT_IDLE_S = 4.0
 IDLE_MARGIN_S = 1.5
+# Part of the time after which a target forgot a connection for which others
+# are used, the least such time, and how long that is kept to, in seconds.
+FORGOTTEN_PART = 0.6
+MIN_IDLE_BOUND_S = 0.05
+FORGOTTEN_FOR_S = 30.0
 # Bodies above this are sent while the answer may already come.
 MAX_PLAIN_BODY_BYTES = 32_768
 
@@ -121,7 +126,8 @@
 class TargetConnection:
     """One connection to a target.
 
-    `is_clean` tells whether the last answer left it fit for another call.
+    `is_clean` tells whether the last answer left it fit for another call,
+    `rested` for how long it was idle before this one, None if it is new.
     """
 
     def __init__(self, stream):
@@ -129,13 +135,26 @@
         self._parser = _AnswerParser()
         self._at_end = False
         self._is_body_sent = False
+        self._has_heard = False
         self.is_clean = True
+        self.rested = None
+        self.idle_since = 0.0
         self.idle_until = 0.0
 
-    def is_reusable(self, now):
-        """Whether it is open, quiet and not idle for too long."""
+    @property
+    def was_forgotten(self):
+        """Whether it was idle and broke before any byte came back."""
+        return self.rested is not None and not self._has_heard
+
+    def is_reusable(self, now, bound):
+        """Whether it is open, quiet and not idle for too long.
+
+        :param bound: seconds after which the target may have forgotten it
+        """
         if not self.is_clean or now >= self.idle_until:
             return False
+        if now - self.idle_since >= bound:
+            return False
         return not socket_io.has_pending(self._stream)
 
     async def exchange(self, head, body, is_own):
@@ -146,6 +165,7 @@
         """
         self.is_clean = False
         self._is_body_sent = False
+        self._has_heard = False
         if len(body) <= MAX_PLAIN_BODY_BYTES:
             await self._send(head + body)
             answer = await self._read_own(is_own)
@@ -205,6 +225,7 @@
             raise ExchangeFailed(f'receive: {error}', True) from error
         try:
             if data:
+                self._has_heard = True
                 self._parser.feed(data)
                 return
             self._at_end = True
@@ -231,6 +252,8 @@
         self._connect = connect
         self._address = None
         self._idle = []
+        self._bound = float('inf')
+        self._bound_until = 0.0
         self.opened = 0
 
     async def take(self, host, port):
@@ -244,7 +267,8 @@
         now = self._clock()
         while self._idle:
             connection = self._idle.pop()
-            if connection.is_reusable(now):
+            if connection.is_reusable(now, self._idle_bound(now)):
+                connection.rested = now - connection.idle_since
                 return connection
             await connection.close()
         try:
@@ -255,9 +279,26 @@
         self.opened += 1
         return TargetConnection(stream)
 
+    def _idle_bound(self, now):
+        if now >= self._bound_until:
+            self._bound = float('inf')
+        return self._bound
+
+    def note_forgotten(self, connection):
+        """Use connections that were idle for so long no more, for a while.
+
+        :returns: the seconds for which they may be idle now
+        """
+        now = self._clock()
+        bound = min(self._idle_bound(now), connection.rested * FORGOTTEN_PART)
+        self._bound = max(MIN_IDLE_BOUND_S, bound)
+        self._bound_until = now + FORGOTTEN_FOR_S
+        return self._bound
+
     async def give_back(self, connection, answer, address):
         """Keep a connection after an answer, or close it."""
         now = self._clock()
+        connection.idle_since = now
         connection.idle_until = now + _idle_seconds(answer)
         if address == self._address and connection.is_clean:
             self._idle.append(connection)
--- a/tests/pumicestand_node/test_mesh_calls.py
+++ b/tests/pumicestand_node/test_mesh_calls.py
@@ -19,6 +19,7 @@
 from pumicestand_node import mesh_settings
 from pumicestand_node import outbound_calls
 from pumicestand_node import target_calls
+from pumicestand_node import target_exchange
 from pumicestand_platform import headers
 from tests.pumicestand import mesh_fakes
 
@@ -448,3 +449,43 @@
         assert b'request-id: b' in data
 
     play(test, 'extra')
+
+
+def test_a_target_that_forgets_idle_connections_gets_new_ones():
+    async def test(bench):
+        script = bench.script
+        assert (await bench.ask())[0] == 200
+        await trio.sleep(0.5)
+        # The connection was forgotten; what may not be repeated is lost.
+        script.steps.append('reset')
+        assert (await bench.ask('/o/1', method='POST', id_='i2'))[0] == 502
+        assert script.connects == 1
+        assert (await bench.ask(id_='i3'))[0] == 200
+        await trio.sleep(0.1)
+        assert (await bench.ask(id_='i4'))[0] == 200
+        assert script.connects == 2
+        await trio.sleep(0.4)
+        assert (await bench.ask('/o/1', method='POST', id_='i5'))[0] == 200
+        assert script.connects == 3
+        # After a while it is tried again whether they are kept.
+        await trio.sleep(target_exchange.FORGOTTEN_FOR_S)
+        assert (await bench.ask(id_='i6'))[0] == 200
+        await trio.sleep(0.5)
+        assert (await bench.ask(id_='i7'))[0] == 200
+        assert script.connects == 4
+
+    play(test)
+
+
+def test_a_connection_cut_in_an_answer_was_not_forgotten():
+    async def test(bench):
+        assert (await bench.ask())[0] == 200
+        await trio.sleep(0.5)
+        bench.script.steps.append(CUT)
+        assert (await bench.ask('/o/1', method='POST', id_='i2'))[0] == 502
+        assert (await bench.ask(id_='i3'))[0] == 200
+        await trio.sleep(0.5)
+        assert (await bench.ask(id_='i4'))[0] == 200
+        assert bench.script.connects == 2
+
+    play(test)
