Trust old news of a target's load less

Cause: in a larger fleet a node hears of a target's load every second or two, while calls run for a fifth of that.

Ruled out: more reports; they were half of the bytes between zones.

Change: what was heard fades to the mean of all targets within the time of a call.

--- a/packages/pumicestand-node/pumicestand_node/mesh_links.py
+++ b/packages/pumicestand-node/pumicestand_node/mesh_links.py
@@ -152,7 +152,7 @@
                 self._meet(message.name, message.host, message.port)
                 self._hear(message)
             case hop_messages.Load():
-                peer.hear_load(message)
+                peer.hear_load(message, self._clock())
             case hop_messages.Configuration():
                 self._take_content(message, peer.name)
 
--- a/packages/pumicestand-node/pumicestand_node/outbound_calls.py
+++ b/packages/pumicestand-node/pumicestand_node/outbound_calls.py
@@ -308,7 +308,7 @@
         call.may_have_run = was_unknown
         if result.outcome is not Outcome.NOT_HANDED_ON:
             call.sends += 1
-        peer.hear_load(result.load)
+        peer.hear_load(result.load, self._clock())
         return result
 
     async def _pass_back(self, call, result, request, connection):
--- a/packages/pumicestand/pumicestand/fleet.py
+++ b/packages/pumicestand/pumicestand/fleet.py
@@ -22,6 +22,7 @@
     :param is_linked: whether calls can be sent there
     :param sent: calls from here that have no result yet
     :param sent_since: calls sent since its load was last heard
+    :param heard_at: when that was, in monotonic seconds
     :param avoided_until: monotonic seconds until which it gets no calls
         after one failed there
     :param unreached_since: monotonic seconds, None while it is linked
@@ -35,6 +36,7 @@
     is_linked: bool = False
     sent: int = 0
     sent_since: int = 0
+    heard_at: float = 0.0
     avoided_until: float = 0.0
     unreached_since: float | None = None
 
@@ -55,10 +57,11 @@
             and self.load.slots > 0
         )
 
-    def hear_load(self, load):
+    def hear_load(self, load, now):
         """Take in how busy its target is."""
         self.load = load
         self.sent_since = 0
+        self.heard_at = now
 
 
 class Fleet:
@@ -115,7 +118,7 @@
         if peer.report is not None and peer.report.order >= report.order:
             return False
         peer.report = report
-        peer.hear_load(report.load)
+        peer.hear_load(report.load, now)
         return True
 
     def serving(self, service):
--- a/packages/pumicestand/pumicestand/placing.py
+++ b/packages/pumicestand/pumicestand/placing.py
@@ -7,6 +7,7 @@
 """
 
 import dataclasses
+import math
 
 from pumicestand import link_meter
 
@@ -26,19 +27,36 @@
 BUSY_FACTOR = 0.5
 
 
-def expected_ms(peer, route_ms):
+def mean_fill(peers):
+    """Return how many calls there are for a slot, over all peers."""
+    slots = sum(peer.load.slots for peer in peers)
+    there = sum(peer.load.running + peer.load.queued for peer in peers)
+    return there / slots if slots else 0.0
+
+
+def expected_ms(peer, work_ms, fill, now):
     """Return how long a call sent to a peer now is expected to take.
 
-    :param route_ms: how long calls of its route take everywhere, 0 if that
+    What was heard of a target's calls holds for about as long as a call
+    runs. Nodes that went by older news would all choose the same target, so
+    an old figure gives way to the mean of all.
+
+    :param work_ms: how long calls of its route take everywhere, 0 if that
         is not known
+    :param fill: calls for a slot, over all peers
+    :param now: monotonic seconds
     """
     load = peer.load
     # What waits there is of all routes, the call itself of one.
     mixed = load.work_ms or UNKNOWN_WORK_MS
-    work = (route_ms or UNKNOWN_WORK_MS) * load.slowness
-    there = load.running + load.queued + peer.sent_since
-    excess = max(0, there + 1 - load.slots)
+    age_ms = max(0.0, now - peer.heard_at) * 1000
+    trust = math.exp(-age_ms / mixed)
+    heard = load.running + load.queued
+    mean = fill * load.slots
+    there = mean + (heard - mean) * trust + peer.sent_since
+    excess = max(0.0, there + 1 - load.slots)
     busy = min(1.0, there / load.slots)
+    work = (work_ms or UNKNOWN_WORK_MS) * load.slowness
     expected = work * (1 + BUSY_FACTOR * busy) + excess * mixed / load.slots
     return expected * (1 + FAILURE_FACTOR * load.failing)
 
@@ -80,16 +98,17 @@
         """
         open_ = [p for p in candidates if p.name not in excluded]
         calm = [p for p in open_ if p.avoided_until <= now]
+        fill = mean_fill(open_)
         best, best_cost = None, float('inf')
         for peer in calm or open_:
-            cost = self._cost(peer, need)
+            cost = self._cost(peer, need, fill, now)
             if cost < best_cost:
                 best, best_cost = peer, cost
         return best
 
-    def _cost(self, peer, need):
+    def _cost(self, peer, need, fill, now):
         """Return what a call costs at a peer, in objectives."""
-        expected = expected_ms(peer, need.work_ms)
+        expected = expected_ms(peer, need.work_ms, fill, now)
         if peer.name != self._own_name:
             expected += link_meter.transfer_ms(
                 need.kilobytes, peer.report.link_rate, peer.load.link_busy
--- a/tests/pumicestand/test_placing.py
+++ b/tests/pumicestand/test_placing.py
@@ -25,7 +25,7 @@
     return list(fleet.peers)
 
 
-def choose(candidates, excluded=(), now=1.0, kilobytes=1.0):
+def choose(candidates, excluded=(), now=0.0, kilobytes=1.0):
     placement = placing.Placement(random.Random(1), 'a1', 'a')
     need = placing.Need(50.0, 300.0, kilobytes)
     peer = placement.choose(candidates, excluded, now, need)
@@ -111,3 +111,27 @@
     narrow(held, 'a1', 5)
     narrow(held, 'a2', 5)
     assert choose(held, kilobytes=60.0) == 'a1'
+
+
+def test_nodes_with_old_news_do_not_all_choose_the_same_target():
+    """Each of 40 nodes heard a second ago that one of eight was idle."""
+    need = placing.Need(200.0, 700.0, 1.0)
+    chosen = collections.Counter()
+    for seed in range(40):
+        placement = placing.Placement(random.Random(seed), 'own', 'a')
+        held = peers(
+            a0=load(slots=7, work_ms=200.0),
+            **{
+                f'a{number}': load(running=3, slots=7, work_ms=200.0)
+                for number in range(1, 8)
+            },
+        )
+        chosen[placement.choose(held, (), 1.0, need).name] += 1
+    assert max(chosen.values()) <= 14
+
+
+def test_fresh_news_of_an_idle_target_counts():
+    held = peers(
+        a0=load(slots=7), a1=load(running=6, slots=7), a2=load(running=5)
+    )
+    assert choose(held) == 'a0'
