Refuse requests that crash the targets that run them, over the fleet

Ruled out: the ledger of the product's own path; it counts in one node and spreads by rumours, which the platform path does not have. Refusing from the first crash; all that ran beside the one at fault would be refused.

Change: the node beside a target counts the crashes that a request was part of, by fingerprint, and tells it with its reports at once. From the third crash in the fleet all nodes refuse it as not run, unless a target has answered it meanwhile; a minute after the last crash it is forgotten. A connection that broke counts only once the target is known to have crashed: by a refused connection or by its next start.

Conclusion: a request that crashes targets and is retried reaches three of them, and no more.

--- a/packages/pumicestand-node/pumicestand_node/mesh.py
+++ b/packages/pumicestand-node/pumicestand_node/mesh.py
@@ -10,6 +10,7 @@
 from pumicestand import placing
 from pumicestand import retry_quota
 from pumicestand import rollouts as all_rollouts
+from pumicestand import suspects
 from pumicestand import targets
 
 
@@ -41,6 +42,7 @@
         )
         self.watch = targets.TargetWatch()
         self.link_meter = link_meter.LinkMeter(link_rate)
+        self.suspects = suspects.Suspects()
         self.is_stopping = False
         self.is_leaving = False
         self.is_ready = False
@@ -92,4 +94,5 @@
             link_rate=self.link_meter.rate,
             evidence=evidence if self.rollouts.is_any_running else (),
             verdicts=self.rollouts.verdicts(now),
+            suspects=self.suspects.own(now),
         )
--- a/packages/pumicestand-node/pumicestand_node/mesh_links.py
+++ b/packages/pumicestand-node/pumicestand_node/mesh_links.py
@@ -81,6 +81,7 @@
         for link in self._links.values():
             link.check(now)
         for name in self._mesh.fleet.forget(now):
+            self._mesh.suspects.hear(name, ())
             link = self._links.pop(name, None)
             if link is not None:
                 link.stop()
@@ -161,6 +162,8 @@
         mesh = self._mesh
         if not mesh.fleet.hear(report, now):
             return
+        if report.name != mesh.identity.name:
+            mesh.suspects.hear(report.name, report.suspects)
         for verdict in report.verdicts:
             if mesh.rollouts.hear_verdict(verdict, now):
                 mesh.decisions.note(
--- a/packages/pumicestand-node/pumicestand_node/mesh_node.py
+++ b/packages/pumicestand-node/pumicestand_node/mesh_node.py
@@ -74,6 +74,7 @@
         )
         self._targets = target_calls.TargetCalls(
             self._mesh.watch,
+            self._mesh.suspects,
             adapter.headers,
             self._clock,
             self._report_soon,
--- a/packages/pumicestand-node/pumicestand_node/outbound_call.py
+++ b/packages/pumicestand-node/pumicestand_node/outbound_call.py
@@ -3,11 +3,14 @@
 import dataclasses
 
 from pumicestand import documents
+from pumicestand import quarantine
 from pumicestand import refusals
+from pumicestand import suspects
 from pumicestand_node import heads
 
 # Seconds after which a refused caller may come back when no node says.
 RETRY_AFTER_S = 0.25
+QUARANTINED = refusals.CallCode.QUARANTINED.value
 
 
 @dataclasses.dataclass(slots=True)
@@ -46,6 +49,14 @@
     retry_after: float = 0.0
     node: str = ''
 
+    @property
+    def mark(self):
+        """The fingerprint by which a request that crashes is known."""
+        url = self.head.url.decode('latin-1')
+        return quarantine.fingerprint(
+            self.head.method, self.service, url, self.body
+        )
+
 
 def final_refusal(call, result, now):
     """Return what the caller is told; it is true in every case.
@@ -70,6 +81,12 @@
             refusals.CallCode.ANSWER_LOST,
             f'{call.last_code} at {call.node}',
         )
+    if call.last_code == QUARANTINED:
+        return refusals.not_run(
+            refusals.CallCode.QUARANTINED,
+            'this request crashed the targets that ran it',
+            retry_after=int(suspects.SUSPECT_S),
+        )
     left = call.until - now
     after = call.retry_after or RETRY_AFTER_S
     return refusals.not_run(
--- a/packages/pumicestand-node/pumicestand_node/outbound_calls.py
+++ b/packages/pumicestand-node/pumicestand_node/outbound_calls.py
@@ -201,7 +201,8 @@
                         after = result.retry_after_ms / 1000
                         held = call.retry_after or after
                         call.retry_after = min(held, after)
-                    if call.placements < MAX_PLACEMENTS:
+                    is_final = result.code == outbound_call.QUARANTINED
+                    if call.placements < MAX_PLACEMENTS and not is_final:
                         continue
                     return result
                 case Outcome.NOT_RUN:
@@ -263,6 +264,10 @@
         """Send the call to one node; return its result, None without one."""
         mesh = self._mesh
         now = self._clock()
+        suspects = mesh.suspects
+        if suspects.is_any and suspects.is_refused(call.mark):
+            call.last_code = outbound_call.QUARANTINED
+            return None
         peer = self._choose(call, now)
         if peer is None:
             call.last_code = call.last_code or 'no-target'
--- a/packages/pumicestand-node/pumicestand_node/target_calls.py
+++ b/packages/pumicestand-node/pumicestand_node/target_calls.py
@@ -12,6 +12,8 @@
 
 from pumicestand import hop_messages
 from pumicestand import messages
+from pumicestand import quarantine
+from pumicestand import refusals
 from pumicestand import target_queue
 from pumicestand_node import target_exchange
 
@@ -32,6 +34,7 @@
     """The way to the target beside this node.
 
     :param watch: the `targets.TargetWatch`
+    :param suspects: the `suspects.Suspects`
     :param headers: the `call_headers.CallHeaders`
     :param clock: returns monotonic seconds
     :param on_change: called when the load should be reported at once
@@ -41,12 +44,15 @@
     def __init__(
         self,
         watch,
+        suspects,
         headers,
         clock,
         on_change,
         connect=trio.open_tcp_stream,
     ):
         self._watch = watch
+        self._suspects = suspects
+        self._start = None
         self._headers = headers
         self._clock = clock
         self._on_change = on_change
@@ -100,6 +106,10 @@
         target = self._watch.target
         if target is None:
             return
+        start = (target.instance, target.started_ms)
+        if self._start not in (None, start):
+            self._note_crash(target)
+        self._start = start
         self._queue.set_slots(target.slots)
         self._unreachable_until = 0.0
         if target.state is messages.TargetState.SERVING:
@@ -127,6 +137,8 @@
             return 'other-version'
         if call.instance and target.instance != call.instance:
             return 'other-instance'
+        if self._suspects.is_any and self._suspects.is_refused(_mark(call)):
+            return refusals.CallCode.QUARANTINED.value
         return None
 
     def _result(self, call, outcome, code, retry_after=0.0):
@@ -293,6 +305,10 @@
         is_error = answer.status >= SERVER_ERROR
         self._note_failure(1.0 if is_error else 0.0)
         self._count(call, target, is_error, work)
+        if self._suspects.is_any and self._suspects.note_answer(
+            _mark(call), self._clock()
+        ):
+            self._on_change()
         if not is_error:
             self._pace.note(work * 1000, call.expected_ms, self._clock())
         self.counts[('answered', '')] += 1
@@ -317,11 +333,26 @@
                 target.port,
                 error,
             )
+            self._note_crash(target)
             return self._result(call, Outcome.NOT_HANDED_ON, 'connect-failed')
         self._note_failure(1.0)
         self._count(call, target, True, None)
+        self._suspects.note_lost(_mark(call), self._clock())
         return self._result(call, Outcome.UNKNOWN, 'answer-lost')
 
+    def _note_crash(self, target):
+        """Count a crash against the calls that were lost with the target."""
+        marks = self._suspects.note_crash(self._clock())
+        if not marks:
+            return
+        self._on_change()
+        loguru.logger.bind(event='target-crashed').warning(
+            'target {} crashed while {} calls ran, of marks {}',
+            target.instance,
+            len(marks),
+            ' '.join(f'{mark:016x}' for mark in marks),
+        )
+
     def _note_forgotten(self, connection, target):
         bound = self._pool.note_forgotten(connection)
         loguru.logger.bind(event='connection-forgotten').warning(
@@ -353,3 +384,8 @@
     async def close(self):
         """Close the kept connections to the target."""
         await self._pool.close_idle()
+
+
+def _mark(call):
+    url = call.url.decode('latin-1')
+    return quarantine.fingerprint(call.method, call.service, url, call.body)
--- a/packages/pumicestand/pumicestand/hop.capnp
+++ b/packages/pumicestand/pumicestand/hop.capnp
@@ -58,6 +58,12 @@
   stored @7 :UInt8;
 }
 
+struct Suspect {
+  mark @0 :UInt64;
+  crashes @1 :UInt16;
+  answers @2 :UInt16;
+}
+
 struct Report {
   name @0 :Text;
   incarnation @1 :UInt64;
@@ -74,6 +80,7 @@
   verdicts @12 :List(Verdict);
   hasTarget @13 :Bool;
   linkRate @14 :Float64;
+  suspects @15 :List(Suspect);
 }
 
 struct Call {
--- a/packages/pumicestand/pumicestand/hop.py
+++ b/packages/pumicestand/pumicestand/hop.py
@@ -150,6 +150,11 @@
         item.revision = verdict.revision
         stored = verdict.stored
         item.stored = _NOT_STORED if stored is None else int(stored)
+    items = builder.init('suspects', len(report.suspects))
+    for item, suspect in zip(items, report.suspects, strict=True):
+        item.mark = suspect.mark
+        item.crashes = suspect.crashes
+        item.answers = suspect.answers
 
 
 def decode(data, peer):
@@ -306,4 +311,8 @@
             for item in reader.evidence
         ),
         verdicts=tuple(_read_verdict(item) for item in reader.verdicts),
+        suspects=tuple(
+            hop_messages.Suspect(item.mark, item.crashes, item.answers)
+            for item in reader.suspects
+        ),
     )
--- a/packages/pumicestand/pumicestand/hop_messages.py
+++ b/packages/pumicestand/pumicestand/hop_messages.py
@@ -110,6 +110,20 @@
     stored: RolloutState | None = None
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class Suspect:
+    """A request that was part of crashes of the target beside a node.
+
+    :param mark: its fingerprint
+    :param crashes: of that target
+    :param answers: that the target gave to it all the same
+    """
+
+    mark: int
+    crashes: int
+    answers: int
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class Report:
     """All that a node says of itself; a later one replaces it.
@@ -135,6 +149,7 @@
     link_rate: float = 0.0
     evidence: tuple[Evidence, ...] = ()
     verdicts: tuple[Verdict, ...] = ()
+    suspects: tuple[Suspect, ...] = ()
 
     @property
     def order(self):
--- a/tests/pumicestand/test_hop.py
+++ b/tests/pumicestand/test_hop.py
@@ -18,6 +18,7 @@
     generation=7,
     link_rate=625_000.0,
     evidence=(hop_messages.Evidence('r', 'v1', 5, 1, 4, 80.0),),
+    suspects=(hop_messages.Suspect(2**63 + 1, 2, 1),),
     verdicts=(
         hop_messages.Verdict('s', 'v2', State.RUNNING, 9000, 10, 5, 6),
         hop_messages.Verdict(
--- a/tests/pumicestand_node/test_mesh_calls.py
+++ b/tests/pumicestand_node/test_mesh_calls.py
@@ -73,6 +73,7 @@
         self.mesh = meshes.Mesh(identity, 1, bounds, log, random.Random(1))
         self.targets = target_calls.TargetCalls(
             self.mesh.watch,
+            self.mesh.suspects,
             headers.HEADERS,
             clock,
             lambda: None,
@@ -489,3 +490,43 @@
         assert bench.script.connects == 2
 
     play(test)
+
+
+def test_a_request_that_crashes_its_target_is_refused_in_the_end():
+    """The target is back after each crash, under another start."""
+
+    async def test(bench):
+        script = bench.script
+        for crash in range(1, 4):
+            script.steps.append('reset')
+            got, _ = await bench.ask('/o/9', method='POST', id_=f'p{crash}')
+            assert got == 502
+            script.refuses = True
+            got, _ = await bench.ask('/o/1', method='POST', id_=f'q{crash}')
+            assert got == 503
+            script.refuses = False
+            target = mesh_fakes.make_target('t', started_ms=crash + 1)
+            bench.mesh.watch.apply(targets.Heartbeat(target, 1), 0.0)
+            bench.targets.target_changed()
+            bench.tell()
+        ran = len(script.requests)
+        got, data = await bench.ask('/o/9', method='POST', id_='p4')
+        assert got == 503
+        assert b'quarantined' in data.lower()
+        assert len(script.requests) == ran
+        assert (await bench.ask('/o/8', method='POST', id_='p5'))[0] == 200
+
+    play(test)
+
+
+def test_a_crash_shows_by_the_target_s_next_start_alone():
+    async def test(bench):
+        bench.script.steps.append('reset')
+        await bench.ask('/o/9', method='POST')
+        assert not bench.mesh.suspects.is_any
+        target = mesh_fakes.make_target('t', started_ms=2)
+        bench.mesh.watch.apply(targets.Heartbeat(target, 1), 0.0)
+        bench.targets.target_changed()
+        assert [s.crashes for s in bench.mesh.suspects.own(1.0)] == [1]
+
+    play(test)
