Add pumicestandctl trace, and say which nodes a call was sent to

Cause: an engineer had to search the logs of all nodes for an id, and the line of a call told the last node alone.

Ruled out: lines at the second node for each call; they would double the volume, and its answer reaches the first node's line anyway.

Change: `trace ID FILE...` joins a request, the calls made for it and the events at the nodes involved; a call's line has the nodes in order with what each said, and the bytes of its bodies.

--- a/packages/pumicestand-node/pumicestand_node/outbound_call.py
+++ b/packages/pumicestand-node/pumicestand_node/outbound_call.py
@@ -26,6 +26,7 @@
     :param sends: times that a target may have got it
     :param may_have_run: whether an earlier send may have run
     :param tried: names of the nodes that were asked
+    :param asked: each of them with what it said, for the log
     :param last_code: the last reason that a node gave
     :param retry_after: seconds until room is expected, 0 if unknown
     """
@@ -48,6 +49,7 @@
     last_code: str = ''
     retry_after: float = 0.0
     node: str = ''
+    asked: list = dataclasses.field(default_factory=list)
 
     @property
     def mark(self):
--- a/packages/pumicestand-node/pumicestand_node/outbound_calls.py
+++ b/packages/pumicestand-node/pumicestand_node/outbound_calls.py
@@ -275,6 +275,7 @@
         call.tried.add(peer.name)
         call.placements += 1
         call.node = peer.name
+        call.asked.append(f'{peer.name}:unanswered')
         target = peer.target
         left = call.until - now
         message = hop_messages.Call(
@@ -309,8 +310,10 @@
             # The link broke; the call may have been handed on.
             peer.avoided_until = self._clock() + AVOID_S
             call.sends += 1
+            call.asked[-1] = f'{peer.name}:link-lost'
             return hop_messages.Result(0, Outcome.UNKNOWN, 'link-lost')
         call.may_have_run = was_unknown
+        call.asked[-1] = f'{peer.name}:{result.code or result.status}'
         if result.outcome is not Outcome.NOT_HANDED_ON:
             call.sends += 1
         peer.hear_load(result.load, self._clock())
@@ -355,7 +358,9 @@
             code=str(code),
             why=call.last_code,
             placements=call.placements,
+            asked=call.asked if call.placements > 1 else None,
             sends=call.sends,
+            bytes=len(call.body) + (len(result.body) if result else 0),
             ms=round((now - call.started) * 1000, 1),
             work_ms=round(result.work_ms, 1) if result else None,
             generation=self._mesh.configuration.accepted.generation,
--- a/packages/pumicestand/pumicestand/errors.py
+++ b/packages/pumicestand/pumicestand/errors.py
@@ -37,6 +37,7 @@
     WRONG_ENVIRONMENT = 'wrong-environment'
     DIGEST_MISMATCH = 'digest-mismatch'
     PEER_UNAVAILABLE = 'peer-unavailable'
+    NO_SUCH_REQUEST = 'no-such-request'
 
 
 class PumicestandError(Exception):
--- a/packages/pumicestandctl/pumicestandctl/main.py
+++ b/packages/pumicestandctl/pumicestandctl/main.py
@@ -15,6 +15,7 @@
 from pumicestandctl import commands
 from pumicestandctl import exits
 from pumicestandctl import settings as ctl_settings
+from pumicestandctl import traces
 
 File = typing.Annotated[
     str, cappa.Arg(help='the document in YAML, - for standard input')
@@ -115,13 +116,31 @@
     node_name: typing.Annotated[str | None, cappa.Arg(long=True)] = None
 
 
+@dataclasses.dataclass
+class Trace:
+    """Tell from the nodes' logs what became of one request."""
+
+    id: typing.Annotated[str, cappa.Arg(help="the request's id")]
+    files: typing.Annotated[
+        list[str], cappa.Arg(num_args=-1, help='logs of the nodes')
+    ]
+
+
 @cappa.command(name='pumicestandctl')
 @dataclasses.dataclass
 class Pumicestandctl:
     """Changes and shows what the nodes of an environment act on."""
 
     command: cappa.Subcommands[
-        Validate | Diff | Apply | Promote | Status | Wait | Timeline | Explain
+        Validate
+        | Diff
+        | Apply
+        | Promote
+        | Status
+        | Wait
+        | Timeline
+        | Explain
+        | Trace
     ]
     settings: typing.Annotated[
         str | None, cappa.Arg(long=True, help='a YAML file')
@@ -177,6 +196,9 @@
     """
     if isinstance(command, Validate):
         return commands.validate(_read_file(command.file))
+    if isinstance(command, Trace):
+        logs = traces.read_logs(command.files)
+        return traces.to_report(traces.trace(command.id, logs))
     session = commands.Session(settings, progress)
     await session.start()
     try:
