Add a fault soak of the real programs on the platform's protocol

Ruled out: proxies between nodes; reports tell a node's own address and lead around them, so a paused process stands for a silent way. Targets and store as processes; their ledgers and faults are read more simply here.

Change: soak/ starts nodes on loopback addresses of their own, plays store, targets, callers and operator around them, draws faults from a seed and checks nine promises. A stand-in for a target in the platform's protocol.

--- a/Makefile
+++ b/Makefile
@@ -4,9 +4,10 @@
 STAMP = $(VENV)/installed
 MEMBERS = packages/pumicestand packages/pumicestand-node \
 	packages/pumicestandctl packages/pumicestand-standins
-SOURCES = packages platform benchmarks tests
+SOURCES = packages platform benchmarks soak tests
+SEEDS ?= 50
 
-.PHONY: install demo test lint format lock capacity
+.PHONY: install demo test lint format lock capacity soak
 
 install: $(STAMP)
 
@@ -35,6 +36,9 @@
 capacity: install
 	$(BIN)/python -m benchmarks.capacity
 
+soak: install
+	$(BIN)/python -m soak --seeds $(SEEDS)
+
 # Writes the lock file anew from what the workspace needs now.
 lock:
 	$(BIN)/pip freeze --all --exclude-editable --exclude pip > requirements.lock
--- a/benchmarks/harness.py
+++ b/benchmarks/harness.py
@@ -53,9 +53,10 @@
     :param name: for messages
     :param command: arguments behind the interpreter
     :param log: path that takes its output
+    :param environment: variables beside those of this process
     """
 
-    def __init__(self, name, command, log):
+    def __init__(self, name, command, log, environment=None):
         self.name = name
         self.command = command
         self.log = pathlib.Path(log)
@@ -65,6 +66,7 @@
             stdout=self._file,
             stderr=self._file,
             stdin=subprocess.DEVNULL,
+            env={**os.environ, **(environment or {})},
         )
 
     @property
--- a/packages/pumicestand-standins/pumicestand_standins/caller.py
+++ b/packages/pumicestand-standins/pumicestand_standins/caller.py
@@ -18,12 +18,16 @@
 
     :param status: 0 if the connection ended before the answer was whole
     :param seconds: from the first byte sent to the last one read
+    :param was_connected: whether there was a connection to send it on
+    :param was_fresh: whether that was opened for it
     """
 
     status: int
     headers: dict
     body: bytes
     seconds: float
+    was_connected: bool = True
+    was_fresh: bool = False
 
     @property
     def outcome(self):
@@ -77,10 +81,13 @@
         """Send one call and return its `Answer`."""
         started = trio.current_time()
         reader = _AnswerReader()
+        was_fresh = self._stream is None
+        was_connected = False
         with trio.move_on_after(CALL_TIMEOUT_S):
             try:
                 if self._stream is None:
                     self._stream = await self._connect()
+                was_connected = True
                 await self._stream.send_all(
                     _write(method, path, headers or {}, body)
                 )
@@ -92,9 +99,13 @@
         if not keep:
             await self.close()
         if not reader.is_complete:
-            return Answer(0, reader.headers, b'', seconds)
+            return Answer(
+                0, reader.headers, b'', seconds, was_connected, was_fresh
+            )
         body = b''.join(reader.body)
-        return Answer(reader.status, reader.headers, body, seconds)
+        return Answer(
+            reader.status, reader.headers, body, seconds, True, was_fresh
+        )
 
     async def _read(self, reader):
         while not reader.is_complete:
--- /dev/null
+++ b/soak/__main__.py
@@ -0,0 +1,34 @@
+"""Runs soaks: python -m soak --seed N, or --seeds N for many."""
+
+import argparse
+import sys
+
+import trio
+
+from soak import pictures
+from soak import play
+
+
+def main(arguments=None):
+    """Run the command; return 1 if a promise did not hold."""
+    parser = argparse.ArgumentParser(prog='soak', description=__doc__)
+    parser.add_argument('--seed', type=int, default=1, help='the first seed')
+    parser.add_argument('--seeds', type=int, default=1, help='how many')
+    parser.add_argument('--nodes', type=int, default=6)
+    parser.add_argument('--seconds', type=float, default=25.0)
+    parser.add_argument('--picture', help='path of a PNG of the last seed')
+    options = parser.parse_args(arguments)
+    has_failed = False
+    for seed in range(options.seed, options.seed + options.seeds):
+        verdict, record, started = trio.run(
+            play.play, seed, options.nodes, options.seconds
+        )
+        print(verdict.to_json(), flush=True)
+        has_failed = has_failed or bool(verdict.findings)
+        if options.picture:
+            pictures.draw(record, started, options.picture)
+    return int(has_failed)
+
+
+if __name__ == '__main__':
+    sys.exit(main())
--- /dev/null
+++ b/soak/world.py
@@ -0,0 +1,257 @@
+"""The real nodes as processes, with stand-ins for all around them."""
+
+import pathlib
+import signal
+import socket
+
+import trio
+
+from benchmarks import harness
+from pumicestand_standins import http_server
+from pumicestand_standins import mesh_target
+from pumicestand_standins import objects
+from soak import proxies
+
+ROOT = pathlib.Path(__file__).parents[1]
+ZONES = ('zone-a', 'zone-b')
+SERVICES = ('shop', 'till')
+HOST_NAME = 'shop.example'
+START_TIMEOUT_S = 30.0
+# Grace of the platform between its request to stop and the kill, and what a
+# busy machine may take beyond it to be seen.
+GRACE_S = 6.0
+EXIT_MARGIN_S = 2.0
+READY_PERIOD_S = 0.2
+OUTBOUND, READY, CONTROL = 8304, 8302, 8306
+LOCK = 8300
+NET_NUMBERS = range(64, 120)
+STORE_PROXY, TARGET_PROXY, TARGET, LINK, STORE = 8310, 8301, 8311, 7620, 8309
+
+SETTINGS = """\
+node_name={name}
+ip={ip}
+zone={zone}
+region=region
+service={service}
+listen.outbound={ip}:8304
+listen.ready={ip}:8302
+listen.control={ip}:8306
+internal_ports=7620,7635
+platform.address={ip}:8310
+bounds.grace_s=6
+bounds.retry_budget_ratio=0.2
+bounds.retry_budget_slack=60
+bounds.budget_window_s=10
+note={note}
+"""
+
+
+def configuration(generation):
+    """Return the operator's configuration of a generation.
+
+    Each has a route of its own, so that a request shows which one a node
+    acts on.
+    """
+    routes = [
+        ('again', '/r/', 'idempotent', 'shop', 2),
+        ('once', '/o/', 'non_idempotent', 'shop', 1),
+        ('upload', '/u/', 'upload', 'till', 1),
+        ('inner', '/i/', 'idempotent', 'till', 2),
+        ('own', f'/g{generation}/', 'idempotent', 'till', 2),
+    ]
+    columns = ['name', 'path_prefix', 'route_type', 'service', 'max_attempts']
+    fixed = {'host': HOST_NAME, 'timeout_s': 1.5, 'target_latency_s': 0.5}
+    return {
+        'version': f'{generation:08x}',
+        'routes': {
+            'columns': [*columns, *fixed, 'priority'],
+            'rows': [[*route, *fixed.values(), 1] for route in routes],
+        },
+        'services': {
+            'columns': ['name'],
+            'rows': [[name] for name in SERVICES],
+        },
+        'limits': {
+            'max_header_bytes': 16_384,
+            'max_body_bytes': 1_000_000,
+            'header_timeout_s': 3,
+            'idle_timeout_s': 15,
+        },
+    }
+
+
+class NodeUnderTest:
+    """One node's process with its target and proxies.
+
+    :param index: from 0; decides address, zone and service
+    :param net: the second number of all addresses, so that two soaks do not
+        meet
+    """
+
+    def __init__(self, index, net, folder):
+        self.name = f'node-{index}'
+        self.ip = f'127.{net}.0.{index + 10}'
+        self.boot = 0
+        self.process = None
+        self._folder = folder
+        self._zone = ZONES[index % len(ZONES)]
+        self._service = SERVICES[index // len(ZONES) % len(SERVICES)]
+        store = (f'127.{net}.0.2', STORE)
+        self.store_way = proxies.Proxy((self.ip, STORE_PROXY), store)
+        self.target_way = proxies.Proxy(
+            (self.ip, TARGET_PROXY), (self.ip, TARGET)
+        )
+        self.target = mesh_target.MeshTarget(
+            f't{index}',
+            self._service,
+            (self.ip, TARGET),
+            (self.ip, TARGET_PROXY),
+            (self.ip, CONTROL),
+            (self.ip, OUTBOUND),
+            '/i/' if self._service == 'shop' else None,
+        )
+
+    @property
+    def outbound(self):
+        """Where callers send their requests."""
+        return (self.ip, OUTBOUND)
+
+    def write_settings(self, note):
+        """Write the settings file; the note is ignored by the node."""
+        text = SETTINGS.format(
+            name=self.name,
+            ip=self.ip,
+            zone=self._zone,
+            service=self._service,
+            note=note,
+        )
+        path = self._folder / f'{self.name}.conf'
+        path.write_text(text, encoding='utf-8')
+        return path
+
+    async def start(self, nursery):
+        """Start proxies, target and process; return once it is ready."""
+        await self.store_way.start(nursery)
+        await self.target_way.start(nursery)
+        await self.target.start(nursery)
+        await self.start_process()
+
+    async def start_process(self):
+        """Start the process anew; return once it is ready."""
+        path = self.write_settings('start')
+        self.boot += 1
+        self.process = harness.Process(
+            self.name,
+            [str(ROOT / 'platform' / 'node.py')],
+            self._folder / f'{self.name}.log',
+            {'PUMICESTAND_SETTINGS': str(path)},
+        )
+        await self.wait_until_ready()
+
+    async def wait_until_ready(self):
+        """Wait until the node takes callers, for a bounded time."""
+        with trio.move_on_after(START_TIMEOUT_S):
+            while not await self._is_ready():
+                await trio.sleep(READY_PERIOD_S)
+
+    async def _is_ready(self):
+        try:
+            stream = await trio.open_tcp_stream(self.ip, READY)
+        except OSError:
+            return False
+        async with stream:
+            try:
+                await stream.send_all(
+                    b'GET /readyz HTTP/1.1\r\nhost: node\r\n\r\n'
+                )
+                return b' 200 ' in await stream.receive_some(100)
+            except trio.BrokenResourceError:
+                return False
+
+    async def wait_for_end(self, timeout):
+        """Wait until the process has ended, or kill it; return whether."""
+        with trio.move_on_after(timeout):
+            while self.process.is_running:
+                await trio.sleep(0.02)
+        has_ended = not self.process.is_running
+        self.process.kill()
+        self.process.wait()
+        return has_ended
+
+    def kill(self):
+        """End the process at once, also one that is paused."""
+        self.process.send_signal(signal.SIGCONT)
+        self.process.kill()
+        self.process.wait()
+
+
+class Net:
+    """The second number of the addresses of one soak, taken from others.
+
+    Each node has an address of its own; soaks that run side by side must not
+    share them.
+    """
+
+    def __init__(self):
+        self._socket = None
+        self.number = 0
+
+    def start(self):
+        """Take the first number that is free."""
+        for number in NET_NUMBERS:
+            held = socket.socket()
+            try:
+                held.bind((f'127.{number}.0.1', LOCK))
+            except OSError:
+                held.close()
+                continue
+            self._socket, self.number = held, number
+            return
+        raise RuntimeError('all loopback networks of soaks are in use')
+
+    def close(self):
+        """Leave the number to others."""
+        if self._socket is not None:
+            self._socket.close()
+
+
+class World:
+    """All nodes, the store and their ways.
+
+    :param folder: path for settings and logs
+    """
+
+    def __init__(self, size, folder):
+        self._net = Net()
+        self._net.start()
+        net = self._net.number
+        self.store = objects.ObjectStore()
+        self._server = http_server.Server(
+            f'127.{net}.0.2', STORE, self.store.handle
+        )
+        self.nodes = [
+            NodeUnderTest(index, net, folder) for index in range(size)
+        ]
+        self.generation = 0
+
+    def change(self):
+        """Accept the next configuration; return its generation."""
+        self.generation += 1
+        self.store.put('config', 'main', configuration(self.generation))
+        return self.generation
+
+    async def start(self, nursery):
+        """Start everything; return once all nodes are ready."""
+        await self._server.start(nursery)
+        self.change()
+        async with trio.open_nursery() as starting:
+            for node in self.nodes:
+                starting.start_soon(node.start, nursery)
+
+    async def close(self):
+        """End all processes that were started here."""
+        for node in self.nodes:
+            if node.process is not None:
+                node.kill()
+        await self._server.close()
+        self._net.close()
