Make both stores' clients speak through one caller

Cause: stores.py and the platform's objects.py each had the connection pool, the time limits and the decision whether a write without an answer may have taken effect.

Ruled out: dropping the product's own store protocol; SYSTEM.md has the product keep its own interface. One client with two dialects in it; the platform's paths would leave their folder.

Conclusion: one copy of what decides between "nothing was done" and "may have been done".

--- a/packages/pumicestand/pumicestand/stores.py
+++ b/packages/pumicestand/pumicestand/stores.py
@@ -8,20 +8,12 @@
 import json
 import urllib.parse
 
-import httpcore
-import trio
-
 from pumicestand import errors
+from pumicestand import store_calls
 
-CALL_TIMEOUT_S = 2.0
+LIMITS = store_calls.Limits(timeout=2.0, max_connections=4, keepalive=30.0)
 WATCH_SECONDS = 5.0
-MAX_CONNECTIONS = 4
 MAX_VALUE_BYTES = 1_000_000
-_NOT_SENT = (
-    httpcore.ConnectError,
-    httpcore.ConnectTimeout,
-    httpcore.PoolTimeout,
-)
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -50,23 +42,15 @@
     """
 
     def __init__(self, url, backend=None):
-        self._url = url.rstrip('/')
-        self._backend = backend
-        self._pool = None
+        self._calls = store_calls.StoreCalls(url, LIMITS, url, backend)
 
     async def start(self):
         """Open the connection pool; connections are made on demand."""
-        self._pool = httpcore.AsyncConnectionPool(
-            max_connections=MAX_CONNECTIONS,
-            keepalive_expiry=30.0,
-            network_backend=self._backend,
-        )
+        await self._calls.start()
 
     async def close(self):
         """Close all connections."""
-        if self._pool is not None:
-            await self._pool.aclose()
-            self._pool = None
+        await self._calls.close()
 
     async def read(self, key):
         """Return the `Stored` object of a key; never a stale one.
@@ -76,13 +60,13 @@
         status, body = await self._call('read', 'GET', _object_path(key))
         if status == 404:
             return Stored(key, 0, '')
-        return _to_stored(_parse('read', self._url, body))
+        return _to_stored(self._parse('read', body))
 
     async def list(self, prefix):
         """Return the `Stored` objects of a prefix; may be stale."""
         path = f'/v1/objects?prefix={urllib.parse.quote(prefix, safe="")}'
         _, body = await self._call('list', 'GET', path)
-        data = _parse('list', self._url, body)
+        data = self._parse('list', body)
         return [_to_stored(item) for item in data['objects']]
 
     async def write(self, key, value, expected):
@@ -99,13 +83,13 @@
         status, body = await self._call(
             'write', 'PUT', _object_path(key), value.encode(), headers
         )
-        data = _parse('write', self._url, body)
+        data = self._parse('write', body)
         if status == 412:
             raise errors.Conflict(
                 f'{key} has version {data["version"]}, expected was '
                 f'{expected}',
                 step='write',
-                peer=self._url,
+                peer=self._calls.peer,
                 winner=data['version'],
             )
         return data['version']
@@ -122,86 +106,43 @@
             f'/v1/watch/{urllib.parse.quote(key)}'
             f'?after={after}&seconds={seconds:g}'
         )
-        status, body = await self._call(
-            'watch', 'GET', path, timeout=seconds + CALL_TIMEOUT_S
-        )
+        status, body = await self._call('watch', 'GET', path, wait=seconds)
         if status == 204:
             return None
         if status == 410:
             raise errors.WatchExpired(
-                f'{key} has to be read anew', step='watch', peer=self._url
+                f'{key} has to be read anew',
+                step='watch',
+                peer=self._calls.peer,
             )
-        return _to_stored(_parse('watch', self._url, body))
+        return _to_stored(self._parse('watch', body))
 
     async def _call(
-        self,
-        step,
-        method,
-        path,
-        content=b'',
-        headers=None,
-        timeout=CALL_TIMEOUT_S,
+        self, step, method, path, content=b'', headers=None, wait=0.0
     ):
-        headers = dict(headers or {})
-        headers['content-length'] = str(len(content))
-        lost = f'no answer to {method} {path} within {timeout:g} s'
-        try:
-            with trio.fail_after(timeout):
-                response = await self._pool.request(
-                    method,
-                    self._url + path,
-                    headers={'host': 'store', **headers},
-                    content=content,
-                )
-        except _NOT_SENT as error:
-            raise errors.StoreUnavailable(
-                f'no connection: {error}', step=step, peer=self._url
-            ) from error
-        except (
-            trio.TooSlowError,
-            httpcore.NetworkError,
-            httpcore.ProtocolError,
-            httpcore.TimeoutException,
-        ) as error:
-            if method == 'PUT':
-                raise errors.StoreAnswerLost(
-                    lost, step=step, peer=self._url
-                ) from error
-            raise errors.StoreUnavailable(
-                lost, step=step, peer=self._url
-            ) from error
-        return self._check(step, method, path, response)
-
-    def _check(self, step, method, path, response):
+        response = await self._calls.call(
+            step, method, path, content, headers, wait
+        )
         status = response.status
-        if status in (429, 503):
-            raise errors.StoreUnavailable(
-                f'status {status} to {method} {path}',
-                step=step,
-                peer=self._url,
-            )
         if status not in (200, 204, 404, 410, 412):
-            raise errors.StoreRejected(
-                f'status {status} to {method} {path}: '
-                f'{response.content[:200].decode(errors="replace")}',
-                step=step,
-                peer=self._url,
+            detail = response.content[:200].decode(errors='replace')
+            raise self._calls.rejected(
+                step, f'status {status} to {method} {path}: {detail}'
             )
         return status, response.content
 
+    def _parse(self, step, body):
+        try:
+            return json.loads(body)
+        except ValueError as error:
+            raise self._calls.unavailable(
+                step, f'an answer of {len(body)} bytes is no JSON'
+            ) from error
+
 
 def _object_path(key):
     return f'/v1/objects/{urllib.parse.quote(key)}'
 
 
-def _parse(step, peer, body):
-    try:
-        return json.loads(body)
-    except ValueError as error:
-        raise errors.StoreUnavailable(
-            f'an answer of {len(body)} bytes is no JSON', step=step, peer=peer
-        ) from error
-
-
 def _to_stored(data):
     return Stored(data['key'], data['version'], data['value'])
