Serve callers' connections in one place

Cause: node.py and mesh_node.py each kept the set of connections, swept it, finished it at a stop and noted what could not be read.

Ruled out: a base class of both nodes; they share this and little else.

Conclusion: one copy.

--- a/packages/pumicestand-node/pumicestand_node/mesh_node.py
+++ b/packages/pumicestand-node/pumicestand_node/mesh_node.py
@@ -10,7 +10,7 @@
 from pumicestand import decision_log
 from pumicestand import documents
 from pumicestand import node_records
-from pumicestand_node import caller_connections
+from pumicestand_node import caller_port
 from pumicestand_node import listeners
 from pumicestand_node import mesh as meshes
 from pumicestand_node import mesh_links
@@ -107,7 +107,9 @@
         self._metrics = mesh_metrics.MeshMetrics(
             self._mesh, self._outbound, self._targets, self._decisions
         )
-        self._connections = set()
+        self._port = caller_port.CallerPort(
+            self._outbound.serve, self._note_refusal, self._caller_limits
+        )
         self._started_at = self._clock()
         self._nursery = None
         self._outbound_scope = trio.CancelScope()
@@ -121,7 +123,7 @@
         await self._listen(settings.ready, self._plain(self._ready))
         await self._listen(settings.metrics, self._plain(self._read_metrics))
         await self._listen(
-            settings.outbound, self._serve_caller, self._outbound_scope
+            settings.outbound, self._port.serve, self._outbound_scope
         )
         await self._links.start(nursery)
         await self._store.start(nursery)
@@ -176,8 +178,7 @@
         )
         # The target stays in use until the callers of this VM have left.
         await trio.sleep(LAST_CALLS_S)
-        for connection in list(self._connections):
-            connection.finish()
+        self._port.finish()
         mesh.is_leaving = True
         self._targets.is_closed = True
         self._links.report_soon()
@@ -187,8 +188,7 @@
         ):
             await trio.sleep(0.02)
         self._outbound_scope.cancel()
-        for connection in list(self._connections):
-            connection.finish()
+        self._port.finish()
         await trio.sleep(LAST_WORDS_S)
         self._decisions.note(
             'stopped',
@@ -238,48 +238,27 @@
     async def _sweep(self):
         while True:
             await trio.sleep(SWEEP_PERIOD_S)
-            now = time.monotonic()
-            for connection in list(self._connections):
-                connection.check_progress(now)
-
-    # Callers
+            self._port.check_progress()
 
-    async def _serve_caller(self, stream):
-        await self._serve_http(stream, self._outbound.serve, True)
+    # Callers, the platform and the target
 
-    async def _serve_http(self, stream, serve, is_caller):
+    def _caller_limits(self):
         configuration = self._mesh.configuration
-        limits = documents.CallerLimits()
-        if configuration is not None:
-            limits = configuration.document.caller_limits
-        connection = caller_connections.CallerConnection(
-            stream, serve, time.monotonic, limits
-        )
-        if is_caller:
-            self._connections.add(connection)
-        try:
-            await connection.run()
-        except OSError as error:
-            loguru.logger.debug('a connection ended: {}', error)
-        finally:
-            self._connections.discard(connection)
-            if connection.refusal is not None:
-                self._decisions.note(
-                    'request-refused',
-                    status=connection.refusal.status,
-                    code=connection.refusal.code.value,
-                    why=connection.refusal.detail,
-                )
+        if configuration is None:
+            return documents.CallerLimits()
+        return configuration.document.caller_limits
 
-    # The platform and the target
+    def _note_refusal(self, refusal):
+        self._decisions.note(
+            'request-refused',
+            status=refusal.status,
+            code=refusal.code.value,
+            why=refusal.detail,
+        )
 
     def _plain(self, answer):
         handler = plain_http.PlainHandler(answer)
-
-        async def serve(stream):
-            await self._serve_http(stream, handler.serve, False)
-
-        return serve
+        return caller_port.CallerPort(handler.serve, self._note_refusal).serve
 
     async def _ready(self, method, path, body):
         if self._mesh.is_ready:
--- a/packages/pumicestand-node/pumicestand_node/node.py
+++ b/packages/pumicestand-node/pumicestand_node/node.py
@@ -6,7 +6,6 @@
 
 from hypercorn import config as hypercorn_config
 from hypercorn import trio as hypercorn_trio
-import loguru
 import trio
 
 from pumicestand import actions
@@ -25,7 +24,7 @@
 from pumicestand import routing
 from pumicestand import signals
 from pumicestand import stores
-from pumicestand_node import caller_connections
+from pumicestand_node import caller_port
 from pumicestand_node import calls
 from pumicestand_node import conductor as conductors
 from pumicestand_node import listeners
@@ -92,7 +91,11 @@
             self._pool,
             self._clock,
         )
-        self._connections = set()
+        self._port = caller_port.CallerPort(
+            self._handler.serve,
+            self._note_refusal,
+            max_connections=settings.max_connections,
+        )
         self._nursery = None
         self._listeners = []
         self._call_scope = trio.CancelScope()
@@ -144,17 +147,16 @@
         # Callers learn by "Connection: close" on their next answers; only
         # then are connections without a call closed.
         with trio.move_on_after(LEAVE_NOTICE_S):
-            while self._connections:
+            while self._port.open:
                 await trio.sleep(0.02)
-        for connection in list(self._connections):
-            connection.finish()
+        self._port.finish()
         with trio.move_on_after(self._settings.drain):
-            while self._connections:
+            while self._port.open:
                 await trio.sleep(0.02)
         self._board.emit(
             events.Kind.STOPPED,
             self._clock(),
-            detail=f'{len(self._connections)} connections cut',
+            detail=f'{self._port.open} connections cut',
         )
         self._operator_stop.set()
         await self._transport.close()
@@ -279,39 +281,21 @@
         """Accept connections until the node stops."""
         with self._call_scope:
             await trio.serve_listeners(
-                self._serve_caller,
+                self._port.serve,
                 self._listeners,
                 handler_nursery=self._nursery,
             )
         for listener in self._listeners:
             await listener.aclose()
 
-    async def _serve_caller(self, stream):
-        if len(self._connections) >= self._settings.max_connections:
-            await trio.aclose_forcefully(stream)
-            return
-        connection = caller_connections.CallerConnection(
-            stream, self._handler.serve, time.monotonic
-        )
-        self._connections.add(connection)
-        try:
-            await connection.run()
-        except OSError as error:
-            loguru.logger.debug('a connection ended: {}', error)
-        finally:
-            self._connections.discard(connection)
-            if connection.refusal is not None:
-                signals.call_refused.send(
-                    self._handler, refusal=connection.refusal
-                )
+    def _note_refusal(self, refusal):
+        signals.call_refused.send(self._handler, refusal=refusal)
 
     async def _sweep(self):
         """End slow connections and forget what is no longer there."""
         while True:
             await trio.sleep(SWEEP_S)
-            now = time.monotonic()
-            for connection in list(self._connections):
-                connection.check_progress(now)
+            self._port.check_progress()
             known = {
                 target.key
                 for member in self._board.table.reachable()
