Know which targets are always full; tell other zones less often

Ruled out: narrow links; in the zone, calls to `till` took 5 ms beside their work on the same links.

Change: what was heard fades to what is usual at that target, over 3 s, and old news adds the wait that calls arriving at random have at such a load. The load alone goes to other zones each third time; all is told each 20 s.

--- a/packages/pumicestand-node/pumicestand_node/link_server.py
+++ b/packages/pumicestand-node/pumicestand_node/link_server.py
@@ -11,6 +11,8 @@
 class LinkServer:
     """Serves one link that another node opened.
 
+    `is_far` tells whether that is in another availability zone.
+
     :param frames: the `links.FrameStream`
     :param targets: the `target_calls.TargetCalls`
     :param mesh: the `mesh.Mesh`
@@ -28,6 +30,7 @@
         self._assembler = links.Assembler()
         self._scopes = {}
         self._begun = {}
+        self.is_far = False
 
     async def run(self):
         """Serve the link until it ends; its calls end with it."""
@@ -50,6 +53,7 @@
                 if scope is not None:
                     scope.cancel()
             case hop_messages.Hello(report):
+                self.is_far = report.zone != self._mesh.identity.zone
                 self._greet(self.frames, report)
             case hop_messages.Ping(number):
                 self.frames.send(hop_messages.Pong(number))
--- a/packages/pumicestand-node/pumicestand_node/mesh_links.py
+++ b/packages/pumicestand-node/pumicestand_node/mesh_links.py
@@ -1,5 +1,7 @@
 """All links of a node, and what it hears and says on them."""
 
+import itertools
+
 import trio
 
 from pumicestand import fetches
@@ -19,7 +21,10 @@
 ROLLOUT_REPORT_PERIOD_S = 1.0
 # Time after which all is told again although only the load has changed; a
 # node that could not use what it heard then asks once more.
-FULL_REPORT_S = 5.0
+FULL_REPORT_S = 20.0
+# The load alone is told to other availability zones only each so manieth
+# time: they send few calls, and bytes between zones are dear.
+FAR_EVERY = 3
 # Time in which changes are collected into one report.
 REPORT_DELAY_S = 0.01
 
@@ -211,7 +216,7 @@
 
     async def _report(self):
         """Tell all nodes that call this one how it is."""
-        while True:
+        for number in itertools.count():
             is_judging = self._mesh.rollouts.is_any_running
             with trio.move_on_after(
                 report_period(len(self._accepted), is_judging)
@@ -219,8 +224,12 @@
                 await self._report_wanted.wait()
                 await trio.sleep(REPORT_DELAY_S)
             self._report_wanted = trio.Event()
-            data = hop.encode(self._next_report(self.hear_own()))
+            message = self._next_report(self.hear_own())
+            is_load = isinstance(message, hop_messages.Load)
+            data = hop.encode(message)
             for server in list(self._accepted):
+                if is_load and server.is_far and number % FAR_EVERY:
+                    continue
                 server.frames.send_bytes(data)
 
     def _next_report(self, report):
--- a/packages/pumicestand/pumicestand/fleet.py
+++ b/packages/pumicestand/pumicestand/fleet.py
@@ -6,6 +6,7 @@
 """
 
 import dataclasses
+import math
 
 from pumicestand import hop_messages
 from pumicestand import messages
@@ -13,6 +14,8 @@
 # A node that has not been reached for so long is no longer dialled; it
 # dials others itself when it is back.
 FORGET_AFTER_S = 45.0
+# Time over which the usual number of calls at a target is taken, in seconds.
+USUAL_S = 3.0
 
 
 @dataclasses.dataclass(slots=True)
@@ -23,6 +26,7 @@
     :param sent: calls from here that have no result yet
     :param sent_since: calls sent since its load was last heard
     :param heard_at: when that was, in monotonic seconds
+    :param usual: calls at its target, as a mean over some seconds
     :param avoided_until: monotonic seconds until which it gets no calls
         after one failed there
     :param unreached_since: monotonic seconds, None while it is linked
@@ -37,6 +41,7 @@
     sent: int = 0
     sent_since: int = 0
     heard_at: float = 0.0
+    usual: float = 0.0
     avoided_until: float = 0.0
     unreached_since: float | None = None
 
@@ -59,6 +64,9 @@
 
     def hear_load(self, load, now):
         """Take in how busy its target is."""
+        there = load.running + load.queued
+        weight = 1 - math.exp(-max(0.0, now - self.heard_at) / USUAL_S)
+        self.usual += weight * (there - self.usual)
         self.load = load
         self.sent_since = 0
         self.heard_at = now
--- a/packages/pumicestand/pumicestand/placing.py
+++ b/packages/pumicestand/pumicestand/placing.py
@@ -25,42 +25,47 @@
 UNKNOWN_WORK_MS = 50.0
 # How much longer work takes at a target whose slots are all taken.
 BUSY_FACTOR = 0.5
+# The share of slots in use beyond which a target counts as no busier.
+MAX_BUSY = 0.95
 
 
-def mean_fill(peers):
-    """Return how many calls there are for a slot, over all peers."""
-    slots = sum(peer.load.slots for peer in peers)
-    there = sum(peer.load.running + peer.load.queued for peer in peers)
-    return there / slots if slots else 0.0
-
-
-def expected_ms(peer, work_ms, fill, now):
+def expected_ms(peer, work_ms, now):
     """Return how long a call sent to a peer now is expected to take.
 
     What was heard of a target's calls holds for about as long as a call
-    runs. Nodes that went by older news would all choose the same target, so
-    an old figure gives way to the mean of all.
+    runs; later the number tends to what is usual there, and a slot may be
+    free or not.
 
     :param work_ms: how long calls of its route take everywhere, 0 if that
         is not known
-    :param fill: calls for a slot, over all peers
     :param now: monotonic seconds
     """
     load = peer.load
     # What waits there is of all routes, the call itself of one.
     mixed = load.work_ms or UNKNOWN_WORK_MS
-    age_ms = max(0.0, now - peer.heard_at) * 1000
-    trust = math.exp(-age_ms / mixed)
+    trust = math.exp(-max(0.0, now - peer.heard_at) * 1000 / mixed)
     heard = load.running + load.queued
-    mean = fill * load.slots
-    there = mean + (heard - mean) * trust + peer.sent_since
+    there = peer.usual + (heard - peer.usual) * trust + peer.sent_since
     excess = max(0.0, there + 1 - load.slots)
     busy = min(1.0, there / load.slots)
+    turns = excess + (1 - trust) * turns_waited(load.slots, there)
     work = (work_ms or UNKNOWN_WORK_MS) * load.slowness
-    expected = work * (1 + BUSY_FACTOR * busy) + excess * mixed / load.slots
+    expected = work * (1 + BUSY_FACTOR * busy) + turns * mixed / load.slots
     return expected * (1 + FAILURE_FACTOR * load.failing)
 
 
+def turns_waited(slots, there):
+    """Return how many ends of calls a new call waits for, on average.
+
+    Sakasegawa's formula for calls that arrive at random.
+
+    >>> round(turns_waited(13, 6.5), 2), round(turns_waited(13, 12.0), 1)
+    (0.1, 9.2)
+    """
+    busy = min(MAX_BUSY, there / slots)
+    return busy ** (math.sqrt(2 * (slots + 1)) - 1) / (1 - busy)
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class Need:
     """What a call needs, as expected.
@@ -98,17 +103,16 @@
         """
         open_ = [p for p in candidates if p.name not in excluded]
         calm = [p for p in open_ if p.avoided_until <= now]
-        fill = mean_fill(open_)
         best, best_cost = None, float('inf')
         for peer in calm or open_:
-            cost = self._cost(peer, need, fill, now)
+            cost = self._cost(peer, need, now)
             if cost < best_cost:
                 best, best_cost = peer, cost
         return best
 
-    def _cost(self, peer, need, fill, now):
+    def _cost(self, peer, need, now):
         """Return what a call costs at a peer, in objectives."""
-        expected = expected_ms(peer, need.work_ms, fill, now)
+        expected = expected_ms(peer, need.work_ms, now)
         if peer.name != self._own_name:
             expected += link_meter.transfer_ms(
                 need.kilobytes, peer.report.link_rate, peer.load.link_busy
--- a/tests/pumicestand/test_placing.py
+++ b/tests/pumicestand/test_placing.py
@@ -113,23 +113,42 @@
     assert choose(held, kilobytes=60.0) == 'a1'
 
 
+def settle(held, now, busy):
+    """Have peers heard often enough that their usual load is known.
+
+    :param busy: calls there by name, 0 for others
+    """
+    for tick in range(100):
+        for peer in held:
+            running = busy.get(peer.name, 0)
+            heard = load(running=running, slots=7, work_ms=200.0)
+            peer.hear_load(heard, now - 10 + tick / 10)
+
+
 def test_nodes_with_old_news_do_not_all_choose_the_same_target():
     """Each of 40 nodes heard a second ago that one of eight was idle."""
     need = placing.Need(200.0, 700.0, 1.0)
+    names = [f'a{number}' for number in range(8)]
     chosen = collections.Counter()
     for seed in range(40):
         placement = placing.Placement(random.Random(seed), 'own', 'a')
-        held = peers(
-            a0=load(slots=7, work_ms=200.0),
-            **{
-                f'a{number}': load(running=3, slots=7, work_ms=200.0)
-                for number in range(1, 8)
-            },
-        )
-        chosen[placement.choose(held, (), 1.0, need).name] += 1
+        held = peers(**{name: load() for name in names})
+        settle(held, 10.0, dict.fromkeys(names, 3))
+        held[0].hear_load(load(slots=7, work_ms=200.0), 10.0)
+        chosen[placement.choose(held, (), 11.0, need).name] += 1
     assert max(chosen.values()) <= 14
 
 
+def test_a_target_that_is_always_full_is_known_as_such():
+    """It is a third faster, and so everyone's first choice until then."""
+    held = peers(a0=load(), a1=load())
+    settle(held, 10.0, {'a0': 8, 'a1': 1})
+    held[0].load = dataclasses.replace(held[0].load, slowness=0.67)
+    need = placing.Need(200.0, 700.0, 1.0)
+    placement = placing.Placement(random.Random(1), 'own', 'a')
+    assert placement.choose(held, (), 12.0, need).name == 'a1'
+
+
 def test_fresh_news_of_an_idle_target_counts():
     held = peers(
         a0=load(slots=7), a1=load(running=6, slots=7), a2=load(running=5)
--- a/tests/pumicestand_node/test_mesh_links.py
+++ b/tests/pumicestand_node/test_mesh_links.py
@@ -40,6 +40,7 @@
 class FakeServer:
     def __init__(self):
         self.frames = FakeFrames()
+        self.is_far = False
 
 
 class Harness:
@@ -112,7 +113,7 @@
 
 def test_all_is_told_again_after_some_seconds(play):
     async def test(harness):
-        await trio.sleep(11)
+        await trio.sleep(2.2 * mesh_links.FULL_REPORT_S)
         whole = kinds(harness.sent).count('Report')
         assert whole == 3
 
@@ -149,3 +150,24 @@
         bound = 1.0 if is_judging else 2.0
         assert mesh_links.REPORT_PERIOD_S <= period <= bound
     assert nodes / mesh_links.report_period(nodes, False) <= 330
+
+
+def test_another_zone_hears_of_the_load_more_seldom():
+    async def main():
+        harness = Harness(listeners=2)
+        near, far = harness.servers
+        far.is_far = True
+        async with trio.open_nursery() as nursery:
+            await harness.links.start(nursery)
+            await trio.sleep(6.1)
+            harness.mesh.is_leaving = True
+            harness.links.report_soon()
+            await trio.sleep(0.1)
+            nursery.cancel_scope.cancel()
+        near_kinds, far_kinds = (kinds(s.frames.sent) for s in (near, far))
+        assert near_kinds.count('Load') == 14
+        assert far_kinds.count('Load') == 4
+        # Any other change reaches all at once.
+        assert far_kinds[-1] == 'Report'
+
+    trio.run(main, clock=trio.testing.MockClock(autojump_threshold=0))
