Serve first who can still be answered in time

Cause: after an outage, when targets start cold, clients that had been refused came back too late for their objective and went before all others of their priority. New calls then became late in their turn; the queue stayed late as long as the load was near the room.

Change: clients that came back and are late go behind all others of their urgency; those that can be in time go before them. Calls of a running target keep their order.

--- a/packages/pumicestand/pumicestand/target_queue.py
+++ b/packages/pumicestand/pumicestand/target_queue.py
@@ -54,11 +54,6 @@
         """What all calls of one kind share; the lower goes first."""
         return (not self.is_inner, self.priority)
 
-    @property
-    def rank(self):
-        """What orders tickets that wait: the lower goes first."""
-        return (*self.urgency, not self.is_returned, self.number)
-
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Start:
@@ -178,7 +173,8 @@
         """
         if self._slots <= 0:
             return float('inf')
-        ahead = [other for other in self._waiting if other.rank < ticket.rank]
+        rank = self._rank(ticket, now)
+        ahead = [o for o in self._waiting if self._rank(o, now) < rank]
         if self._running < self._slots and not ahead:
             return 0.0
         urgent = self._demand.above(ticket.urgency, now)
@@ -209,9 +205,29 @@
         if finish > self._latest_finish(ticket):
             return Refuse(self._retry_after(wait))
         self._waiting.append(ticket)
-        self._waiting.sort(key=lambda other: other.rank)
         return Wait()
 
+    def _rank(self, ticket, now):
+        """Return what orders tickets that wait: the lower goes first.
+
+        Those that can still be in time go before those that can't, and
+        clients that came back before others.
+        """
+        is_late = self._is_late(ticket, now)
+        return (
+            *ticket.urgency,
+            is_late,
+            not ticket.is_returned,
+            ticket.number,
+        )
+
+    def _is_late(self, ticket, now):
+        # What a running target waits for is late when that one is; others
+        # are given back before.
+        if not ticket.is_returned:
+            return False
+        return now + self.work_of(ticket.route) > ticket.objective_at
+
     def _latest_finish(self, ticket):
         """Return until when an answer is worth waiting for a slot."""
         if ticket.is_inner or ticket.is_returned:
@@ -246,6 +262,7 @@
     def take(self, now):
         """Return (tickets to start now, tickets to refuse now)."""
         started, refused = [], self._take_hopeless(now)
+        self._waiting.sort(key=lambda ticket: self._rank(ticket, now))
         while self._waiting and self._running < self._slots:
             ticket = self._waiting.pop(0)
             if now + RETURN_S >= ticket.deadline:
