--- a/Makefile
+++ b/Makefile
@@ -20,6 +20,7 @@
 
 demo: install
 	$(BIN)/python -m benchmarks.demo
+	$(BIN)/python -m soak --nodes 8 --seconds 15
 
 lint: install
 	$(BIN)/ruff format --check $(SOURCES)
