Take in a target that restarts after its VM's clock went back

Starts of a target are told apart by their time, so one after a clock that went back looked earlier than the one before, and all its heartbeats late; the target stayed unused.

Ruled out: to trust the instance's name; a heartbeat of an earlier start may arrive late and bears another name, too.

Change: a start that looks earlier is taken in once three of its heartbeats came in order and the other start has been silent for 4 s; never one that has left.

Figures: test_a_start_after_the_clock_went_back_is_taken_in failed before.

Conclusion: such a target serves again after 4 s.

--- a/packages/pumicestand/pumicestand/targets.py
+++ b/packages/pumicestand/pumicestand/targets.py
@@ -5,6 +5,12 @@
 from pumicestand import hop_messages
 from pumicestand import messages
 
+# Silence of a target after which another start's heartbeats may replace it
+# although that one looks earlier, in seconds: more than two periods.
+SILENT_S = 4.0
+# Heartbeats that such a start must have sent, one after the other.
+MIN_RIVAL_BEATS = 3
+
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Heartbeat:
@@ -40,13 +46,18 @@
     """Keeps what holds of the target beside this node.
 
     A state never goes back within one start of a target: a late heartbeat
-    does not make a target that leaves serve again.
+    does not make a target that leaves serve again. Starts are told apart by
+    their time; one that looks earlier is late, unless it goes on while the
+    other is silent: then the VM's clock went back in between.
     """
 
     def __init__(self):
         self._target = None
         self._order = (0, 0)
         self._left = set()
+        self._heard_at = 0.0
+        self._rival = None
+        self._rival_beats = 0
         self.cold_until = 0.0
 
     @property
@@ -75,7 +86,9 @@
 
     def beat(self, heartbeat, now):
         """Take a heartbeat in; return whether anything changed."""
-        if heartbeat.order <= self._order:
+        if heartbeat.order <= self._order and not self._is_restart(
+            heartbeat, now
+        ):
             return False
         before = self._target
         target = heartbeat.target
@@ -85,6 +98,8 @@
             and before.started_ms == target.started_ms
         )
         self._order = heartbeat.order
+        self._heard_at = now
+        self._rival = None
         self.cold_until = now + heartbeat.cold_left
         if (target.instance, target.started_ms) in self._left:
             target = dataclasses.replace(
@@ -95,6 +110,23 @@
         self._target = target
         return target != before
 
+    def _is_restart(self, heartbeat, now):
+        """Whether it is of a start after the VM's clock went back."""
+        target = heartbeat.target
+        start = (target.instance, target.started_ms)
+        if start in self._left or target.started_ms == self._order[0]:
+            return False
+        if self._rival is None or self._rival[0] != start:
+            self._rival_beats = 0
+        elif heartbeat.sequence <= self._rival[1]:
+            return False
+        self._rival = (start, heartbeat.sequence)
+        self._rival_beats += 1
+        return (
+            self._rival_beats >= MIN_RIVAL_BEATS
+            and now - self._heard_at >= SILENT_S
+        )
+
     def leave(self, departure):
         """Note that a target goes; return whether anything changed."""
         target = self._target
--- a/tests/pumicestand/test_targets.py
+++ b/tests/pumicestand/test_targets.py
@@ -95,3 +95,43 @@
     watch = targets.TargetWatch()
     watch.apply(beat(1, name='b', started_ms=300), 0.0)
     assert not watch.recall(mesh_fakes.make_target('a'))
+
+
+def test_a_start_after_the_clock_went_back_is_taken_in():
+    """Its start looks earlier than that of the one before."""
+    watch = targets.TargetWatch()
+    watch.apply(beat(9, name='old', started_ms=5000), 0.0)
+    for sequence, now in ((1, 1.5), (2, 3.0)):
+        assert not watch.apply(beat(sequence, started_ms=3000), now)
+    assert watch.apply(beat(3, started_ms=3000), targets.SILENT_S)
+    assert watch.target.instance == 'i-a'
+    assert watch.apply(beat(4, State.DRAINING, 3000), 9.0)
+
+
+def test_late_heartbeats_do_not_replace_a_target_that_still_beats():
+    watch = targets.TargetWatch()
+    for tick in range(20):
+        now = tick * 1.5
+        watch.apply(beat(tick, name='new', started_ms=5000), now)
+        assert not watch.apply(beat(50 + tick, started_ms=3000), now)
+    assert watch.target.instance == 'i-new'
+
+
+def test_one_late_heartbeat_is_no_start():
+    watch = targets.TargetWatch()
+    watch.apply(beat(9, name='new', started_ms=5000), 0.0)
+    late = 2 * targets.SILENT_S
+    assert not watch.apply(beat(50, started_ms=3000), late)
+    assert not watch.apply(beat(50, started_ms=3000), late + 1.5)
+    assert watch.target.instance == 'i-new'
+
+
+def test_a_start_that_has_left_is_never_taken_in_again():
+    watch = targets.TargetWatch()
+    watch.apply(beat(1, started_ms=3000), 0.0)
+    watch.apply(targets.Departure('i-a', 3000), 0.1)
+    watch.apply(beat(1, name='new', started_ms=5000), 0.2)
+    for sequence in range(2, 9):
+        now = targets.SILENT_S + sequence
+        watch.apply(beat(sequence, started_ms=3000), now)
+    assert watch.target.instance == 'i-new'
