Tell a forgotten connection from a lost answer

Ruled out: targets that forget so soon; the resets came after the time of a run.

Change: a connection counts as forgotten only if it breaks within 20 ms of the send.

Figures: test_a_connection_cut_in_or_after_a_run_was_not_forgotten failed for a lost answer before.

Conclusion: connections are kept again where answers are lost.

--- a/packages/pumicestand-node/pumicestand_node/target_calls.py
+++ b/packages/pumicestand-node/pumicestand_node/target_calls.py
@@ -24,6 +24,9 @@
 # Seconds for which no call is tried after the target refused a connection;
 # it is back after some seconds or never.
 UNREACHABLE_S = 0.3
+# Time within which a target resets a connection that it has forgotten; the
+# way on one VM takes less than a millisecond.
+FORGOTTEN_WITHIN_S = 0.02
 # Weight of one answer in the fraction of failures.
 FAILURE_WEIGHT = 0.04
 # What the target is told to stop at lies this much before the deadline.
@@ -239,6 +242,7 @@
                     call, Outcome.NOT_HANDED_ON, 'deadline-before-run'
                 )
             head = self._request_head(call, target, left)
+            sent_at = self._clock()
             answer = await connection.exchange(
                 head, call.body, self._is_own(call)
             )
@@ -247,7 +251,7 @@
             return self._judge(call, ticket, target, answer)
         except target_exchange.ExchangeFailed as error:
             if connection is not None and connection.was_forgotten:
-                self._note_forgotten(connection, target)
+                self._note_forgotten(connection, target, sent_at)
             return self._failed(call, target, error)
         finally:
             if connection is not None and not is_kept:
@@ -353,7 +357,10 @@
             ' '.join(f'{mark:016x}' for mark in marks),
         )
 
-    def _note_forgotten(self, connection, target):
+    def _note_forgotten(self, connection, target, sent_at):
+        if self._clock() - sent_at > FORGOTTEN_WITHIN_S:
+            # The target was at work by then; it lost the answer.
+            return
         bound = self._pool.note_forgotten(connection)
         loguru.logger.bind(event='connection-forgotten').warning(
             'target {} dropped a connection that was idle for {:.2f} s; '
--- a/tests/pumicestand_node/test_mesh_calls.py
+++ b/tests/pumicestand_node/test_mesh_calls.py
@@ -156,6 +156,10 @@
             case 'reset':
                 await stream.aclose()
                 return False
+            case 'lose':
+                await trio.sleep(0.1)
+                await stream.aclose()
+                return False
             case 'hang':
                 await trio.sleep_forever()
             case 'extra':
@@ -478,11 +482,12 @@
     play(test)
 
 
-def test_a_connection_cut_in_an_answer_was_not_forgotten():
+@pytest.mark.parametrize('step', [CUT, 'lose'])
+def test_a_connection_cut_in_or_after_a_run_was_not_forgotten(step):
     async def test(bench):
         assert (await bench.ask())[0] == 200
         await trio.sleep(0.5)
-        bench.script.steps.append(CUT)
+        bench.script.steps.append(step)
         assert (await bench.ask('/o/1', method='POST', id_='i2'))[0] == 502
         assert (await bench.ask(id_='i3'))[0] == 200
         await trio.sleep(0.5)
