End the soak's nodes when it is ended, and notice strangers

Cause: test_a_short_soak_keeps_all_promises found "not run means not run" and late configurations, three times alike. A soak that had been ended by a signal had left its nodes; they kept the addresses, the new nodes ended at their start, and the callers spoke with the old ones.

Ruled out: the nodes; with the old processes gone the same seed had no finding. Their logs had "Address already in use".

--- a/soak/__main__.py
+++ b/soak/__main__.py
@@ -1,6 +1,7 @@
 """Runs soaks: python -m soak --seed N, or --seeds N for many."""
 
 import argparse
+import signal
 import sys
 
 import trio
@@ -16,12 +17,20 @@
     parser.add_argument('--seeds', type=int, default=1, help='how many')
     parser.add_argument('--nodes', type=int, default=6)
     parser.add_argument('--seconds', type=float, default=25.0)
+    parser.add_argument('--logs', help='an existing folder for all logs')
     parser.add_argument('--picture', help='path of a PNG of the last seed')
     options = parser.parse_args(arguments)
+    # Ended from outside, the soak still ends what it started.
+    signal.signal(signal.SIGTERM, lambda *_: sys.exit(1))
     has_failed = False
     for seed in range(options.seed, options.seed + options.seeds):
         verdict, record, started = trio.run(
-            play.play, seed, options.nodes, options.seconds
+            play.play,
+            seed,
+            options.nodes,
+            options.seconds,
+            True,
+            options.logs,
         )
         print(verdict.to_json(), flush=True)
         has_failed = has_failed or bool(verdict.findings)
--- a/soak/play.py
+++ b/soak/play.py
@@ -52,17 +52,18 @@
         return json.dumps(dataclasses.asdict(self))
 
 
-async def play(seed, size, seconds, is_timed=True):
+async def play(seed, size, seconds, is_timed=True, logs=None):
     """Return (`Verdict`, `records.Record`, seconds of the start).
 
     :param seed: decides faults and calls
     :param size: number of nodes
+    :param logs: folder in which the nodes' logs stay, None for none
     """
     rng = random.Random(seed)
     planned = faults.draw(rng, seconds, size)
     record = records.Record()
     with tempfile.TemporaryDirectory(prefix='soak-') as name:
-        world = worlds.World(size, pathlib.Path(name))
+        world = worlds.World(size, pathlib.Path(logs or name))
         try:
             async with trio.open_nursery() as nursery:
                 await world.start(nursery)
--- a/soak/world.py
+++ b/soak/world.py
@@ -149,10 +149,17 @@
         await self.wait_until_ready()
 
     async def wait_until_ready(self):
-        """Wait until the node takes callers, for a bounded time."""
+        """Wait until the node takes callers, for a bounded time.
+
+        :raises RuntimeError: if the process ends meanwhile
+        """
         with trio.move_on_after(START_TIMEOUT_S):
             while not await self._is_ready():
+                if not self.process.is_running:
+                    raise RuntimeError(f'{self.name} ended at its start')
                 await trio.sleep(READY_PERIOD_S)
+        if not self.process.is_running:
+            raise RuntimeError(f'another process serves for {self.name}')
 
     async def _is_ready(self):
         try:
