Ask another zone when the only near node does not answer

Cause: found in reading. A node that stands still right after it has told of a new generation was asked again and again by its zone as long as it was the only near one that had it.

Ruled out: that the link is given up in time; without calls on it a link may be silent for long.

Change: who has not answered is not asked again until all have been asked.

Figures: test_another_zone_is_asked_if_the_only_near_node_does_not_answer failed before.

--- a/packages/pumicestand/pumicestand/fetches.py
+++ b/packages/pumicestand/pumicestand/fetches.py
@@ -34,6 +34,7 @@
         self._wanted_since = None
         self._asked = None
         self._asked_at = 0.0
+        self._silent = set()
 
     def hear(self, name, zone, generation):
         """Note which generation a node has."""
@@ -46,6 +47,7 @@
 
     def note_answer(self, name):
         """Note that a node has answered; another may be asked."""
+        self._silent.discard(name)
         if self._asked == name:
             self._asked = None
 
@@ -62,22 +64,28 @@
         }
         if not newer:
             self._wanted_since = None
+            self._silent.clear()
             return None
         if self._wanted_since is None:
             self._wanted_since = now
         if self._asked is not None and now - self._asked_at < ANSWER_S:
             return None
+        if self._asked is not None:
+            self._silent.add(self._asked)
+        if self._silent >= newer.keys():
+            self._silent.clear()
         name = self._choose(newer, is_first, now)
         self._asked, self._asked_at = name, now
         return name
 
     def _choose(self, newer, is_first, now):
-        near = [n for n, s in newer.items() if s.zone == self._zone]
+        near = [
+            name
+            for name, source in newer.items()
+            if source.zone == self._zone and name not in self._silent
+        ]
         has_waited = now - self._wanted_since >= OWN_ZONE_S
         if not near and not has_waited and not is_first():
             return None
-        names = near or list(newer)
-        if len(names) > 1 and self._asked in names:
-            # It was asked before and has not answered.
-            names.remove(self._asked)
+        names = near or [name for name in newer if name not in self._silent]
         return self._rng.choice(names)
--- a/tests/pumicestand/test_fetches.py
+++ b/tests/pumicestand/test_fetches.py
@@ -101,3 +101,18 @@
     assert seconds < 0.3
     assert asked == size - 1
     assert far == len(ZONES) - 1
+
+
+def test_another_zone_is_asked_if_the_only_near_node_does_not_answer():
+    """It may stand still right after it has told of the generation."""
+    held = fetches.Fetches('a', random.Random(1))
+    held.hear('near', 'a', 2)
+    held.hear('far', 'b', 2)
+    assert held.next(1, lambda: False, 0.0) == 'near'
+    assert held.next(1, lambda: False, fetches.ANSWER_S) == 'far'
+    # Both stand still: they are asked in turn until one answers.
+    asked = {
+        held.next(1, lambda: False, (fetches.ANSWER_S + 0.01) * turn)
+        for turn in range(2, 6)
+    }
+    assert asked == {'near', 'far'}
