Show the link's use and refused requests as metrics

Cause: OPERATIONS.md tells of narrow links and of requests that crash targets, but no metric did.

Conclusion: both can be seen from outside.

--- a/packages/pumicestand-node/pumicestand_node/mesh_metrics.py
+++ b/packages/pumicestand-node/pumicestand_node/mesh_metrics.py
@@ -10,9 +10,10 @@
     :param outbound: the `outbound_calls.OutboundCalls`
     :param targets: the `target_calls.TargetCalls`
     :param decisions: the `decision_log.DecisionLog`
+    :param clock: returns monotonic seconds
     """
 
-    def __init__(self, mesh, outbound, targets, decisions):
+    def __init__(self, mesh, outbound, targets, decisions, clock):
         meters = metrics.Metrics(mesh.identity.name)
         self._meters = meters
         meters.observe(
@@ -64,6 +65,16 @@
                 lambda: decisions.dropped,
                 'Log lines dropped to keep within the bound',
             ),
+            (
+                'pumicestand_link_busy',
+                lambda: mesh.link_meter.busy(clock()),
+                "Fraction of the VM's network link in use",
+            ),
+            (
+                'pumicestand_requests_refused_for_crashes',
+                mesh.suspects.refused,
+                'Requests that are refused since they crashed targets',
+            ),
         ):
             meters.gauge(name, read, text)
 
--- a/packages/pumicestand/pumicestand/suspects.py
+++ b/packages/pumicestand/pumicestand/suspects.py
@@ -102,6 +102,13 @@
         crashes, answers = self._total(mark)
         return crashes >= CRASHES_BEFORE_REFUSAL and not answers
 
+    def refused(self):
+        """Return how many requests must not be run now."""
+        marks = set(self._own)
+        for suspects in self._heard.values():
+            marks.update(suspect.mark for suspect in suspects)
+        return sum(self.is_refused(mark) for mark in marks)
+
     def _total(self, mark):
         """Return (crashes, answers) over the fleet."""
         own = self._own.get(mark) or _Count()
--- a/tests/pumicestand/test_suspects.py
+++ b/tests/pumicestand/test_suspects.py
@@ -34,6 +34,7 @@
         assert not any(view.is_refused(7) for view in fleet.views)
         fleet.crash(crash % size, [7], float(crash))
     assert all(view.is_refused(7) for view in fleet.views)
+    assert all(view.refused() == 1 for view in fleet.views)
     assert not any(view.is_refused(8) for view in fleet.views)
 
 
