Work a call's fingerprint out in one place

Cause: the caller's node and the one beside the target each had the same two lines.

Change: quarantine.mark_call; no change of behaviour.

Conclusion: one copy.

--- a/packages/pumicestand-node/pumicestand_node/outbound_call.py
+++ b/packages/pumicestand-node/pumicestand_node/outbound_call.py
@@ -3,7 +3,6 @@
 import dataclasses
 
 from pumicestand import documents
-from pumicestand import quarantine
 from pumicestand import refusals
 from pumicestand import suspects
 from pumicestand_node import heads
@@ -52,12 +51,14 @@
     asked: list = dataclasses.field(default_factory=list)
 
     @property
-    def mark(self):
-        """The fingerprint by which a request that crashes is known."""
-        url = self.head.url.decode('latin-1')
-        return quarantine.fingerprint(
-            self.head.method, self.service, url, self.body
-        )
+    def method(self):
+        """Of the request."""
+        return self.head.method
+
+    @property
+    def url(self):
+        """Of the request, as bytes."""
+        return self.head.url
 
 
 def final_refusal(call, result, now):
--- a/packages/pumicestand-node/pumicestand_node/outbound_calls.py
+++ b/packages/pumicestand-node/pumicestand_node/outbound_calls.py
@@ -7,6 +7,7 @@
 
 from pumicestand import hop_messages
 from pumicestand import placing
+from pumicestand import quarantine
 from pumicestand import refusals
 from pumicestand import routing
 from pumicestand_node import heads
@@ -265,7 +266,7 @@
         mesh = self._mesh
         now = self._clock()
         suspects = mesh.suspects
-        if suspects.is_any and suspects.is_refused(call.mark):
+        if suspects.is_any and suspects.is_refused(quarantine.mark_call(call)):
             call.last_code = outbound_call.QUARANTINED
             return None
         peer = self._choose(call, now)
--- a/packages/pumicestand-node/pumicestand_node/target_calls.py
+++ b/packages/pumicestand-node/pumicestand_node/target_calls.py
@@ -140,7 +140,9 @@
             return 'other-version'
         if call.instance and target.instance != call.instance:
             return 'other-instance'
-        if self._suspects.is_any and self._suspects.is_refused(_mark(call)):
+        if self._suspects.is_any and self._suspects.is_refused(
+            quarantine.mark_call(call)
+        ):
             return refusals.CallCode.QUARANTINED.value
         return None
 
@@ -310,7 +312,7 @@
         self._note_failure(1.0 if is_error else 0.0)
         self._count(call, target, is_error, work)
         if self._suspects.is_any and self._suspects.note_answer(
-            _mark(call), self._clock()
+            quarantine.mark_call(call), self._clock()
         ):
             self._on_change()
         if not is_error:
@@ -341,7 +343,7 @@
             return self._result(call, Outcome.NOT_HANDED_ON, 'connect-failed')
         self._note_failure(1.0)
         self._count(call, target, True, None)
-        self._suspects.note_lost(_mark(call), self._clock())
+        self._suspects.note_lost(quarantine.mark_call(call), self._clock())
         return self._result(call, Outcome.UNKNOWN, 'answer-lost')
 
     def _note_crash(self, target):
@@ -391,8 +393,3 @@
     async def close(self):
         """Close the kept connections to the target."""
         await self._pool.close_idle()
-
-
-def _mark(call):
-    url = call.url.decode('latin-1')
-    return quarantine.fingerprint(call.method, call.service, url, call.body)
--- a/packages/pumicestand/pumicestand/quarantine.py
+++ b/packages/pumicestand/pumicestand/quarantine.py
@@ -25,6 +25,16 @@
     return int.from_bytes(digest.digest())
 
 
+def mark_call(call):
+    """Return the fingerprint of a call between two nodes.
+
+    :param call: anything with `method`, `service`, `url` and `body`, the
+        last two as bytes
+    """
+    url = call.url.decode('latin-1')
+    return fingerprint(call.method, call.service, url, call.body)
+
+
 class CrashLedger:
     """Counts the crashes that each request was part of."""
 
