Have tests share one clock and one mesh

Cause: found in reading the change again. MeshMetrics was given the decision log that the mesh holds.

No assertion changed.

Conclusion: one copy each.

--- a/packages/pumicestand-node/pumicestand_node/mesh_metrics.py
+++ b/packages/pumicestand-node/pumicestand_node/mesh_metrics.py
@@ -9,11 +9,10 @@
     :param mesh: the `mesh.Mesh`
     :param outbound: the `outbound_calls.OutboundCalls`
     :param targets: the `target_calls.TargetCalls`
-    :param decisions: the `decision_log.DecisionLog`
     :param clock: returns monotonic seconds
     """
 
-    def __init__(self, mesh, outbound, targets, decisions, clock):
+    def __init__(self, mesh, outbound, targets, clock):
         meters = metrics.Metrics(mesh.identity.name)
         self._meters = meters
         meters.observe(
@@ -62,7 +61,7 @@
             ),
             (
                 'pumicestand_log_lines_dropped',
-                lambda: decisions.dropped,
+                lambda: mesh.decisions.dropped,
                 'Log lines dropped to keep within the bound',
             ),
             (
--- a/packages/pumicestand-node/pumicestand_node/mesh_node.py
+++ b/packages/pumicestand-node/pumicestand_node/mesh_node.py
@@ -105,11 +105,7 @@
             self._links.report_soon,
         )
         self._metrics = mesh_metrics.MeshMetrics(
-            self._mesh,
-            self._outbound,
-            self._targets,
-            self._decisions,
-            self._clock,
+            self._mesh, self._outbound, self._targets, self._clock
         )
         self._port = caller_port.CallerPort(
             self._outbound.serve, self._note_refusal, self._caller_limits
--- a/tests/pumicestand/mesh_fakes.py
+++ b/tests/pumicestand/mesh_fakes.py
@@ -1,9 +1,15 @@
 """Peers, reports and orders for tests of the mesh's decisions."""
 
+import random
+
+from pumicestand import decision_log
 from pumicestand import fleet as fleets
 from pumicestand import hop_messages
 from pumicestand import messages
+from pumicestand import node_records
 from pumicestand import rollouts
+from pumicestand_node import mesh as meshes
+from pumicestand_node import mesh_settings
 
 
 def make_target(name, service='s', version='v1', **kwargs):
@@ -42,6 +48,18 @@
     return fleet
 
 
+def make_mesh(name='own', seed=1, link_rate=0.0):
+    """Return the `mesh.Mesh` of a node that knows nothing yet."""
+    return meshes.Mesh(
+        node_records.NodeRecord(name, '10.0.0.1', 7000, 'a'),
+        1,
+        mesh_settings.MeshBounds(6.0, 0.2, 60.0, 10.0),
+        decision_log.DecisionLog(name, lambda: 1.0, lambda data: True),
+        random.Random(seed),
+        link_rate,
+    )
+
+
 def make_order(version='v2', duration=15.0, **kwargs):
     return rollouts.Order(
         service='s',
--- a/tests/pumicestand/test_stores.py
+++ b/tests/pumicestand/test_stores.py
@@ -11,6 +11,7 @@
 from pumicestand_standins import http_server
 from pumicestand_standins import store as store_standin
 from tests import memory_network
+from tests import mock_clock
 
 KEY = 'documents/production'
 
@@ -29,12 +30,6 @@
         nursery.cancel_scope.cancel()
 
 
-def run(function):
-    """Run a coroutine function on a clock that jumps when all wait."""
-    clock = trio.testing.MockClock(autojump_threshold=0)
-    return trio.run(function, clock=clock)
-
-
 def test_objects_have_versions_and_conditional_updates():
     async def main():
         async with open_store() as (client, store, _):
@@ -51,7 +46,7 @@
             assert [item.key for item in listed] == [KEY]
             assert store.counters == {'read': 3, 'write': 3, 'list': 1}
 
-    run(main)
+    mock_clock.run(main)
 
 
 def test_a_watch_waits_from_a_version_and_counts_as_one_call():
@@ -71,7 +66,7 @@
             assert seen[0].value == 'two'
             assert store.counters['watch'] == 2
 
-    run(main)
+    mock_clock.run(main)
 
 
 # Each case: the faults, the call, the error that the client raises.
@@ -126,7 +121,7 @@
             assert caught.value.step == call
             assert caught.value.peer == 'http://store'
 
-    run(main)
+    mock_clock.run(main)
 
 
 def test_a_connection_that_is_refused_wrote_nothing():
@@ -136,7 +131,7 @@
             with pytest.raises(errors.StoreUnavailable):
                 await client.write(KEY, 'one', 0)
 
-    run(main)
+    mock_clock.run(main)
 
 
 def test_a_lost_answer_leaves_the_write_in_the_store():
@@ -147,7 +142,7 @@
                 await client.write(KEY, 'one', 0)
             assert (await client.read(KEY)).value == 'one'
 
-    run(main)
+    mock_clock.run(main)
 
 
 def test_a_watch_may_lag_and_skip_but_a_read_does_not():
@@ -166,7 +161,7 @@
             assert stored.value == 'three'
             assert trio.current_time() - started >= 3.0
 
-    run(main)
+    mock_clock.run(main)
 
 
 def test_a_list_may_be_stale():
@@ -178,7 +173,7 @@
             listed = await client.list('documents/')
             assert [item.value for item in listed] == ['one']
 
-    run(main)
+    mock_clock.run(main)
 
 
 def test_the_value_limit_and_the_rate_ceilings():
@@ -193,4 +188,4 @@
             await trio.sleep(1)
             await client.read(KEY)
 
-    run(main)
+    mock_clock.run(main)
--- a/tests/pumicestand_node/test_frame_streams.py
+++ b/tests/pumicestand_node/test_frame_streams.py
@@ -6,15 +6,10 @@
 from pumicestand import hop_messages
 from pumicestand import link_meter
 from pumicestand_node import frame_streams
+from tests import mock_clock
 from tests.pumicestand import test_hop
 
 
-def run(function):
-    """Run a coroutine function on a clock that jumps when all wait."""
-    clock = trio.testing.MockClock(autojump_threshold=0)
-    return trio.run(function, clock=clock)
-
-
 def test_a_short_frame_passes_the_parts_of_a_long_body():
     async def main():
         own, other = trio.testing.memory_stream_pair()
@@ -41,4 +36,4 @@
         assert kinds == ['Call', 'Ping'] + ['Part'] * 9
         assert [part.is_last for part in received[2:]] == [False] * 8 + [True]
 
-    run(main)
+    mock_clock.run(main)
--- a/tests/pumicestand_node/test_links.py
+++ b/tests/pumicestand_node/test_links.py
@@ -12,18 +12,13 @@
 from pumicestand_node import frame_streams
 from pumicestand_node import link_server
 from pumicestand_node import links
+from tests import mock_clock
 from tests.pumicestand import mesh_fakes
 from tests.pumicestand import test_hop
 
 Outcome = hop_messages.Outcome
 
 
-def run(function):
-    """Run a coroutine function on a clock that jumps when all wait."""
-    clock = trio.testing.MockClock(autojump_threshold=0)
-    return trio.run(function, clock=clock)
-
-
 class OtherSide:
     """What another node does on the link that is tested."""
 
@@ -103,7 +98,7 @@
                 await test(harness)
                 nursery.cancel_scope.cancel()
 
-        run(main)
+        mock_clock.run(main)
 
     return play_
 
@@ -351,4 +346,4 @@
         assert ran.left_ms == pytest.approx(400, abs=1)
         assert ran.objective_ms == pytest.approx(-400, abs=1)
 
-    run(main)
+    mock_clock.run(main)
--- a/tests/pumicestand_node/test_mesh_calls.py
+++ b/tests/pumicestand_node/test_mesh_calls.py
@@ -1,26 +1,22 @@
 """Calls over the whole path, on every fault of the target beside a node."""
 
 import dataclasses
-import random
 
 import pytest
 import trio
 import trio.testing
 
 from pumicestand import blackboard
-from pumicestand import decision_log
 from pumicestand import documents
 from pumicestand import hop_messages
 from pumicestand import messages
-from pumicestand import node_records
 from pumicestand import targets
 from pumicestand_node import caller_connections
-from pumicestand_node import mesh as meshes
-from pumicestand_node import mesh_settings
 from pumicestand_node import outbound_calls
 from pumicestand_node import target_calls
 from pumicestand_node import target_exchange
 from pumicestand_platform import headers
+from tests import mock_clock
 from tests.pumicestand import mesh_fakes
 
 OK = (
@@ -66,11 +62,8 @@
     def __init__(self, nursery, script, attempts=2):
         self.nursery = nursery
         self.script = script
-        identity = node_records.NodeRecord('own', '10.0.0.1', 7000, 'a')
-        bounds = mesh_settings.MeshBounds(6.0, 0.2, 60.0, 10.0)
-        log = decision_log.DecisionLog('own', lambda: 1.0, lambda d: True)
         clock = trio.current_time
-        self.mesh = meshes.Mesh(identity, 1, bounds, log, random.Random(1))
+        self.mesh = mesh_fakes.make_mesh()
         self.targets = target_calls.TargetCalls(
             self.mesh.watch,
             self.mesh.suspects,
@@ -220,7 +213,7 @@
             await test(bench)
             nursery.cancel_scope.cancel()
 
-    trio.run(main, clock=trio.testing.MockClock(autojump_threshold=0))
+    mock_clock.run(main)
 
 
 # Step of the target: (status for what may be repeated, sends; status for
--- a/tests/pumicestand_node/test_mesh_links.py
+++ b/tests/pumicestand_node/test_mesh_links.py
@@ -6,14 +6,11 @@
 import trio
 import trio.testing
 
-from pumicestand import decision_log
 from pumicestand import hop
 from pumicestand import hop_messages
-from pumicestand import node_records
 from pumicestand import reporting
-from pumicestand_node import mesh as meshes
 from pumicestand_node import mesh_links
-from pumicestand_node import mesh_settings
+from tests import mock_clock
 from tests.pumicestand import mesh_fakes
 
 
@@ -52,14 +49,10 @@
     """A node that reports to some others."""
 
     def __init__(self, listeners=1):
-        identity = node_records.NodeRecord('own', '10.0.0.1', 7000, 'a')
-        bounds = mesh_settings.MeshBounds(6.0, 0.2, 60.0, 10.0)
-        log = decision_log.DecisionLog('own', lambda: 1.0, lambda d: True)
-        rng = random.Random(1)
-        self.mesh = meshes.Mesh(identity, 1, bounds, log, rng)
+        self.mesh = mesh_fakes.make_mesh()
         self.targets = FakeTargets()
         self.links = mesh_links.MeshLinks(
-            self.mesh, self.targets, None, trio.current_time, rng
+            self.mesh, self.targets, None, trio.current_time, random.Random(1)
         )
         self.servers = [FakeServer() for _ in range(listeners)]
         self.links._accepted.update(self.servers)
@@ -81,8 +74,7 @@
                 await test(harness)
                 nursery.cancel_scope.cancel()
 
-        clock = trio.testing.MockClock(autojump_threshold=0)
-        trio.run(main, clock=clock)
+        mock_clock.run(main)
 
     return play_
 
@@ -166,7 +158,7 @@
         # Any other change reaches all at once.
         assert far_kinds[-1] == 'Report'
 
-    trio.run(main, clock=trio.testing.MockClock(autojump_threshold=0))
+    mock_clock.run(main)
 
 
 def test_a_new_generation_is_told_at_once_and_alone(play):
--- a/tests/pumicestand_node/test_mesh_store.py
+++ b/tests/pumicestand_node/test_mesh_store.py
@@ -7,31 +7,25 @@
 import trio
 import trio.testing
 
-from pumicestand import decision_log
 from pumicestand import hop_messages
 from pumicestand import node_records
 from pumicestand import rollouts
-from pumicestand_node import mesh as meshes
-from pumicestand_node import mesh_settings
 from pumicestand_node import mesh_store
 from pumicestand_platform import configuration
 from pumicestand_platform import objects
+from tests import mock_clock
 from tests.pumicestand import mesh_fakes
 from tests.pumicestand_platform import test_configuration
 from tests.pumicestand_platform import test_objects
 
 State = hop_messages.RolloutState
-BOUNDS = mesh_settings.MeshBounds(6.0, 0.2, 60.0, 10.0)
 
 
 class Node:
     """One node's mesh and store agent."""
 
     def __init__(self, client, name, seed=1):
-        identity = node_records.NodeRecord(name, '10.0.0.1', 7000, 'a')
-        log = decision_log.DecisionLog(name, lambda: 1.0, lambda d: True)
-        rng = random.Random(seed)
-        self.mesh = meshes.Mesh(identity, 1, BOUNDS, log, rng)
+        self.mesh = mesh_fakes.make_mesh(name, seed)
         self.met = []
         self.told = 0
         self.agent = mesh_store.MeshStore(
@@ -39,7 +33,7 @@
             client,
             configuration.Translator(),
             trio.current_time,
-            rng,
+            random.Random(seed),
             self.met.extend,
             lambda: None,
             self.tell,
@@ -79,9 +73,6 @@
     store.put('rollouts', 's', spec)
 
 
-run = test_objects.run
-
-
 def test_nodes_that_start_together_find_each_other():
     async def main():
         async with open_nodes('a', 'b', 'c') as (nodes, _):
@@ -98,7 +89,7 @@
             }
             assert len(pairs) == 3
 
-    run(main)
+    mock_clock.run(main)
 
 
 def test_a_restarted_node_recalls_its_target():
@@ -116,7 +107,7 @@
                 assert node.mesh.watch.target == target
                 nursery.cancel_scope.cancel()
 
-    run(main)
+    mock_clock.run(main)
 
 
 def test_a_record_of_another_writer_names_no_node():
@@ -140,7 +131,7 @@
                 assert [record.name for record in node.met] == ['a']
                 nursery.cancel_scope.cancel()
 
-    run(main)
+    mock_clock.run(main)
 
 
 def test_a_change_is_in_force_within_two_seconds():
@@ -152,7 +143,7 @@
             await trio.sleep(0.1)
             assert node.mesh.generation == 0x20
 
-    run(main)
+    mock_clock.run(main)
 
 
 @pytest.mark.parametrize(
@@ -175,7 +166,7 @@
             assert node.mesh.generation == 0x20
             assert node.mesh.store_reachable
 
-    run(main)
+    mock_clock.run(main)
 
 
 def test_an_older_configuration_is_never_taken():
@@ -186,7 +177,7 @@
             await trio.sleep(1)
             assert node.mesh.generation == 0x1F
 
-    run(main)
+    mock_clock.run(main)
 
 
 def test_what_is_no_configuration_changes_nothing():
@@ -197,7 +188,7 @@
             await trio.sleep(1)
             assert node.mesh.generation == 0x1F
 
-    run(main)
+    mock_clock.run(main)
 
 
 def test_a_node_says_that_it_lost_the_store():
@@ -210,7 +201,7 @@
             assert not node.mesh.store_reachable
             assert node.told > told
 
-    run(main)
+    mock_clock.run(main)
 
 
 def test_an_acknowledgement_does_not_wait_for_a_lost_store():
@@ -228,7 +219,7 @@
             record = store.get(node_records.KIND, 'a')['spec']
             assert record['target']['instance'] == 'i-t'
 
-    run(main)
+    mock_clock.run(main)
 
 
 @pytest.mark.parametrize('fault', [None, 'lost_writes', 'conflict'])
@@ -256,7 +247,7 @@
             order, _ = node.mesh.rollouts.state_of('s')
             assert order.status is State.RUNNING
 
-    run(main)
+    mock_clock.run(main)
 
 
 def test_the_first_in_rank_writes_and_a_node_without_the_store_does_not():
@@ -267,7 +258,7 @@
             node.mesh.store_reachable = False
             assert not node.agent.is_first()
 
-    run(main)
+    mock_clock.run(main)
 
 
 def test_a_node_on_a_narrow_link_ranks_behind_the_others():
@@ -291,4 +282,4 @@
             node.mesh.fleet.get('wide').is_linked = True
             assert not node.agent.is_first()
 
-    run(main)
+    mock_clock.run(main)
--- a/tests/pumicestand_node/test_store_agent.py
+++ b/tests/pumicestand_node/test_store_agent.py
@@ -16,6 +16,7 @@
 from pumicestand_node import store_agent
 from pumicestand_standins import store as store_standin
 from tests import fakes
+from tests import mock_clock
 from tests.pumicestand import test_readers
 from tests.pumicestand import test_stores
 
@@ -69,7 +70,7 @@
             ]
             assert facts[0].addresses == (('10.0.0.1', 7200),)
 
-    test_stores.run(main)
+    mock_clock.run(main)
 
 
 def test_verdicts_are_read_even_while_lists_are_stale():
@@ -101,7 +102,7 @@
             ]
             assert found[0].verdicts == (verdict,)
 
-    test_stores.run(main)
+    mock_clock.run(main)
 
 
 # Each fault strikes a running watch; the next document must arrive.
@@ -127,7 +128,7 @@
             await trio.sleep(7)
             assert generations(facts)[-1] == 2
 
-    test_stores.run(main)
+    mock_clock.run(main)
 
 
 def test_a_watch_outlives_an_outage():
@@ -151,7 +152,7 @@
             await trio.sleep(6)
             assert generations(facts)[-1] == 2
 
-    test_stores.run(main)
+    mock_clock.run(main)
 
 
 def test_a_lower_rank_never_overwrites_a_higher_one():
@@ -165,7 +166,7 @@
             assert held == {'label': 7, 'rank': 7}
             assert store.counters['write'] == 2
 
-    test_stores.run(main)
+    mock_clock.run(main)
 
 
 def test_a_write_whose_answer_is_lost_is_not_repeated():
@@ -177,7 +178,7 @@
             assert store.counters['write'] == 1
             assert (await client.read('moves/m')).exists
 
-    test_stores.run(main)
+    mock_clock.run(main)
 
 
 def test_a_write_waits_for_the_end_of_an_outage():
@@ -190,4 +191,4 @@
             await trio.sleep(6)
             assert (await client.read('moves/m')).exists
 
-    test_stores.run(main)
+    mock_clock.run(main)
--- a/tests/pumicestand_platform/test_objects.py
+++ b/tests/pumicestand_platform/test_objects.py
@@ -11,6 +11,7 @@
 from pumicestand_standins import http_server
 from pumicestand_standins import objects as object_store
 from tests import memory_network
+from tests import mock_clock
 
 KIND = 'things'
 
@@ -29,12 +30,6 @@
         nursery.cancel_scope.cancel()
 
 
-def run(function):
-    """Run a coroutine function on a clock that jumps when all wait."""
-    clock = trio.testing.MockClock(autojump_threshold=0)
-    return trio.run(function, clock=clock)
-
-
 def test_objects_are_created_replaced_and_listed():
     async def main():
         async with open_store() as (client, _, _):
@@ -51,7 +46,7 @@
             assert listing.items == (third,)
             assert listing.at == third.revision
 
-    run(main)
+    mock_clock.run(main)
 
 
 def test_a_write_under_a_stale_revision_names_the_winner():
@@ -68,7 +63,7 @@
                     await attempt
                 assert caught.value.winner == second.revision
 
-    run(main)
+    mock_clock.run(main)
 
 
 def test_a_long_list_is_read_in_pages():
@@ -80,7 +75,7 @@
             assert [item.spec for item in listing.items] == list(range(8))
             assert store.counters['GET'] == 3
 
-    run(main)
+    mock_clock.run(main)
 
 
 def test_a_watch_waits_and_goes_on_from_where_it_was():
@@ -100,7 +95,7 @@
             more = await client.watch(KIND, events.at, 1.0)
             assert more.events == ()
 
-    run(main)
+    mock_clock.run(main)
 
 
 def test_a_forgotten_history_demands_a_new_list():
@@ -112,7 +107,7 @@
             with pytest.raises(errors.WatchExpired):
                 await client.watch(KIND, at, 1.0)
 
-    run(main)
+    mock_clock.run(main)
 
 
 @pytest.mark.parametrize(
@@ -135,7 +130,7 @@
             assert caught.value.step == 'list'
             assert caught.value.peer == 'store:80'
 
-    run(main)
+    mock_clock.run(main)
 
 
 @pytest.mark.parametrize('fault', ['lost_writes', 'reset', 'silent'])
@@ -146,7 +141,7 @@
             with pytest.raises(errors.StoreAnswerLost):
                 await client.create(KIND, 'a', 1)
 
-    run(main)
+    mock_clock.run(main)
 
 
 def test_an_answer_of_another_form_is_an_error_with_a_code():
@@ -157,4 +152,4 @@
             with pytest.raises(errors.StoreRejected):
                 await client.list(KIND)
 
-    run(main)
+    mock_clock.run(main)
--- a/tests/pumicestandctl/test_editing.py
+++ b/tests/pumicestandctl/test_editing.py
@@ -14,6 +14,7 @@
 from pumicestand_standins import store as store_standin
 from pumicestandctl import editing
 from tests import fakes
+from tests import mock_clock
 from tests.pumicestand import test_readers
 from tests.pumicestand import test_stores
 
@@ -41,7 +42,7 @@
             assert record.previous == 1
             assert record.digest == documents.content_digest(SECOND)
 
-    test_stores.run(main)
+    mock_clock.run(main)
 
 
 def test_an_unexpected_generation_is_a_conflict_that_names_the_winner():
@@ -53,7 +54,7 @@
             assert caught.value.winner == 1
             assert 'change a' in caught.value.message
 
-    test_stores.run(main)
+    mock_clock.run(main)
 
 
 def test_of_two_operators_at_once_one_is_told_of_the_other():
@@ -74,7 +75,7 @@
                 nursery.start_soon(apply, SECOND, 'b')
             assert sorted(outcomes) == [('applied', 1), ('conflict', 1)]
 
-    test_stores.run(main)
+    mock_clock.run(main)
 
 
 @pytest.mark.parametrize('reads_fail', [False, True])
@@ -96,7 +97,7 @@
             assert change.generation == 1
             assert store.counters['write'] == 1
 
-    test_stores.run(main)
+    mock_clock.run(main)
 
 
 def test_a_write_that_took_no_effect_is_not_repeated():
@@ -119,7 +120,7 @@
             assert store.counters['write'] == 1
             assert store.objects == {}
 
-    test_stores.run(main)
+    mock_clock.run(main)
 
 
 def test_a_lost_answer_and_another_operator_end_in_a_conflict():
@@ -138,7 +139,7 @@
                 await editing._find_out(client, 'trial', record, error)
             assert caught.value.winner == 2
 
-    test_stores.run(main)
+    mock_clock.run(main)
 
 
 def report_in_force(client, digest):
@@ -171,7 +172,7 @@
             with pytest.raises(errors.PumicestandError):
                 await promote(client, digest='ff' * 32)
 
-    test_stores.run(main)
+    mock_clock.run(main)
 
 
 def test_a_move_that_trial_has_taken_back_is_not_promoted():
@@ -192,7 +193,7 @@
                 await promote(client)
             assert caught.value.code == errors.Code.MOVE_TAKEN_BACK
 
-    test_stores.run(main)
+    mock_clock.run(main)
 
 
 def test_a_new_move_that_can_not_fit_its_time_is_refused():
@@ -207,4 +208,4 @@
             assert caught.value.code == errors.Code.DOCUMENT_MOVE_TIME
             assert store.objects == {}
 
-    test_stores.run(main)
+    mock_clock.run(main)
