Count the soak's stable time once, and keep one stand-in configuration

Cause: found in reading the change again. The 3 s after a disruption were added where it is noted and again where it is checked, so up to 6 s excused a cut or a late configuration. The soak's settings repeated the ports that stand beside them. mesh_path and the soak each wrote an operator's configuration. The command in mesh_path's text lacked the path of the adapter.

Change: the checks alone add the time, which makes them stricter; ports stand once; objects.configuration in the stand-ins serves both.

--- a/benchmarks/mesh_path.py
+++ b/benchmarks/mesh_path.py
@@ -3,7 +3,7 @@
 Two nodes, the store and one target run in one process on loopback; callers
 keep connections and send one call after the other. Use:
 
-    python -m benchmarks.mesh_path [--calls N] [--profile] [--quiet]
+    PYTHONPATH=platform python -m benchmarks.mesh_path [--calls N] [--profile] [--quiet]
 
 With --quiet no line of the log is written, to see what the log costs.
 """
@@ -26,32 +26,7 @@
 CALLERS = 8
 ANSWER_BYTES = 400
 BASE_PORT = 17600
-CONFIGURATION = {
-    'version': '00000001',
-    'routes': {
-        'columns': [
-            'name',
-            'host',
-            'path_prefix',
-            'route_type',
-            'timeout_s',
-            'target_latency_s',
-            'priority',
-            'service',
-            'max_attempts',
-        ],
-        'rows': [
-            ['r', 'shop.example', '/x/', 'idempotent', 2.0, 0.5, 1, 's', 2]
-        ],
-    },
-    'services': {'columns': ['name'], 'rows': [['s']]},
-    'limits': {
-        'max_header_bytes': 16384,
-        'max_body_bytes': 1000000,
-        'header_timeout_s': 3,
-        'idle_timeout_s': 15,
-    },
-}
+ROUTE = ('r', '/x/', 'idempotent', 's', 2)
 
 
 def make_settings(name, index, store_port):
@@ -144,7 +119,8 @@
     times = []
     async with trio.open_nursery() as nursery:
         store = object_store.ObjectStore()
-        store.put('config', 'main', CONFIGURATION)
+        spec = object_store.configuration(1, [ROUTE], ['s'], 'shop.example')
+        store.put('config', 'main', spec)
         store_server = http_server.Server('127.0.0.1', 0, store.handle)
         target = http_server.Server('127.0.0.1', 0, answer)
         await store_server.start(nursery)
--- a/packages/pumicestand-standins/pumicestand_standins/objects.py
+++ b/packages/pumicestand-standins/pumicestand_standins/objects.py
@@ -49,6 +49,39 @@
     is_deleted: bool
 
 
+def configuration(generation, routes, services, host):
+    """Return an operator's configuration, as the store holds it.
+
+    :param routes: (name, path prefix, type, service, attempts) of each
+    :param services: their names
+    :param host: of all routes
+    """
+    columns = ['name', 'path_prefix', 'route_type', 'service', 'max_attempts']
+    fixed = {
+        'host': host,
+        'timeout_s': 1.5,
+        'target_latency_s': 0.5,
+        'priority': 1,
+    }
+    return {
+        'version': f'{generation:08x}',
+        'routes': {
+            'columns': [*columns, *fixed],
+            'rows': [[*route, *fixed.values()] for route in routes],
+        },
+        'services': {
+            'columns': ['name'],
+            'rows': [[name] for name in services],
+        },
+        'limits': {
+            'max_header_bytes': 16_384,
+            'max_body_bytes': 1_000_000,
+            'header_timeout_s': 3,
+            'idle_timeout_s': 15,
+        },
+    }
+
+
 class ObjectStore:
     """The store's objects and rules.
 
--- a/soak/checks.py
+++ b/soak/checks.py
@@ -81,7 +81,7 @@
         was_read = attempt.ended_at - attempt.sent_at > LOST_S
         if attempt.identity not in ran and not was_read:
             continue
-        if not _is_disturbed(
+        if not _is_disrupted(
             record,
             attempt.node,
             attempt.sent_at - STABLE_S,
@@ -125,7 +125,7 @@
         if later and min(c.at for c in later) <= probe.sent_at + APPLY_S:
             # The route may be gone by now.
             continue
-        if not _is_disturbed(
+        if not _is_disrupted(
             record, probe.node, probe.sent_at - APPLY_S - STABLE_S,
             probe.sent_at, records.OF_TARGET,
         ):  # fmt: skip
@@ -155,15 +155,15 @@
             )
 
 
-def _is_disturbed(record, node, since, until, besides=frozenset()):
-    """Whether a node or the store was disturbed in a span of time.
+def _is_disrupted(record, node, since, until, besides=frozenset()):
+    """Whether a node or the store was disrupted in a span of time.
 
     :param besides: faults that do not count
     """
     return any(
-        disturbance.node in ('', node)
-        and disturbance.fault not in besides
-        and disturbance.since <= until
-        and disturbance.until >= since
-        for disturbance in record.disturbances
+        disruption.node in ('', node)
+        and disruption.fault not in besides
+        and disruption.since <= until
+        and disruption.until >= since
+        for disruption in record.disruptions
     )
--- a/soak/faults.py
+++ b/soak/faults.py
@@ -16,8 +16,6 @@
 LEAVE_S = 3.0
 # How long callers and the store stay well at the end, for the last checks.
 CALM_S = 5.0
-# After a disturbance a machine counts as well again only later.
-STABLE_S = 3.0
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -91,12 +89,12 @@
                 self._busy.discard(node.name)
         is_store = entry.fault in records.OF_STORE
         is_store = is_store and entry.fault is not Fault.STORE_CUT
-        self._record.disturbances.append(
-            records.Disturbance(
+        self._record.disruptions.append(
+            records.Disruption(
                 entry.fault,
                 '' if is_store else node.name,
                 since,
-                trio.current_time() + STABLE_S,
+                trio.current_time(),
             )
         )
 
--- a/soak/pictures.py
+++ b/soak/pictures.py
@@ -20,11 +20,11 @@
     figure, (above, below) = pyplot.subplots(
         2, 1, sharex=True, figsize=(12, 7), height_ratios=(2, 1)
     )
-    lanes = sorted({f'{d.fault} {d.node}' for d in record.disturbances})
-    for disturbance in record.disturbances:
-        lane = lanes.index(f'{disturbance.fault} {disturbance.node}')
-        begin = disturbance.since - started
-        above.barh(lane, disturbance.until - disturbance.since, left=begin)
+    lanes = sorted({f'{d.fault} {d.node}' for d in record.disruptions})
+    for disruption in record.disruptions:
+        lane = lanes.index(f'{disruption.fault} {disruption.node}')
+        begin = disruption.since - started
+        above.barh(lane, disruption.until - disruption.since, left=begin)
     above.set_yticks(range(len(lanes)), lanes, fontsize=6)
     for status, colour in _STATUSES:
         times = [
--- a/soak/play.py
+++ b/soak/play.py
@@ -80,7 +80,7 @@
     if is_timed:
         found += check_calm_end(record, started + seconds)
     counts = collections.Counter(a.status for a in record.attempts)
-    made = collections.Counter(d.fault.value for d in record.disturbances)
+    made = collections.Counter(d.fault.value for d in record.disruptions)
     verdict = Verdict(
         seed, size, seconds, dict(counts), dict(made), tuple(found)
     )
--- a/soak/records.py
+++ b/soak/records.py
@@ -87,7 +87,7 @@
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
-class Disturbance:
+class Disruption:
     """One fault while it lasted.
 
     :param node: beside which it happened, empty for the store
@@ -115,6 +115,6 @@
     attempts: list = dataclasses.field(default_factory=list)
     probes: list = dataclasses.field(default_factory=list)
     changes: list = dataclasses.field(default_factory=list)
-    disturbances: list = dataclasses.field(default_factory=list)
+    disruptions: list = dataclasses.field(default_factory=list)
     runs: list = dataclasses.field(default_factory=list)
     departures: list = dataclasses.field(default_factory=list)
--- a/soak/world.py
+++ b/soak/world.py
@@ -25,24 +25,24 @@
 OUTBOUND, READY, CONTROL = 8304, 8302, 8306
 LOCK = 8300
 NET_NUMBERS = range(64, 120)
-STORE_PROXY, TARGET_PROXY, TARGET, LINK, STORE = 8310, 8301, 8311, 7620, 8309
+STORE_PROXY, TARGET_PROXY, TARGET, STORE = 8310, 8301, 8311, 8309
 
-SETTINGS = """\
-node_name={name}
-ip={ip}
-zone={zone}
+SETTINGS = f"""\
+node_name={{name}}
+ip={{ip}}
+zone={{zone}}
 region=region
-service={service}
-listen.outbound={ip}:8304
-listen.ready={ip}:8302
-listen.control={ip}:8306
+service={{service}}
+listen.outbound={{ip}}:{OUTBOUND}
+listen.ready={{ip}}:{READY}
+listen.control={{ip}}:{CONTROL}
 internal_ports=7620,7635
-platform.address={ip}:8310
-bounds.grace_s=6
+platform.address={{ip}}:{STORE_PROXY}
+bounds.grace_s={GRACE_S:g}
 bounds.retry_budget_ratio=0.2
 bounds.retry_budget_slack=60
 bounds.budget_window_s=10
-note={note}
+note={{note}}
 """
 
 
@@ -59,25 +59,7 @@
         ('inner', '/i/', 'idempotent', 'till', 2),
         ('own', f'/g{generation}/', 'idempotent', 'till', 2),
     ]
-    columns = ['name', 'path_prefix', 'route_type', 'service', 'max_attempts']
-    fixed = {'host': HOST_NAME, 'timeout_s': 1.5, 'target_latency_s': 0.5}
-    return {
-        'version': f'{generation:08x}',
-        'routes': {
-            'columns': [*columns, *fixed, 'priority'],
-            'rows': [[*route, *fixed.values(), 1] for route in routes],
-        },
-        'services': {
-            'columns': ['name'],
-            'rows': [[name] for name in SERVICES],
-        },
-        'limits': {
-            'max_header_bytes': 16_384,
-            'max_body_bytes': 1_000_000,
-            'header_timeout_s': 3,
-            'idle_timeout_s': 15,
-        },
-    }
+    return objects.configuration(generation, routes, SERVICES, HOST_NAME)
 
 
 class NodeUnderTest:
--- a/tests/soak/test_checks.py
+++ b/tests/soak/test_checks.py
@@ -19,8 +19,8 @@
     return mesh_target.Run(identity, instance, at)
 
 
-def disturbance(fault, node='n', since=9.0, until=11.0):
-    return records.Disturbance(fault, node, since, until)
+def disruption(fault, node='n', since=9.0, until=11.0):
+    return records.Disruption(fault, node, since, until)
 
 
 def promises(record, **options):
@@ -57,12 +57,12 @@
     record = records.Record(attempts=[cut], runs=[run()])
     assert promises(record) == ['a planned stop cuts nothing']
     for fault in (Fault.STOP, Fault.STORE_DOWN, Fault.TARGET_CRASH):
-        record.disturbances = [disturbance(fault)]
+        record.disruptions = [disruption(fault)]
         assert promises(record) == ['a planned stop cuts nothing']
     for fault in (Fault.KILL, Fault.PAUSE):
-        record.disturbances = [disturbance(fault)]
+        record.disruptions = [disruption(fault)]
         assert promises(record) == []
-        record.disturbances = [disturbance(fault, node='other')]
+        record.disruptions = [disruption(fault, node='other')]
         assert promises(record) == ['a planned stop cuts nothing']
 
 
@@ -103,13 +103,13 @@
     assert promises(record) == []
 
 
-def test_a_disturbed_store_or_node_excuses_a_late_configuration():
+def test_a_disrupted_store_or_node_excuses_a_late_configuration():
     changes = [records.Change(2, 10.0)]
     record = records.Record(changes=changes, probes=[probe(2, 12.5)])
     for fault, node in ((Fault.STORE_DOWN, ''), (Fault.PAUSE, 'n')):
-        record.disturbances = [disturbance(fault, node)]
+        record.disruptions = [disruption(fault, node)]
         assert promises(record) == []
-    record.disturbances = [disturbance(Fault.TARGET_CRASH)]
+    record.disruptions = [disruption(Fault.TARGET_CRASH)]
     assert promises(record) == ['a configuration is in force in time']
 
 
--- a/tests/soak/test_play.py
+++ b/tests/soak/test_play.py
@@ -12,4 +12,4 @@
     verdict, record, _ = trio.run(play.play, 1, 3, 8.0, False)
     assert verdict.findings == ()
     assert len(record.attempts) > 50
-    assert record.disturbances
+    assert record.disruptions
