--- a/benchmarks/mesh_path.py
+++ b/benchmarks/mesh_path.py
@@ -3,9 +3,10 @@
 Two nodes, the store and one target run in one process on loopback; callers
 keep connections and send one call after the other. Use:
 
-    PYTHONPATH=platform python -m benchmarks.mesh_path [--calls N] [--profile] [--quiet]
+    PYTHONPATH=platform python -m benchmarks.mesh_path [--calls N]
 
-With --quiet no line of the log is written, to see what the log costs.
+With --profile it shows where the time goes; with --quiet no line of the log
+is written, to see what the log costs.
 """
 
 import argparse
