Answer every call before a stopping node closes its connections

A call queued at a door behind calls that never end was looked at only when one of them ended, so its client heard nothing until its own deadline, and then 504. Ruled out: a call cut on the way in, as its body had been read. Change: a stopping node gives up its calls a quarter of a second before it closes, with the response that final_refusal finds true; a queued call is refused as not run when it can't finish in time any more, also when nothing ends at the target. Before: both new tests fail (504 at 0.79 s for the queued call). After: they pass, the queued call gets 503 with Retry-After within its objective. Conclusion: no request that was read ends without a response in a planned stop.

--- a/packages/pumicestand-node/pumicestand_node/mesh_node.py
+++ b/packages/pumicestand-node/pumicestand_node/mesh_node.py
@@ -35,6 +35,9 @@
 LINK_FLUSH_S = 0.1
 # Time reserved at the end of the grace period for closing connections.
 CLOSE_MARGIN_S = 0.9
+# Time before the connections are closed at which calls that are still in
+# flight are given up, so that their clients get a response.
+LAST_RESPONSES_S = 0.25
 # Allocations, net of deallocations, that start a collection of generation 0.
 GC_THRESHOLD = 20_000
 
@@ -210,6 +213,7 @@
         mesh.is_leaving = True
         self._target_calls.is_closed = True
         self._links.schedule_report()
+        self._outbound_calls.finish_by(deadline - LAST_RESPONSES_S)
         await trio.sleep(LINK_FLUSH_S)
         while self._clock() < deadline and (
             self._target_calls.in_flight or self._outbound_calls.in_flight
--- a/packages/pumicestand-node/pumicestand_node/outbound_calls.py
+++ b/packages/pumicestand-node/pumicestand_node/outbound_calls.py
@@ -72,6 +72,8 @@
         self._mean_response_bytes = {}
         self._mean_work_ms = {}
         self._max_timeout_s = collections.defaultdict(float)
+        self._call_scopes = set()
+        self._stop_at = float('inf')
         self._replaced_headers = frozenset(
             (
                 headers.deadline_ms,
@@ -84,6 +86,16 @@
         self.counts = collections.Counter()
         self.record_duration = None
 
+    def finish_by(self, stop_at):
+        """End every call by a time; calls without a response are refused.
+
+        :param stop_at: monotonic seconds
+        """
+        self._stop_at = stop_at
+        scope_deadline = trio.current_time() + stop_at - self._clock()
+        for scope in self._call_scopes:
+            scope.deadline = min(scope.deadline, scope_deadline)
+
     async def serve(self, request, connection):
         """Respond to a request and return whether to keep the connection."""
         self.in_flight += 1
@@ -202,8 +214,15 @@
 
     async def _execute(self, call, request, connection):
         result = None
-        with trio.move_on_after(max(0.0, call.deadline - self._clock())):
-            result = await self._send_until_answered(call)
+        remaining_s = min(call.deadline, self._stop_at) - self._clock()
+        if remaining_s > 0:
+            with trio.move_on_after(remaining_s) as scope:
+                self._call_scopes.add(scope)
+                try:
+                    result = await self._send_until_answered(call)
+                finally:
+                    self._call_scopes.discard(scope)
+        call.deadline = min(call.deadline, self._stop_at)
         if result is not None and result.outcome is Outcome.ANSWERED:
             return await self._forward_response(
                 call, result, request, connection
--- a/packages/pumicestand-node/pumicestand_node/target_calls.py
+++ b/packages/pumicestand-node/pumicestand_node/target_calls.py
@@ -201,8 +201,12 @@
         """Wait for a slot and return whether the call may run."""
         event = trio.Event()
         waiter = self._waiters[ticket.number] = [event, False]
+        wait_s = self._queue.overdue_at(ticket) - self._clock()
         try:
-            await event.wait()
+            with trio.move_on_after(max(0.0, wait_s)):
+                await event.wait()
+            if not waiter[1]:
+                self._queue.cancel(ticket)
         except trio.Cancelled:
             self._queue.cancel(ticket)
             if waiter[1]:
--- a/packages/pumicestand/pumicestand/target_queue.py
+++ b/packages/pumicestand/pumicestand/target_queue.py
@@ -267,6 +267,11 @@
             return ticket.deadline
         return min(ticket.deadline, ticket.objective_at)
 
+    def overdue_at(self, ticket):
+        """Return the time after which a waiting call can't finish in time."""
+        work_s = self.route_work_s(ticket.route)
+        return self._latest_finish(ticket) - MIN_WORK_TIME_SHARE * work_s
+
     def _retry_after(self, wait_s):
         return min(MAX_RETRY_AFTER_S, max(MIN_RETRY_AFTER_S, wait_s))
 
@@ -317,10 +322,7 @@
         Calls of higher priority that arrived later have overtaken them.
         """
         overdue = [
-            ticket
-            for ticket in self._waiting
-            if now + MIN_WORK_TIME_SHARE * self.route_work_s(ticket.route)
-            > self._latest_finish(ticket)
+            ticket for ticket in self._waiting if now > self.overdue_at(ticket)
         ]
         for ticket in overdue:
             self._waiting.remove(ticket)
--- a/tests/pumicestand_node/test_mesh_calls.py
+++ b/tests/pumicestand_node/test_mesh_calls.py
@@ -370,6 +370,49 @@
     run_with_target(test)
 
 
+def test_a_call_in_flight_when_the_node_stops_gets_a_response():
+    """The stop must not cut a call that outlasts the grace period."""
+
+    async def test(harness):
+        started_at = trio.current_time()
+        harness.nursery.start_soon(stop_later, harness)
+        got, _ = await harness.send_request('/o/1', 'POST')
+        assert got == 504
+        assert 0.1 < trio.current_time() - started_at < 0.3
+        # A call that arrives later is not started.
+        await trio.sleep(0.2)
+        got, _ = await harness.send_request('/o/2', 'POST', 'later')
+        assert got == 503
+        assert harness.script.run_request_ids == [b'i1']
+
+    async def stop_later(harness):
+        await trio.sleep(0.1)
+        harness.outbound.finish_by(trio.current_time() + 0.1)
+
+    run_with_target(test, 'hang')
+
+
+def test_a_call_queued_behind_calls_that_hang_is_refused_as_not_run():
+    """No call ends, so only the time tells that it can't be in time."""
+
+    async def test(harness):
+        harness.targets._queue.set_slots(1)
+        harness.script.hangs_on_request_id = b'first'
+        harness.nursery.start_soon(
+            harness.send_request, '/o/0', 'POST', 'first'
+        )
+        await trio.sleep(0.01)
+        started_at = trio.current_time()
+        got, data = await harness.send_request('/o/1', 'POST', 'second')
+        assert got == 503
+        assert b'retry-after: ' in data
+        # The latency objective is 0.5 s, the deadline 0.8 s.
+        assert trio.current_time() - started_at < 0.5
+        assert harness.script.run_request_ids == [b'first']
+
+    run_with_target(test)
+
+
 def test_a_disconnect_of_the_client_cancels_its_call():
     async def test(harness):
         stream = await harness.open_client()
