Reject heartbeats whose fields are of another type

Cause: the models of heartbeats converted values, so that a heartbeat of another writer with a sequence of true or '4' named a target to use.

--- a/tests/pumicestand_platform/test_control.py
+++ b/tests/pumicestand_platform/test_control.py
@@ -58,6 +58,11 @@
     'change',
     [
         {'address': None},
+        {'born': '1700000000000'},
+        {'born': 1.5},
+        {'status': {**HEARTBEAT['status'], 'sequence': '4'}},
+        {'status': {**HEARTBEAT['status'], 'sequence': True}},
+        {'info': {**HEARTBEAT['info'], 'max_concurrency': '9'}},
         {'address': 'nowhere'},
         {'info': None},
         {'info': {**HEARTBEAT['info'], 'max_concurrency': 0}},
