--- a/packages/pumicestand-node/pumicestand_node/frame_streams.py
+++ b/packages/pumicestand-node/pumicestand_node/frame_streams.py
@@ -28,7 +28,8 @@
 class FrameStream:
     """Sends and receives frames over a stream, with one task for each.
 
-    Parts of bodies are sent after all other queued frames.
+    Parts of bodies are sent after all other queued frames. ``is_cross_zone``
+    is whether the other node is known to be in another availability zone.
 
     :param stream: trio stream to the other node
     :param peer: name of the other node, for errors
@@ -48,19 +49,23 @@
         self._data_queued = trio.Event()
         self._scope = trio.CancelScope()
         self.is_closed = False
+        self.is_cross_zone = False
 
     def send(self, message):
         """Send a message or queue it.
 
         The link is closed if more than `MAX_BACKLOG_BYTES` are queued.
         """
-        self.send_encoded(hop.encode(message))
+        self.send_encoded(hop.encode(message), type(message).__name__)
 
-    def send_encoded(self, data):
-        """Send or queue an encoded frame; see `send`."""
+    def send_encoded(self, data, kind):
+        """Send or queue an encoded frame; see `send`.
+
+        :param kind: name of the message's type
+        """
         if self.is_closed:
             return
-        self._meter.record_sent(len(data), self._clock())
+        self._record_sent(data, kind)
         if not self._is_writing and not self._frames and not self._parts:
             try:
                 data = socket_io.send_nowait(self._stream, data)
@@ -76,9 +81,14 @@
         if self.is_closed:
             return
         data = hop.encode(part)
-        self._meter.record_sent(len(data), self._clock())
+        self._record_sent(data, 'Part')
         self._enqueue(self._parts, data)
 
+    def _record_sent(self, data, kind):
+        self._meter.record_sent(
+            len(data), self._clock(), kind, self.is_cross_zone
+        )
+
     def _enqueue(self, queue, data):
         """Queue encoded data; close the stream if too much is queued."""
         queue.append(data)
--- a/packages/pumicestand-node/pumicestand_node/link_server.py
+++ b/packages/pumicestand-node/pumicestand_node/link_server.py
@@ -11,27 +11,32 @@
 class LinkServer:
     """Serves one link opened by another node.
 
-    `is_cross_zone` is whether that node is in another availability zone;
-    False until its `hop_messages.Hello` has arrived.
+    ``peer_name`` is the name of that node, and ``is_cross_zone`` whether it is
+    in another availability zone; empty and False until its
+    `hop_messages.Hello` has arrived. ``last_call_at`` is the time at which it
+    last sent a call.
 
     :param frames: `frame_streams.FrameStream` of the link
     :param target_calls: `target_calls.TargetCalls` that run the calls
     :param mesh: `mesh_state.MeshState` of this node
-    :param on_hello: called with (frames, report) for the first frame
+    :param on_message: called with (this server, message) for each message
+        that is not about a call
     :param clock: returns monotonic seconds
     """
 
-    def __init__(self, frames, target_calls, mesh, on_hello, clock):
+    def __init__(self, frames, target_calls, mesh, on_message, clock):
         self.frames = frames
         self._target_calls = target_calls
         self._mesh = mesh
-        self._on_hello = on_hello
+        self._on_message = on_message
         self._clock = clock
         self._nursery = None
         self._assembler = frame_streams.BodyAssembler()
         self._cancel_scopes = {}
         self._received_at = {}
+        self.peer_name = ''
         self.is_cross_zone = False
+        self.last_call_at = float('-inf')
 
     async def run(self):
         """Serve the link until it ends, then cancel its calls."""
@@ -44,7 +49,8 @@
         """Handle a message from the node that opened the link."""
         match message:
             case hop_messages.Call():
-                self._received_at[message.id] = self._clock()
+                self.last_call_at = self._clock()
+                self._received_at[message.id] = self.last_call_at
                 self._start_call(self._assembler.add_first(message))
             case hop_messages.Part():
                 self._start_call(self._assembler.add_part(message))
@@ -55,8 +61,10 @@
                 if scope is not None:
                     scope.cancel()
             case hop_messages.Hello(report):
+                self.peer_name = report.name
                 self.is_cross_zone = report.zone != self._mesh.identity.zone
-                self._on_hello(self.frames, report)
+                self.frames.is_cross_zone = self.is_cross_zone
+                self._on_message(self, message)
             case hop_messages.Ping(number):
                 self.frames.send(hop_messages.Pong(number))
             case hop_messages.FetchConfiguration():
@@ -65,6 +73,8 @@
                         self._mesh.generation, self._mesh.configuration_content
                     )
                 )
+            case _:
+                self._on_message(self, message)
 
     def _start_call(self, call):
         """Run a call in the background; do nothing if it is None."""
--- a/packages/pumicestand-node/pumicestand_node/links.py
+++ b/packages/pumicestand-node/pumicestand_node/links.py
@@ -40,6 +40,8 @@
 class Link:
     """The link from this node to another, reopened until it is stopped.
 
+    ``address`` is the (host, port) that it connects to.
+
     :param peer: `fleet.Peer` of the other node
     :param make_hello: returns the `hop_messages.Hello` to send first
     :param on_message: called with (peer, message) for each message that
@@ -51,6 +53,7 @@
 
     def __init__(self, peer, make_hello, on_message, clock, rng, meter):
         self._peer = peer
+        self.address = (peer.host, peer.port)
         self._make_hello = make_hello
         self._on_message = on_message
         self._clock = clock
@@ -62,11 +65,19 @@
         self._last_received_at = 0.0
         self._pinged_at = None
         self._scope = trio.CancelScope()
+        self._is_closed = False
 
     def stop(self):
         """Close the link and do not reopen it."""
         self._scope.cancel()
 
+    def close(self):
+        """Close the link to a peer that is reachable but not needed."""
+        self._is_closed = True
+        self._peer.is_linked = False
+        self._peer.unreachable_since = None
+        self.stop()
+
     def send(self, message):
         """Send a message if the link is open, else drop it."""
         if self._frames is not None:
@@ -88,10 +99,9 @@
 
     async def _connect(self):
         """Return a stream to the peer, None if it can't be reached."""
-        peer = self._peer
         try:
             with trio.fail_after(CONNECT_TIMEOUT_S):
-                stream = await trio.open_tcp_stream(peer.host, peer.port)
+                stream = await trio.open_tcp_stream(*self.address)
         except (OSError, trio.TooSlowError):
             return None
         set_tcp_user_timeout(stream)
@@ -102,20 +112,26 @@
         frames = frame_streams.FrameStream(
             stream, self._peer.name, self._meter, self._clock
         )
-        frames.send(self._make_hello())
+        hello = self._make_hello()
+        frames.is_cross_zone = self._peer.zone not in ('', hello.report.zone)
+        frames.send(hello)
         self._frames = frames
         # The process that responds on a new connection is the current one.
         # An earlier report may have a higher incarnation, since incarnations
         # come from clocks and clocks can be set back.
-        self._peer.report = None
+        self._peer.accepts_any_report = True
         self._last_received_at = self._clock()
         self._pinged_at = None
         try:
             await frames.run(self._handle_message)
         finally:
             self._frames = None
-            self._peer.is_linked = False
-            self._peer.unreachable_since = self._clock()
+            if not self._is_closed and self.address == (
+                self._peer.host,
+                self._peer.port,
+            ):
+                self._peer.is_linked = False
+                self._peer.unreachable_since = self._clock()
             pending, self._pending = self._pending, {}
             self._assembler = frame_streams.BodyAssembler()
             for call in pending.values():
--- a/packages/pumicestand-node/pumicestand_node/mesh_links.py
+++ b/packages/pumicestand-node/pumicestand_node/mesh_links.py
@@ -1,26 +1,37 @@
 """The links of a node and the state exchanged on them.
 
 A node sends its calls to another node on the link that it opened itself, and
-its reports on the links that other nodes opened to it.
+its reports on the links that other nodes opened to it. What nodes of another
+availability zone have to know although they have no link, it sends to a few
+nodes there, the contacts, which pass it on in their zone.
 """
 
+import collections
+
 import trio
 
 from pumicestand import fetches
 from pumicestand import hop
 from pumicestand import hop_messages
-from pumicestand import ranking
+from pumicestand import link_selection
 from pumicestand import reporting
+from pumicestand import zone_summaries
 from pumicestand_node import frame_streams
 from pumicestand_node import link_server
 from pumicestand_node import links
 
 # Delay before a requested report is sent, so that it covers further changes.
 REPORT_COALESCING_S = 0.01
+# Period at which the selection of links is renewed although no node has
+# changed, in seconds: nodes may have become unreachable.
+SELECTION_PERIOD_S = 1.0
+# Time without calls after which a link that is no longer selected is closed,
+# in seconds.
+CLOSE_UNUSED_AFTER_S = 10.0
 
 
 class MeshLinks:
-    """Opens a link to each other node and serves the links they open.
+    """Opens links to the selected nodes and serves the links others open.
 
     :param mesh: `mesh_state.MeshState` of this node
     :param target_calls: `target_calls.TargetCalls` of this node
@@ -38,11 +49,28 @@
         self._rng = rng
         self._links = {}
         self._link_servers = set()
+        self._selector = link_selection.LinkSelector(
+            mesh.identity.name, mesh.identity.zone
+        )
+        self._selected_names = frozenset()
+        self._selected_change_count = -1
+        self._selected_at = float('-inf')
         self._fetch_planner = fetches.FetchPlanner(mesh.identity.zone, rng)
         self._report_requested = trio.Event()
         self._report_selector = reporting.ReportSelector()
+        self._summary_sequence = 0
         self._nursery = None
 
+    @property
+    def are_selected_linked(self):
+        """Whether all selected nodes, at least one, are linked."""
+        fleet = self._mesh.fleet
+        return bool(self._selected_names) and all(
+            peer.is_linked
+            for name in self._selected_names
+            if (peer := fleet.get(name)) is not None
+        )
+
     async def start(self, nursery):
         """Start to send reports in a nursery, which also runs the links."""
         self._nursery = nursery
@@ -54,6 +82,7 @@
         own.unreachable_since = None
         self.refresh_own_peer()
         nursery.start_soon(self._send_reports)
+        nursery.start_soon(self._send_summaries)
 
     async def send_call(self, peer, call):
         """Send a call to a peer, or run it here if the peer is this node.
@@ -66,6 +95,7 @@
         if peer.name == self._mesh.identity.name:
             return await self._target_calls.run(call)
         link = self._links.get(peer.name)
+        peer.used_at = self._clock()
         if link is None:
             return hop_messages.Result(
                 0, hop_messages.Outcome.NOT_HANDED_ON, 'no-link'
@@ -73,9 +103,12 @@
         return await link.send_call(call)
 
     def add_peers(self, records):
-        """Open links to the nodes of `node_records.NodeRecord` objects."""
+        """Add the nodes of `node_records.NodeRecord` objects."""
+        now = self._clock()
         for record in records:
-            self._add_peer(record.name, record.host, record.port)
+            if record.name != self._mesh.identity.name:
+                self._mesh.fleet.add_record(record, now)
+        self._update_selection(now)
 
     def check_links(self, now):
         """Check the liveness of links and remove unreachable nodes.
@@ -90,8 +123,51 @@
             link = self._links.pop(name, None)
             if link is not None:
                 link.stop()
+        self._update_selection(now)
         self._fetch_configuration(now)
 
+    def _update_selection(self, now):
+        """Open links to nodes newly selected and close those not used."""
+        fleet = self._mesh.fleet
+        if (
+            fleet.change_count == self._selected_change_count
+            and now - self._selected_at < SELECTION_PERIOD_S
+        ):
+            return
+        self._selected_change_count = fleet.change_count
+        self._selected_at = now
+        self._selected_names = self._selector.select(fleet.others, now)
+        for name in self._selected_names:
+            self._open_link(fleet.get(name), now)
+        for name in self._links.keys() - self._selected_names:
+            peer = fleet.get(name)
+            if (
+                peer.is_linked
+                and not peer.in_flight
+                and (now - peer.used_at > CLOSE_UNUSED_AFTER_S)
+            ):
+                self._links.pop(name).close()
+
+    def _open_link(self, peer, now):
+        """Open a link to a peer unless there is one to its address."""
+        link = self._links.get(peer.name)
+        if link is not None:
+            if link.address == (peer.host, peer.port):
+                return
+            link.stop()
+        if peer.unreachable_since is None:
+            peer.unreachable_since = now
+        link = links.Link(
+            peer,
+            self._make_hello,
+            self._handle_message,
+            self._clock,
+            self._rng,
+            self._mesh.link_meter,
+        )
+        self._links[peer.name] = link
+        self._nursery.start_soon(link.run)
+
     def schedule_report(self):
         """Send a report to the other nodes without waiting for the period."""
         self._report_requested.set()
@@ -109,7 +185,11 @@
             stream, 'unidentified node', self._mesh.link_meter, self._clock
         )
         server = link_server.LinkServer(
-            frames, self._target_calls, self._mesh, self._on_hello, self._clock
+            frames,
+            self._target_calls,
+            self._mesh,
+            self._handle_opener_message,
+            self._clock,
         )
         self._link_servers.add(server)
         try:
@@ -117,30 +197,8 @@
         finally:
             self._link_servers.discard(server)
 
-    def _add_peer(self, name, host, port):
-        """Open a link to a node unless one to this address exists."""
-        if name == self._mesh.identity.name:
-            return
-        known = self._mesh.fleet.get(name)
-        has_moved = known and (known.host, known.port) != (host, port)
-        peer = self._mesh.fleet.get_or_add(name, host, port, self._clock())
-        if has_moved and name in self._links:
-            self._links.pop(name).stop()
-        if name in self._links:
-            return
-        link = links.Link(
-            peer,
-            self._make_hello,
-            self._handle_message,
-            self._clock,
-            self._rng,
-            self._mesh.link_meter,
-        )
-        self._links[name] = link
-        self._nursery.start_soon(link.run)
-
     def _make_hello(self):
-        return hop_messages.Hello(self._new_report())
+        return hop_messages.Hello(self._new_report().without_evidence)
 
     def _new_report(self):
         return self._mesh.new_report(
@@ -149,35 +207,91 @@
             self._clock(),
         )
 
-    def _on_hello(self, frames, report):
-        """Respond to the first frame of a link with a report of this node."""
-        self._add_peer(report.name, report.host, report.port)
-        self._apply_report(report)
-        frames.send(self._new_report())
+    def _handle_opener_message(self, server, message):
+        """Handle a message on a link that another node opened."""
+        match message:
+            case hop_messages.Hello(report):
+                server.frames.send(self._new_report().without_evidence)
+                self._apply_report(report)
+            case hop_messages.Relay() | hop_messages.ZoneSummary():
+                self._handle_relayed(message, server.is_cross_zone)
+            case hop_messages.GenerationUpdate(generation):
+                peer = self._mesh.fleet.get(server.peer_name)
+                if peer is not None:
+                    self._record_generation(peer, generation)
+            case hop_messages.Configuration():
+                self._receive_configuration(server.peer_name, message)
 
     def _handle_message(self, peer, message):
         """Handle a message received on a link that this node opened."""
         match message:
             case hop_messages.Report():
-                self._add_peer(message.name, message.host, message.port)
                 self._apply_report(message)
+            case hop_messages.Relay() | hop_messages.ZoneSummary():
+                self._handle_relayed(message, is_from_other_zone=False)
             case hop_messages.Load():
                 peer.update_load(message, self._clock())
             case hop_messages.GenerationUpdate(generation):
                 self._record_generation(peer, generation)
+            case hop_messages.FetchConfiguration():
+                self._send_configuration(peer.name)
             case hop_messages.Configuration():
                 self._receive_configuration(peer.name, message)
 
-    def _apply_report(self, report):
-        """Apply a report of a node unless it is outdated."""
+    def _handle_relayed(self, message, is_from_other_zone):
+        """Apply what is of another zone and pass it on in this zone.
+
+        :param is_from_other_zone: whether this node is the contact
+        """
         now = self._clock()
-        mesh = self._mesh
-        if not mesh.fleet.apply_report(report, now):
+        fleet = self._mesh.fleet
+        match message:
+            case hop_messages.ZoneSummary():
+                if not fleet.apply_summary(message, now):
+                    return
+            case hop_messages.Relay(report):
+                if report.name == self._mesh.identity.name:
+                    return
+                if not fleet.apply_relayed_report(report, now):
+                    return
+                self._apply_findings(report)
+                if is_from_other_zone:
+                    # The sender can be asked on the link that it opened.
+                    self._fetch_planner.record_generation(
+                        report.name, report.zone, report.generation
+                    )
+                    self._fetch_configuration(now)
+        if is_from_other_zone:
+            self._send_all(self._zone_servers(), message)
+
+    @staticmethod
+    def _send_all(servers, message):
+        """Send a message, encoded once, on links that others opened."""
+        data = hop.encode(message)
+        for server in servers:
+            server.frames.send_encoded(data, type(message).__name__)
+
+    def _zone_servers(self):
+        """Return the links opened by nodes of this node's zone."""
+        return [s for s in self._link_servers if not s.is_cross_zone]
+
+    def _apply_report(self, report):
+        """Apply a report that a node has sent itself, unless outdated."""
+        if not self._mesh.fleet.apply_report(report, self._clock()):
             return
+        self._apply_findings(report)
+        self._fetch_planner.record_generation(
+            report.name, report.zone, report.generation
+        )
+        self._fetch_configuration(self._clock())
+
+    def _apply_findings(self, report):
+        """Apply what a node has found out about requests and versions."""
+        mesh = self._mesh
         if report.name != mesh.identity.name:
             mesh.suspects.set_reported(report.name, report.suspects)
         for verdict in report.verdicts:
-            if mesh.rollouts.apply_verdict(verdict, now):
+            if mesh.rollouts.apply_verdict(verdict, self._clock()):
                 mesh.decisions.note(
                     'rollout-heard',
                     service=verdict.service,
@@ -186,10 +300,6 @@
                     peer=report.name,
                 )
                 self.schedule_report()
-        self._fetch_planner.record_generation(
-            report.name, report.zone, report.generation
-        )
-        self._fetch_configuration(now)
 
     def _record_generation(self, peer, generation):
         """Record that a peer has a configuration of a generation."""
@@ -203,24 +313,33 @@
         """Request the configuration from a peer that has a newer one."""
         generation = self._mesh.generation
         name = self._fetch_planner.next_source(
-            generation, self._is_zone_fetcher, now
+            generation, self._mesh.zone_roles.is_fetcher, now
         )
-        link = self._links.get(name)
-        if link is not None:
-            link.send(hop_messages.FetchConfiguration(generation + 1))
+        if name is not None:
+            self._send_to(
+                name, hop_messages.FetchConfiguration(generation + 1)
+            )
 
-    def _is_zone_fetcher(self):
-        """Return whether this node asks other zones on behalf of its own."""
-        identity = self._mesh.identity
-        names = [
-            peer.name
-            for peer in self._mesh.fleet.others
-            if peer.is_linked and peer.report.zone == identity.zone
-        ]
-        return ranking.rank('fetch', [identity.name, *names])[0] == (
-            identity.name
+    def _send_configuration(self, name):
+        mesh = self._mesh
+        self._send_to(
+            name,
+            hop_messages.Configuration(
+                mesh.generation, mesh.configuration_content
+            ),
         )
 
+    def _send_to(self, name, message):
+        """Send a message to a node on whichever link there is."""
+        peer = self._mesh.fleet.get(name)
+        if name in self._links and peer is not None and peer.is_linked:
+            self._links[name].send(message)
+            return
+        for server in self._link_servers:
+            if server.peer_name == name:
+                server.frames.send(message)
+                return
+
     def _receive_configuration(self, name, message):
         """Apply a configuration that was requested from a peer."""
         self._on_configuration(message, name)
@@ -231,7 +350,8 @@
         self._fetch_configuration(self._clock())
 
     async def _send_reports(self):
-        """Send reports on the links that other nodes opened."""
+        """Send reports to the nodes that have opened links, and contacts."""
+        roles = self._mesh.zone_roles
         while True:
             is_rollout_running = self._mesh.rollouts.has_running
             with trio.move_on_after(
@@ -242,13 +362,74 @@
                 await self._report_requested.wait()
                 await trio.sleep(REPORT_COALESCING_S)
             self._report_requested = trio.Event()
-            message = self._report_selector.next_message(
-                self.refresh_own_peer(), self._clock()
+            plan = self._report_selector.next_plan(
+                self.refresh_own_peer(), roles.is_gateway(), self._clock()
             )
-            data = hop.encode(message)
-            is_for_other_zones = self._report_selector.is_for_other_zones(
-                message
+            self._send_plan(plan)
+
+    def _send_plan(self, plan):
+        """Send what a `reporting.ReportPlan` says."""
+        self._send_all(self._zone_servers(), plan.message)
+        if plan.announcement is not None:
+            self._send_to_contacts(hop_messages.Relay(plan.announcement))
+        if plan.generation is not None:
+            self._send_to_contacts(
+                hop_messages.GenerationUpdate(plan.generation)
             )
-            for server in list(self._link_servers):
-                if is_for_other_zones or not server.is_cross_zone:
-                    server.frames.send_encoded(data)
+        if plan.load is not None:
+            since = self._clock() - reporting.OTHER_ZONES_LOAD_AFTER_CALL_S
+            callers = [
+                server
+                for server in self._remote_servers()
+                if server.last_call_at > since
+            ]
+            self._send_all(callers, plan.load)
+
+    def _remote_servers(self):
+        """Return the links opened by nodes of other zones."""
+        return [s for s in self._link_servers if s.is_cross_zone]
+
+    def _send_to_contacts(self, message):
+        """Send a message to the nodes that pass it on in other zones."""
+        for names in self._contacts_by_zone().values():
+            for name in names[: link_selection.CONTACTS_PER_ZONE]:
+                self._links[name].send(message)
+
+    def _contacts_by_zone(self):
+        """Return the linked nodes of each other zone, preferred ones first."""
+        fleet = self._mesh.fleet
+        by_zone = collections.defaultdict(list)
+        for name in self._selector.rank(self._links):
+            peer = fleet.get(name)
+            if peer.is_linked and peer.zone != self._mesh.identity.zone:
+                by_zone[peer.zone].append(name)
+        return by_zone
+
+    async def _send_summaries(self):
+        """Send other zones the evidence of this one during roll-outs."""
+        while True:
+            await trio.sleep(zone_summaries.SUMMARY_PERIOD_S)
+            services = self._mesh.rollouts.running_services
+            if services and self._mesh.zone_roles.is_collector():
+                for service in services:
+                    self._send_summary(service)
+
+    def _send_summary(self, service):
+        mesh = self._mesh
+        self._summary_sequence += 1
+        evidence, busy = zone_summaries.summarise(
+            mesh.fleet.peers, service, mesh.identity.zone
+        )
+        summary = hop_messages.ZoneSummary(
+            mesh.identity.zone,
+            service,
+            mesh.identity.name,
+            mesh.incarnation,
+            self._summary_sequence,
+            evidence,
+            busy,
+        )
+        for names in self._contacts_by_zone().values():
+            # By turns, so that a frozen contact does not hide them all.
+            name = names[self._summary_sequence % len(names)]
+            self._links[name].send(summary)
--- a/packages/pumicestand-node/pumicestand_node/mesh_metrics.py
+++ b/packages/pumicestand-node/pumicestand_node/mesh_metrics.py
@@ -28,6 +28,13 @@
             ('outcome', 'code'),
             'Calls for the target beside the node, by outcome',
         )
+        registry.export_counter(
+            'pumicestand_link_sent',
+            mesh.link_meter.sent_bytes,
+            ('kind', 'scope'),
+            'Bytes sent to other nodes, by kind of message',
+            'By',
+        )
         outbound_calls.record_duration = registry.record_call
         for name, read_value, description in (
             (
--- a/packages/pumicestand-node/pumicestand_node/mesh_node.py
+++ b/packages/pumicestand-node/pumicestand_node/mesh_node.py
@@ -108,6 +108,7 @@
             self._links.add_peers,
             self._on_target_changed,
             self._links.schedule_report,
+            settings.is_first_start,
         )
         self._metrics = mesh_metrics.MeshMetrics(
             self._mesh, self._outbound_calls, self._target_calls, self._clock
@@ -261,8 +262,7 @@
             return False
         if now - self._started_at > MAX_READINESS_DELAY_S:
             return True
-        others = mesh.fleet.others
-        return bool(others) and all(peer.is_linked for peer in others)
+        return self._links.are_selected_linked
 
     async def _flush_log(self):
         while True:
--- a/packages/pumicestand-node/pumicestand_node/mesh_settings.py
+++ b/packages/pumicestand-node/pumicestand_node/mesh_settings.py
@@ -46,6 +46,7 @@
     :param bounds: limits that the operators guarantee
     :param link_rate: capacity of the VM's network link, in bytes per
         second; 0 if unknown
+    :param is_first_start: whether the whole fleet starts for the first time
     :param log_level: lowest level that is logged
     """
 
@@ -61,4 +62,5 @@
     store: Address
     bounds: MeshBounds
     link_rate: float = 0.0
+    is_first_start: bool = True
     log_level: str = 'INFO'
--- a/packages/pumicestand-node/pumicestand_node/mesh_state.py
+++ b/packages/pumicestand-node/pumicestand_node/mesh_state.py
@@ -12,6 +12,7 @@
 from pumicestand import rollouts as all_rollouts
 from pumicestand import suspects
 from pumicestand import targets
+from pumicestand import zone_roles
 
 
 class MeshState:
@@ -50,6 +51,9 @@
         self.target_watch = targets.TargetWatch()
         self.link_meter = link_meter.LinkMeter(link_rate)
         self.suspects = suspects.Suspects()
+        self.zone_roles = zone_roles.ZoneRoles(
+            identity, self.fleet, self.link_meter
+        )
         self.is_stopping = False
         self.is_leaving = False
         self.is_ready = False
--- a/packages/pumicestand-node/pumicestand_node/mesh_store.py
+++ b/packages/pumicestand-node/pumicestand_node/mesh_store.py
@@ -2,9 +2,9 @@
 
 Every node writes one record about itself and reads those of the other nodes
 once, at its start. It also reads the configuration and the roll-out orders
-at its start; afterwards only the few highest-ranked nodes watch them, and
-the other nodes receive changes from these. A node without links to the others
-ranks itself first and so watches the store itself.
+at its start; afterwards only the highest-ranked nodes of each availability
+zone watch them, and the other nodes receive changes from these. A node without
+links to the others ranks itself first and so watches the store itself.
 """
 
 import json
@@ -15,21 +15,23 @@
 
 from pumicestand import errors
 from pumicestand import node_records
-from pumicestand import ranking
-
-# Number of nodes that watch the store; each costs one long-polling request
-# per kind of object.
-WATCHER_COUNT = 3
-# Time for which a watch request waits for a change. It also bounds the time
-# for which a silent connection goes unnoticed.
-WATCH_TIMEOUT_S = 5.0
+
+# Time for which a watch request waits for a change; each request costs. The
+# client finds silent connections by itself.
+WATCH_TIMEOUT_S = 25.0
+# Time for which a node waits for the first heartbeat of its target before it
+# creates its record, so that it need not write it again: more than a period.
+TARGET_WAIT_S = 2.0
+TARGET_CHECK_PERIOD_S = 0.1
 MIN_BACKOFF_S = 0.1
 MAX_BACKOFF_S = 1.5
 # Period at which a node that does not watch checks whether it should.
 ROLE_CHECK_PERIOD_S = 0.3
-# Link capacity below which a node ranks last. At this rate a configuration
-# of 11 KB reaches 60 nodes in a quarter of a second.
-MIN_FAST_LINK_BYTES_PER_S = 2_500_000
+# Time after it has read the other nodes' records before which a node does not
+# watch: until it has linked to those of its zone, it ranks itself first.
+SETTLING_S = 1.0
+# Period at which a node that is linked to no other node looks for new ones.
+SEARCH_PERIOD_S = 5.0
 # Time for which the acknowledgement of a target's heartbeat or departure waits
 # for the record to be written to the store.
 RECORD_WRITE_TIMEOUT_S = 0.5
@@ -55,6 +57,7 @@
     :param on_target_restored: called when this node's target was restored
         from its record
     :param on_change: called when the other nodes should receive a report
+    :param is_first_start: whether the whole fleet starts for the first time
     """
 
     def __init__(
@@ -67,6 +70,7 @@
         on_records,
         on_target_restored,
         on_change,
+        is_first_start=True,
     ):
         self._mesh = mesh
         self._client = client
@@ -76,12 +80,14 @@
         self._on_records = on_records
         self._on_target_restored = on_target_restored
         self._on_change = on_change
+        self._is_first_start = is_first_start
         self._own_revision = None
         self._written_record = None
         self._write_requested = trio.Event()
         self._write_done = trio.Event()
         self._has_joined = False
         self._pending_statuses = {}
+        self._settled_at = float('inf')
         self._nursery = None
 
     async def start(self, nursery):
@@ -90,6 +96,7 @@
         await self._client.start()
         nursery.start_soon(self._join)
         nursery.start_soon(self._maintain_own_record)
+        nursery.start_soon(self._search_nodes)
         for kind, apply in (
             (self._translator.configuration_kind, self._apply_configuration),
             (self._translator.order_kind, self._apply_order),
@@ -117,21 +124,37 @@
         return min(MAX_BACKOFF_S, backoff * 2)
 
     async def _join(self):
-        """Write this node's record, then read the other nodes' records.
+        """Have the other nodes know this node, and learn which there are.
 
-        In this order two nodes that start at the same time can't miss each
-        other: the one that writes later reads the other's record.
+        A node that starts for the first time writes its record before it
+        reads those of the others: of two nodes that start at the same time
+        the one that writes later reads the other's record. A restarted node
+        finds its own record among them and need not write it.
         """
         backoff = MIN_BACKOFF_S
+        must_create = self._is_first_start
         while True:
             try:
-                await self._create_own_record()
+                if must_create:
+                    await self._create_own_record()
                 listing = await self._client.list(node_records.KIND)
-                break
             except STORE_ERRORS as error:
                 self._set_reachable(False, error)
                 backoff = await self._back_off(backoff)
+                continue
+            records = self._read_records(listing)
+            if self._own_revision is not None:
+                break
+            self._on_records(records)
+            must_create = True
         self._set_reachable(True)
+        self._has_joined = True
+        self._settled_at = self._clock() + SETTLING_S
+        self._write_requested.set()
+        self._on_records(records)
+
+    def _read_records(self, listing):
+        """Return the records of the other nodes; apply this node's own."""
         records = []
         for item in listing.items:
             record = node_records.from_json(item.spec)
@@ -144,13 +167,30 @@
                 continue
             if item.name == self._mesh.identity.name:
                 self._own_revision = item.revision
+                self._written_record = record
                 if record.target is not None:
                     self._restore_target(record.target)
                 continue
             records.append(record)
-        self._has_joined = True
-        self._write_requested.set()
-        self._on_records(records)
+        return records
+
+    async def _search_nodes(self):
+        """Read the records again while no other node is linked.
+
+        After a long partition both sides have removed each other.
+        """
+        while True:
+            await trio.sleep(SEARCH_PERIOD_S * (0.5 + self._rng.random()))
+            if not self._has_joined or self._mesh.fleet.linked_count > 1:
+                continue
+            try:
+                listing = await self._client.list(
+                    node_records.KIND, allow_stale=True
+                )
+            except STORE_ERRORS as error:
+                self._set_reachable(False, error)
+                continue
+            self._on_records(self._read_records(listing))
 
     def _restore_target(self, target):
         """Restore the target recorded by a previous process of this node."""
@@ -161,6 +201,9 @@
         """Create this node's record unless a previous process left one."""
         if self._own_revision is not None:
             return
+        with trio.move_on_after(TARGET_WAIT_S):
+            while self._mesh.target_watch.target is None:
+                await trio.sleep(TARGET_CHECK_PERIOD_S)
         record = self._own_record()
         try:
             stored = await self._client.create(
@@ -234,40 +277,16 @@
     def _is_watcher(self):
         """Return whether this node should watch the store."""
         mesh = self._mesh
-        if mesh.is_leaving:
+        if mesh.is_leaving or self._clock() < self._settled_at:
             return False
-        return mesh.identity.name in self._rank_nodes('watch')[:WATCHER_COUNT]
+        return mesh.zone_roles.is_watcher()
 
     def is_designated_writer(self):
         """Return whether this node writes roll-out states for the fleet."""
         mesh = self._mesh
         if not mesh.store_reachable or mesh.is_leaving:
             return False
-        return self._rank_nodes('write')[0] == mesh.identity.name
-
-    def _rank_nodes(self, key):
-        """Return the names of the nodes that reach the store, best first.
-
-        This node is always among them. Nodes on slow links come last, since
-        a watcher sends each change to many other nodes.
-
-        :param key: role for which the nodes are ranked
-        """
-        mesh = self._mesh
-        rates = {mesh.identity.name: mesh.link_meter.rate}
-        for peer in mesh.fleet.others:
-            if (
-                peer.is_linked
-                and peer.report.store_reachable
-                and not peer.report.is_leaving
-            ):
-                rates[peer.name] = peer.report.link_rate
-        slow = {
-            name
-            for name, rate in rates.items()
-            if 0 < rate < MIN_FAST_LINK_BYTES_PER_S
-        }
-        return ranking.rank(key, rates.keys() - slow) + ranking.rank(key, slow)
+        return mesh.zone_roles.is_writer()
 
     async def _sync_kind(self, kind, apply):
         """List the objects of a kind, then watch it if this node is a watcher.
@@ -302,7 +321,10 @@
         :param revision: revision to watch from, None to list all objects
         """
         if revision is None:
-            listing = await self._client.list(kind)
+            # What is newer is heard from the nodes that watch.
+            listing = await self._client.list(
+                kind, allow_stale=not self._is_watcher()
+            )
             for item in listing.items:
                 apply(item)
             return listing.revision
--- a/packages/pumicestand/pumicestand/hop.capnp
+++ b/packages/pumicestand/pumicestand/hop.capnp
@@ -16,6 +16,8 @@
     configuration @9 :Configuration;
     load @10 :Load;
     acting @11 :UInt64;
+    relay @12 :Report;
+    summary @13 :ZoneSummary;
   }
 }
 
@@ -85,6 +87,21 @@
   suspects @15 :List(Suspect);
 }
 
+struct Busy {
+  version @0 :Text;
+  calls @1 :UInt32;
+}
+
+struct ZoneSummary {
+  zone @0 :Text;
+  service @1 :Text;
+  collector @2 :Text;
+  incarnation @3 :UInt64;
+  sequence @4 :UInt64;
+  evidence @5 :List(Evidence);
+  busy @6 :List(Busy);
+}
+
 struct Call {
   id @0 :UInt64;
   service @1 :Text;
--- a/packages/pumicestand/pumicestand/hop.py
+++ b/packages/pumicestand/pumicestand/hop.py
@@ -44,6 +44,10 @@
             builder.cancel = id_
         case hop_messages.Report():
             _write_report(builder.init('report'), message)
+        case hop_messages.Relay(report):
+            _write_report(builder.init('relay'), report)
+        case hop_messages.ZoneSummary():
+            _write_summary(builder.init('summary'), message)
         case hop_messages.GenerationUpdate(generation):
             builder.acting = generation
         case hop_messages.Load():
@@ -119,6 +123,30 @@
     builder.startedMs = target.started_ms
 
 
+def _write_evidence(builder, evidence):
+    items = builder.init('evidence', len(evidence))
+    for item, entry in zip(items, evidence, strict=True):
+        item.route = entry.route
+        item.version = entry.version
+        item.calls = entry.calls
+        item.errors = entry.errors
+        item.timed = entry.timed_calls
+        item.workMs = entry.work_ms
+
+
+def _write_summary(builder, summary):
+    builder.zone = summary.zone
+    builder.service = summary.service
+    builder.collector = summary.collector
+    builder.incarnation = summary.incarnation
+    builder.sequence = summary.sequence
+    _write_evidence(builder, summary.evidence)
+    items = builder.init('busy', len(summary.busy))
+    for item, busy in zip(items, summary.busy, strict=True):
+        item.version = busy.version
+        item.calls = busy.calls
+
+
 def _write_report(builder, report):
     builder.name = report.name
     builder.incarnation = report.incarnation
@@ -134,14 +162,7 @@
     if report.target is not None:
         _write_target(builder.init('target'), report.target)
     _write_load(builder.init('load'), report.load)
-    items = builder.init('evidence', len(report.evidence))
-    for item, evidence in zip(items, report.evidence, strict=True):
-        item.route = evidence.route
-        item.version = evidence.version
-        item.calls = evidence.calls
-        item.errors = evidence.errors
-        item.timed = evidence.timed_calls
-        item.workMs = evidence.work_ms
+    _write_evidence(builder, report.evidence)
     items = builder.init('verdicts', len(report.verdicts))
     for item, verdict in zip(items, report.verdicts, strict=True):
         item.service = verdict.service
@@ -191,6 +212,10 @@
             return hop_messages.Cancel(frame.cancel)
         case 'report':
             return _read_report(frame.report)
+        case 'relay':
+            return hop_messages.Relay(_read_report(frame.relay))
+        case 'summary':
+            return _read_summary(frame.summary)
         case 'acting':
             return hop_messages.GenerationUpdate(frame.acting)
         case 'load':
@@ -292,6 +317,35 @@
     )
 
 
+def _read_evidence(reader):
+    return tuple(
+        hop_messages.Evidence(
+            item.route,
+            item.version,
+            item.calls,
+            item.errors,
+            item.timed,
+            item.workMs,
+        )
+        for item in reader.evidence
+    )
+
+
+def _read_summary(reader):
+    return hop_messages.ZoneSummary(
+        zone=reader.zone,
+        service=reader.service,
+        collector=reader.collector,
+        incarnation=reader.incarnation,
+        sequence=reader.sequence,
+        evidence=_read_evidence(reader),
+        busy=tuple(
+            hop_messages.BusyVersion(item.version, item.calls)
+            for item in reader.busy
+        ),
+    )
+
+
 def _read_report(reader):
     return hop_messages.Report(
         name=reader.name,
@@ -306,17 +360,7 @@
         store_reachable=reader.storeReachable,
         generation=reader.generation,
         link_rate=reader.linkRate,
-        evidence=tuple(
-            hop_messages.Evidence(
-                item.route,
-                item.version,
-                item.calls,
-                item.errors,
-                item.timed,
-                item.workMs,
-            )
-            for item in reader.evidence
-        ),
+        evidence=_read_evidence(reader),
         verdicts=tuple(_read_verdict(item) for item in reader.verdicts),
         suspects=tuple(
             hop_messages.Suspect(item.mark, item.crashes, item.answers)
--- a/packages/pumicestand/pumicestand/hop_messages.py
+++ b/packages/pumicestand/pumicestand/hop_messages.py
@@ -170,25 +170,85 @@
         return (self.incarnation, self.sequence)
 
     @property
-    def stable_part(self):
-        """The report without the fields that change often.
+    def fleet_part(self):
+        """The verdicts, without the fields that change with time.
 
-        If it changes, other nodes are sent the whole report. The generation
-        changes more often and has a message of its own.
+        All nodes have the same ones, so a few nodes of each availability
+        zone pass them on to the others.
         """
-        verdicts = tuple(
+        return tuple(
             dataclasses.replace(verdict, elapsed_ms=0)
             for verdict in self.verdicts
         )
+
+    @property
+    def own_part(self):
+        """What only this node can tell, without what changes often."""
         return dataclasses.replace(
             self,
             sequence=0,
             load=Load(),
+            store_reachable=False,
             generation=0,
             evidence=(),
-            verdicts=verdicts,
+            verdicts=(),
         )
 
+    @property
+    def stable_part(self):
+        """The report without the fields that change often.
+
+        If it changes, the nodes of the zone are sent the whole report. The
+        generation changes more often and has a message of its own.
+        """
+        return (self.own_part, self.store_reachable, self.fleet_part)
+
+    @property
+    def without_evidence(self):
+        """The report as other zones get it, see `ZoneSummary`."""
+        return dataclasses.replace(self, evidence=())
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Relay:
+    """The report of a node, for nodes that have no link to it."""
+
+    report: Report
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class BusyVersion:
+    """The calls at all targets of one version in an availability zone.
+
+    :param calls: calls that run there or wait at the nodes beside them
+    """
+
+    version: str
+    calls: int
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class ZoneSummary:
+    """The evidence on one service of all nodes of an availability zone.
+
+    :param collector: name of the node that made the sums
+    :param incarnation: number that rises with each start of the collector
+    :param sequence: number that rises with each summary of an incarnation
+    """
+
+    zone: str
+    service: str
+    collector: str
+    incarnation: int
+    sequence: int
+    evidence: tuple[Evidence, ...] = ()
+    busy: tuple[BusyVersion, ...] = ()
+
+    @property
+    def sort_key(self):
+        """The key by which summaries of a collector are sorted."""
+        return (self.incarnation, self.sequence)
+
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class GenerationUpdate:
@@ -327,6 +387,8 @@
 Message = (
     Hello
     | Report
+    | Relay
+    | ZoneSummary
     | Load
     | GenerationUpdate
     | Call
--- a/packages/pumicestand/pumicestand/link_meter.py
+++ b/packages/pumicestand/pumicestand/link_meter.py
@@ -4,6 +4,7 @@
 takes 30 ms on one link takes half a second on another.
 """
 
+import collections
 import math
 
 # Time constant of the moving average of bytes per second.
@@ -18,6 +19,9 @@
 class LinkMeter:
     """Measures the traffic of this node in each direction.
 
+    ``sent_bytes`` holds the bytes sent to other nodes so far, by kind of
+    message and whether they went to the own zone or another one.
+
     :param rate: capacity of the VM's link in bytes per second; 0 if it is
         not known
     """
@@ -26,10 +30,17 @@
         self.rate = rate
         self._sent = _ByteRate()
         self._received = _ByteRate()
+        self.sent_bytes = collections.Counter()
+
+    def record_sent(self, size, now, kind='', is_cross_zone=False):
+        """Count bytes that are sent.
 
-    def record_sent(self, size, now):
-        """Count bytes that are sent."""
+        :param kind: kind of the message
+        :param is_cross_zone: whether they go to another availability zone
+        """
         self._sent.record(size, now)
+        scope = 'other-zone' if is_cross_zone else 'own-zone'
+        self.sent_bytes[(kind, scope)] += size
 
     def record_received(self, size, now):
         """Count bytes that were received."""
--- a/packages/pumicestand/pumicestand/reporting.py
+++ b/packages/pumicestand/pumicestand/reporting.py
@@ -1,4 +1,11 @@
-"""What a node reports of itself to other nodes, and how often."""
+"""What a node reports of itself to other nodes, and how often.
+
+The nodes of a node's availability zone get everything at once. Those of other
+zones get what they need to place calls and to act on the same configuration
+and verdicts; each zone is told once and passes it on itself.
+"""
+
+import dataclasses
 
 from pumicestand import hop_messages
 
@@ -16,28 +23,70 @@
 # changed, in seconds. A node that could not use the configuration that it
 # fetched then asks for it once more.
 FULL_REPORT_PERIOD_S = 20.0
-# Of the messages with the load alone, one in this many is also sent to other
-# availability zones, as they send few calls and traffic between zones is
-# expensive.
+# Time after which the nodes of other zones are told everything again although
+# nothing has changed, in seconds.
+ANNOUNCEMENT_PERIOD_S = 30.0
+# Of the messages with the load alone, one in this many is also sent to the
+# nodes of other zones that have sent calls within this many seconds, as
+# traffic between zones is expensive.
 OTHER_ZONES_LOAD_INTERVAL = 3
+OTHER_ZONES_LOAD_AFTER_CALL_S = 5.0
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class ReportPlan:
+    """What a node sends now.
+
+    :param message: for the nodes of its own zone: a `hop_messages.Report`,
+        `hop_messages.Load` or `hop_messages.GenerationUpdate`
+    :param announcement: report for the other zones, None if nothing has
+        changed that they need
+    :param generation: generation for the other zones, None if it is not new
+    :param load: load for the nodes of other zones that send calls, None if
+        it is not due
+    """
+
+    message: hop_messages.Message
+    announcement: hop_messages.Report | None = None
+    generation: int | None = None
+    load: hop_messages.Load | None = None
 
 
 class ReportSelector:
-    """Selects the whole report or the part of it that has changed."""
+    """Selects what other nodes need of a report, by what has changed."""
 
     def __init__(self):
         self._sent_stable_part = None
         self._sent_generation = 0
         self._full_report_at = float('-inf')
         self._load_count = 0
+        self._announced_own_part = None
+        self._announced_fleet_part = ()
+        self._announced_generation = 0
+        self._announced_at = float('-inf')
 
-    def next_message(self, report, now):
-        """Return the message to send now.
+    def next_plan(self, report, is_gateway, now):
+        """Return the `ReportPlan`.
 
         :param report: the node's current `hop_messages.Report`
+        :param is_gateway: whether this node tells other zones what all nodes
+            of its zone know: the generation and the verdicts
         :param now: monotonic seconds
-        :returns: the report, its load, or a `hop_messages.GenerationUpdate`
         """
+        message = self._next_message(report, now)
+        announcement = generation = load = None
+        if self._is_announcement_due(report, is_gateway, now):
+            announcement = report.without_evidence
+        elif is_gateway and report.generation != self._announced_generation:
+            generation = report.generation
+            self._announced_generation = generation
+        if isinstance(message, hop_messages.Load):
+            self._load_count += 1
+            if self._load_count % OTHER_ZONES_LOAD_INTERVAL == 0:
+                load = message
+        return ReportPlan(message, announcement, generation, load)
+
+    def _next_message(self, report, now):
         stable_part = report.stable_part
         is_new_generation = report.generation != self._sent_generation
         self._sent_generation = report.generation
@@ -50,17 +99,22 @@
             return report
         if is_new_generation:
             return hop_messages.GenerationUpdate(report.generation)
-        self._load_count += 1
         return report.load
 
-    def is_for_other_zones(self, message):
-        """Whether a message is also sent to other availability zones.
-
-        :param message: the message that `next_message` returned last
-        """
-        if not isinstance(message, hop_messages.Load):
-            return True
-        return self._load_count % OTHER_ZONES_LOAD_INTERVAL == 0
+    def _is_announcement_due(self, report, is_gateway, now):
+        own_part = report.own_part
+        fleet_part = report.fleet_part
+        if (
+            own_part == self._announced_own_part
+            and now - self._announced_at < ANNOUNCEMENT_PERIOD_S
+            and not (is_gateway and fleet_part != self._announced_fleet_part)
+        ):
+            return False
+        self._announced_own_part = own_part
+        self._announced_fleet_part = fleet_part
+        self._announced_generation = report.generation
+        self._announced_at = now
+        return True
 
 
 def report_period(nodes, is_rollout_running):
--- a/packages/pumicestand/pumicestand/rollouts.py
+++ b/packages/pumicestand/pumicestand/rollouts.py
@@ -15,6 +15,7 @@
 
 from pumicestand import hop_messages
 from pumicestand import messages
+from pumicestand import zone_summaries
 
 State = hop_messages.RolloutState
 
@@ -97,30 +98,6 @@
     reason: str = ''
 
 
-@dataclasses.dataclass(slots=True)
-class _EvidenceSum:
-    """The sum of evidence on one route, with the fields of `Evidence`."""
-
-    calls: int = 0
-    errors: int = 0
-    timed_calls: int = 0
-    work_ms: float = 0.0
-
-    def add(self, evidence):
-        self.calls += evidence.calls
-        self.errors += evidence.errors
-        self.timed_calls += evidence.timed_calls
-        self.work_ms += evidence.work_ms
-
-    @property
-    def error_rate(self):
-        return self.errors / self.calls if self.calls else 0.0
-
-    @property
-    def mean_work_ms(self):
-        return self.work_ms / self.timed_calls if self.timed_calls else 0.0
-
-
 class Rollouts:
     """The roll-outs that this node knows, one for each service.
 
@@ -137,10 +114,16 @@
     @property
     def has_running(self):
         """Whether any roll-out is running, so that evidence is needed."""
-        return any(
-            rollout.state is State.RUNNING
-            for rollout in self._rollouts.values()
-        )
+        return bool(self.running_services)
+
+    @property
+    def running_services(self):
+        """Names of the services whose roll-out is running."""
+        return [
+            service
+            for service, rollout in self._rollouts.items()
+            if rollout.state is State.RUNNING
+        ]
 
     def verdicts(self, now):
         """Return a `hop_messages.Verdict` of each roll-out, for reports.
@@ -309,7 +292,7 @@
 
     def _evaluate_running(self, rollout, fleet, now):
         """Roll a bad version back; determine when a good one is complete."""
-        new, old = _sum_up(rollout.order, fleet)
+        new, old = _sum_up(rollout.order, fleet, now)
         rollout.evidence_calls = sum(s.calls for s in new.values())
         reason = find_regression(new, old)
         if reason:
@@ -327,7 +310,7 @@
             return
         if now - rollout.full_share_since < MIN_FULL_SHARE_S:
             return
-        if not _are_old_targets_idle(rollout.order, fleet):
+        if not _are_old_targets_idle(rollout.order, fleet, now):
             return
         rollout.is_completion_due = True
 
@@ -340,10 +323,14 @@
     return known.stored_state is None or order.stored_state is not None
 
 
-def _sum_up(order, fleet):
-    """Return the evidence of the new and of the other versions by route."""
-    new = collections.defaultdict(_EvidenceSum)
-    old = collections.defaultdict(_EvidenceSum)
+def _sum_up(order, fleet, now):
+    """Return the evidence of the new and of the other versions by route.
+
+    The nodes of this zone report it directly, a collector that of each other
+    zone.
+    """
+    new = collections.defaultdict(zone_summaries.EvidenceSum)
+    old = collections.defaultdict(zone_summaries.EvidenceSum)
     for peer in fleet.peers:
         target = peer.target
         if target is None or target.service != order.service:
@@ -351,15 +338,27 @@
         for evidence in peer.report.evidence:
             is_new = evidence.version == order.version
             (new if is_new else old)[evidence.route].add(evidence)
+    for summary in fleet.summaries(order.service, now):
+        for evidence in summary.evidence:
+            is_new = evidence.version == order.version
+            (new if is_new else old)[evidence.route].add(evidence)
     return new, old
 
 
-def _are_old_targets_idle(order, fleet):
+def _are_old_targets_idle(order, fleet, now):
     """Whether no call is left at the targets of the other versions."""
+    summaries = fleet.summaries(order.service, now)
+    for summary in summaries:
+        for busy in summary.busy:
+            if busy.version != order.version and busy.calls:
+                return False
+    summarised_zones = {summary.zone for summary in summaries}
     for peer in fleet.peers:
         target = peer.target
         if target is None or target.service != order.service:
             continue
+        if peer.zone in summarised_zones:
+            continue
         if target.version == order.version:
             continue
         if target.state is messages.TargetState.GONE or not peer.is_linked:
@@ -376,7 +375,7 @@
     :param old: sums of evidence of the other versions by route
     """
     for route, current in new.items():
-        baseline = old.get(route) or _EvidenceSum()
+        baseline = old.get(route) or zone_summaries.EvidenceSum()
         if current.errors >= MIN_ERRORS:
             excess = current.error_rate - baseline.error_rate
             if excess > MAX_EXCESS_ERROR_RATIO:
--- a/packages/pumicestand/pumicestand/store_calls.py
+++ b/packages/pumicestand/pumicestand/store_calls.py
@@ -47,13 +47,15 @@
     :param limits: the `Limits`
     :param peer: name of the store in errors
     :param backend: a `httpcore.AsyncNetworkBackend`, None for TCP
+    :param socket_options: arguments of `socket.setsockopt` for connections
     """
 
-    def __init__(self, url, limits, peer, backend=None):
+    def __init__(self, url, limits, peer, backend=None, socket_options=()):
         self.peer = peer
         self._url = url.rstrip('/')
         self._limits = limits
         self._backend = backend
+        self._socket_options = socket_options
         self._pool = None
 
     async def start(self):
@@ -62,6 +64,7 @@
             max_connections=self._limits.max_connections,
             keepalive_expiry=self._limits.keepalive,
             network_backend=self._backend,
+            socket_options=self._socket_options,
         )
 
     async def close(self):
