--- a/packages/pumicestand-node/pumicestand_node/target_calls.py
+++ b/packages/pumicestand-node/pumicestand_node/target_calls.py
@@ -265,7 +265,7 @@
             head = self._format_request_head(call, target, remaining_s)
             sent_at = self._clock()
             response = await connection.exchange(
-                head, call.body, self._make_response_matcher(call)
+                head, call.body, self._make_response_matcher(call, connection)
             )
             is_released = True
             await self._pool.release(connection, response, address)
@@ -278,15 +278,18 @@
             if connection is not None and not is_released:
                 await connection.close()
 
-    def _make_response_matcher(self, call):
+    def _make_response_matcher(self, call, connection):
         """Return a function that tells whether a response is for the call."""
         name = self._headers.request_id
         expected = call.request_id.encode('latin-1')
+        # A response without an id can't be matched. On a reused connection it
+        # may be a late copy of one to an earlier call.
+        accepted = (
+            (None, expected) if connection.idle_s is None else (expected,)
+        )
 
         def is_matching(response):
-            # A response without an id can't be matched and is accepted;
-            # successful responses always have one.
-            return response.header(name) in (None, expected)
+            return response.header(name) in accepted
 
         return is_matching
 
--- a/packages/pumicestand-node/pumicestand_node/target_exchange.py
+++ b/packages/pumicestand-node/pumicestand_node/target_exchange.py
@@ -8,6 +8,7 @@
 import dataclasses
 
 import httptools
+import loguru
 import trio
 
 from pumicestand_node import heads
@@ -141,6 +142,7 @@
         self._is_at_end = False
         self._is_body_sent = False
         self._has_received = False
+        self._has_foreign_response = False
         self.is_clean = True
         self.idle_s = None
         self.idle_since = 0.0
@@ -183,6 +185,7 @@
             response.keep_alive
             and self._is_body_sent
             and not self._is_at_end
+            and not self._has_foreign_response
             and not self._parser.responses
             and self._parser.is_between_responses
         )
@@ -224,6 +227,13 @@
                 response = self._parser.responses.pop(0)
                 if is_matching(response):
                     return response
+                # The target is out of step; it may send more of the kind.
+                self._has_foreign_response = True
+                loguru.logger.bind(event='foreign-response').warning(
+                    'target sent a response with status {} that is not for '
+                    'the current call; it is ignored',
+                    response.status,
+                )
             if self._is_at_end:
                 raise ExchangeError(
                     'connection closed before the response was complete',
--- a/packages/pumicestand/pumicestand/rollouts.py
+++ b/packages/pumicestand/pumicestand/rollouts.py
@@ -15,6 +15,7 @@
 
 from pumicestand import hop_messages
 from pumicestand import messages
+from pumicestand import regressions
 from pumicestand import zone_summaries
 
 State = hop_messages.RolloutState
@@ -31,16 +32,6 @@
 MIN_FULL_SHARE_S = 1.0
 # Calls of the new version that each step needs before the next one.
 MIN_CALLS_PER_STEP = 12
-# Failed calls on one route from which a version can be found bad.
-MIN_ERRORS = 5
-# Error rate above that of the other versions from which a version is bad.
-MAX_EXCESS_ERROR_RATIO = 0.15
-# Timed calls on one route, of both versions, from which a version can be
-# found slow.
-MIN_TIMED_CALLS = 10
-# Ratio of mean latencies from which a version is slow. Targets of the same
-# version differ by a factor of two to three among themselves.
-MAX_LATENCY_RATIO = 2.6
 # Time after which a version that no order names gets calls, in seconds.
 # Until then its order may still be on its way to this node.
 UNORDERED_VERSION_DELAY_S = 4.0
@@ -84,6 +75,7 @@
         None if they do not
     :param credit: calls that the new version is still to get for its share
     :param evidence_calls: calls counted as evidence on the new version
+    :param evidence: the evidence so far, by time
     :param is_completion_due: whether the state to write is `COMPLETE`
     :param reason: why the state was changed
     """
@@ -94,6 +86,9 @@
     full_share_since: float | None = None
     credit: float = 0.0
     evidence_calls: int = 0
+    evidence: regressions.EvidenceHistory = dataclasses.field(
+        default_factory=regressions.EvidenceHistory
+    )
     is_completion_due: bool = False
     reason: str = ''
 
@@ -294,7 +289,7 @@
         """Roll a bad version back; determine when a good one is complete."""
         new, old = _sum_up(rollout.order, fleet, now)
         rollout.evidence_calls = sum(s.calls for s in new.values())
-        reason = find_regression(new, old)
+        reason = rollout.evidence.find_regression(new, old, now)
         if reason:
             self._advance(rollout, State.ROLLED_BACK, reason)
             return
@@ -366,32 +361,3 @@
         if peer.load.running or peer.load.queued or peer.in_flight:
             return False
     return True
-
-
-def find_regression(new, old):
-    """Return why the new version is bad, an empty text if it is not.
-
-    :param new: sums of evidence of the new version by route
-    :param old: sums of evidence of the other versions by route
-    """
-    for route, current in new.items():
-        baseline = old.get(route) or zone_summaries.EvidenceSum()
-        if current.errors >= MIN_ERRORS:
-            excess = current.error_rate - baseline.error_rate
-            if excess > MAX_EXCESS_ERROR_RATIO:
-                return (
-                    f'{current.errors} of {current.calls} calls failed on '
-                    f'{route}, {baseline.errors} of {baseline.calls} at other '
-                    f'versions'
-                )
-        if (
-            current.timed_calls < MIN_TIMED_CALLS
-            or baseline.timed_calls < MIN_TIMED_CALLS
-        ):
-            continue
-        if current.mean_work_ms > MAX_LATENCY_RATIO * baseline.mean_work_ms:
-            return (
-                f'{current.mean_work_ms:.0f} ms a call on {route}, '
-                f'{baseline.mean_work_ms:.0f} ms at other versions'
-            )
-    return ''
--- a/packages/pumicestand/pumicestand/zone_summaries.py
+++ b/packages/pumicestand/pumicestand/zone_summaries.py
@@ -30,6 +30,15 @@
         self.timed_calls += evidence.timed_calls
         self.work_ms += evidence.work_ms
 
+    def since(self, earlier):
+        """Return what was added since an earlier sum, at least nothing."""
+        return EvidenceSum(
+            max(0, self.calls - earlier.calls),
+            max(0, self.errors - earlier.errors),
+            max(0, self.timed_calls - earlier.timed_calls),
+            max(0.0, self.work_ms - earlier.work_ms),
+        )
+
     @property
     def error_rate(self):
         return self.errors / self.calls if self.calls else 0.0
--- a/tests/pumicestand_node/test_mesh_calls.py
+++ b/tests/pumicestand_node/test_mesh_calls.py
@@ -517,6 +517,43 @@
     run_with_target(test, 'extra')
 
 
+def test_a_connection_with_a_foreign_response_is_not_reused():
+    async def test(harness):
+        for number in range(2):
+            got, _ = await harness.send_request(request_id=f'i{number}')
+            assert got == 200
+        assert harness.script.connect_count == 2
+
+    run_with_target(test, 'other first')
+
+
+@pytest.mark.parametrize('status', ['503 Busy', '500 Error', '200 OK'])
+def test_a_late_copy_without_an_id_is_not_taken_for_the_next_response(status):
+    """It arrives on a kept connection while the next request is sent."""
+    copy = f'HTTP/1.1 {status}\r\ncontent-length: 0\r\n'.encode()
+    if status.startswith('503'):
+        copy += b'Pumicestand-Not-Executed: 1\r\n'
+    late = copy + b'\r\n' + OK_RESPONSE
+
+    async def test(harness):
+        got, _ = await harness.send_request('/o/1', 'POST', 'first')
+        assert got == 200
+        got, data = await harness.send_request('/o/2', 'POST', 'second')
+        assert (got, data[-5:]) == (200, b'hello')
+        assert harness.script.connect_count == 1
+        # The connection is out of step now.
+        got, _ = await harness.send_request('/o/3', 'POST', 'third')
+        assert got == 200
+        assert harness.script.connect_count == 2
+        assert harness.script.run_request_ids == [
+            b'first',
+            b'second',
+            b'third',
+        ]
+
+    run_with_target(test, OK_RESPONSE, late)
+
+
 def test_a_stale_connection_shortens_the_idle_time_for_reuse():
     async def test(harness):
         script = harness.script
