Survive a store that comes back from an older copy

Revisions were compared without the era that the header Store-Era tells, so an order of the copy with a lower revision was ignored for good, one with another id ran again from its first share, a watch on a revision given out again missed changes, and a record that the copy lacked was never written again (by reading; the earlier code has no era that a test could set). Positions of era and revision, watches and conditional writes bound to their era, roll-outs that are the same in each era and whose states only rise, records checked by each node, the era passed on in reports, and a starting node that waits up to 0.5 s for a peer with a newer configuration. The stand-in store can restore a copy.

--- a/packages/pumicestand-node/pumicestand_node/mesh_links.py
+++ b/packages/pumicestand-node/pumicestand_node/mesh_links.py
@@ -33,6 +33,9 @@
 class MeshLinks:
     """Opens links to the selected nodes and serves the links others open.
 
+    ``on_store_era`` is called with a later era of the store that another node
+    has reported.
+
     :param mesh: `mesh_state.MeshState` of this node
     :param target_calls: `target_calls.TargetCalls` of this node
     :param on_configuration: called with a `hop_messages.Configuration` and
@@ -59,6 +62,7 @@
         self._report_requested = trio.Event()
         self._report_selector = reporting.ReportSelector()
         self._summary_sequence = 0
+        self.on_store_era = None
         self._nursery = None
 
     @property
@@ -288,6 +292,8 @@
     def _apply_findings(self, report):
         """Apply what a node has found out about requests and versions."""
         mesh = self._mesh
+        if report.store_era > mesh.store_era and self.on_store_era is not None:
+            self.on_store_era(report.store_era)
         if report.name != mesh.identity.name:
             mesh.suspects.set_reported(report.name, report.suspects)
         for verdict in report.verdicts:
--- a/packages/pumicestand-node/pumicestand_node/mesh_node.py
+++ b/packages/pumicestand-node/pumicestand_node/mesh_node.py
@@ -118,6 +118,7 @@
             self._links.schedule_report,
             settings.is_first_start,
         )
+        self._links.on_store_era = self._store.hear_era
         self._metrics = None
         self._client_port = client_port.ClientPort(
             self._outbound_calls.serve, self._log_refusal, self._client_limits
--- a/packages/pumicestand-node/pumicestand_node/mesh_state.py
+++ b/packages/pumicestand-node/pumicestand_node/mesh_state.py
@@ -58,6 +58,7 @@
         self.is_leaving = False
         self.is_ready = False
         self.store_reachable = True
+        self.store_era = 0
         self.report_sequence = 0
         self.send_call = None
 
@@ -120,4 +121,5 @@
             evidence=evidence if self.rollouts.has_running else (),
             verdicts=self.rollouts.verdicts(now),
             suspects=self.suspects.own_suspects(now),
+            store_era=self.store_era,
         )
--- a/packages/pumicestand-node/pumicestand_node/mesh_store.py
+++ b/packages/pumicestand-node/pumicestand_node/mesh_store.py
@@ -15,10 +15,12 @@
 
 from pumicestand import errors
 from pumicestand import node_records
+from pumicestand import stored_objects
 
-# Time for which a watch request waits for a change; each request costs. The
-# client finds silent connections by itself.
-WATCH_TIMEOUT_S = 25.0
+# Time for which a watch request waits for a change; each request costs. It
+# also bounds the time for which a store that came back from a copy without a
+# change goes unnoticed. The client finds silent connections by itself.
+WATCH_TIMEOUT_S = 10.0
 # Time for which a node waits for the first heartbeat of its target before it
 # creates its record, so that it need not write it again: more than a period.
 TARGET_WAIT_S = 2.0
@@ -30,6 +32,15 @@
 # Time after it has read the other nodes' records before which a node does not
 # watch: until it has linked to those of its zone, it ranks itself first.
 SETTLING_S = 1.0
+# Time over which the nodes check their records in a new era of the store, in
+# seconds: 660 reads and writes are then a third of the calls that it allows.
+ERA_CHECK_SPREAD_S = 2.0
+# Time for which a starting node holds back the configuration that it has read,
+# as a node that it links to may have a newer one: the store may have come back
+# from an older copy. Once it is linked it waits for the answer of that node.
+MAX_HOLD_S = 0.5
+PEER_ANSWER_S = 0.05
+HOLD_CHECK_PERIOD_S = 0.01
 # Period at which a node that is linked to no other node looks for new ones.
 SEARCH_PERIOD_S = 5.0
 # Time for which the acknowledgement of a target's heartbeat or departure waits
@@ -81,7 +92,7 @@
         self._on_target_restored = on_target_restored
         self._on_change = on_change
         self._is_first_start = is_first_start
-        self._own_revision = None
+        self._own_position = None
         self._written_record = None
         self._write_requested = trio.Event()
         self._write_done = trio.Event()
@@ -93,6 +104,7 @@
     async def start(self, nursery):
         """Start the synchronisation tasks in a nursery."""
         self._nursery = nursery
+        self._client.on_new_era = self._on_new_era
         await self._client.start()
         nursery.start_soon(self._join)
         nursery.start_soon(self._maintain_own_record)
@@ -103,6 +115,48 @@
         ):
             nursery.start_soon(self._sync_kind, kind, apply)
 
+    def hear_era(self, era):
+        """Act on the era of the store that another node has reported."""
+        self._client.advance_era(era)
+
+    def _on_new_era(self, previous, era):
+        """Check what this node has written; the store may have lost it."""
+        self._mesh.store_era = era
+        self._mesh.decisions.note('store-era', previous=previous, era=era)
+        self._on_change()
+        self._nursery.start_soon(self._check_own_record, era)
+
+    async def _check_own_record(self, era):
+        """Write this node's record again if it is missing or older.
+
+        All nodes do so in a new era, spread over `ERA_CHECK_SPREAD_S`.
+        """
+        await trio.sleep(ERA_CHECK_SPREAD_S * self._rng.random())
+        backoff = MIN_BACKOFF_S
+        while self._client.era == era:
+            try:
+                stored = await self._client.read(
+                    node_records.KIND, self._mesh.identity.name
+                )
+            except STORE_ERRORS as error:
+                self._set_reachable(False, error)
+                backoff = await self._back_off(backoff)
+                continue
+            self._own_position = stored.position if stored else None
+            self._written_record = (
+                node_records.from_json(stored.spec) if stored else None
+            )
+            self._write_requested.set()
+            return
+
+    def _set_own_position(self, revision):
+        """Set the position of the own record from a conflict's revision."""
+        self._own_position = None
+        if revision is not None:
+            self._own_position = stored_objects.Position(
+                self._client.era, revision
+            )
+
     async def close(self):
         """Close the connections to the store."""
         await self._client.close()
@@ -143,7 +197,7 @@
                 backoff = await self._back_off(backoff)
                 continue
             records = self._read_records(listing)
-            if self._own_revision is not None:
+            if self._own_position is not None:
                 break
             self._on_records(records)
             must_create = True
@@ -166,7 +220,7 @@
                 )
                 continue
             if item.name == self._mesh.identity.name:
-                self._own_revision = item.revision
+                self._own_position = item.position
                 self._written_record = record
                 if record.target is not None:
                     self._restore_target(record.target)
@@ -199,7 +253,7 @@
 
     async def _create_own_record(self):
         """Create this node's record unless a previous process left one."""
-        if self._own_revision is not None:
+        if self._own_position is not None:
             return
         with trio.move_on_after(TARGET_WAIT_S):
             while self._mesh.target_watch.target is None:
@@ -210,9 +264,9 @@
                 node_records.KIND, record.name, node_records.to_json(record)
             )
         except errors.ConflictError as error:
-            self._own_revision = error.current_version
+            self._set_own_position(error.current_version)
             return
-        self._own_revision = stored.revision
+        self._own_position = stored.position
         self._written_record = record
 
     def _own_record(self):
@@ -250,7 +304,8 @@
                     await self._write_own_record(record)
                     backoff = MIN_BACKOFF_S
                 except errors.ConflictError as error:
-                    self._own_revision = error.current_version
+                    self._set_own_position(error.current_version)
+                    backoff = await self._back_off(backoff)
                     self._write_requested.set()
                     continue
                 except STORE_ERRORS as error:
@@ -263,15 +318,15 @@
 
     async def _write_own_record(self, record):
         spec = node_records.to_json(record)
-        if self._own_revision is None:
+        if self._own_position is None:
             stored = await self._client.create(
                 node_records.KIND, record.name, spec
             )
         else:
             stored = await self._client.replace(
-                node_records.KIND, record.name, spec, self._own_revision
+                node_records.KIND, record.name, spec, self._own_position
             )
-        self._own_revision = stored.revision
+        self._own_position = stored.position
         self._written_record = record
 
     def _is_watcher(self):
@@ -294,45 +349,58 @@
         :param kind: kind of the store's objects
         :param apply: called with each `stored_objects.StoredObject`
         """
-        revision = None
+        position = None
         backoff = MIN_BACKOFF_S
         while True:
-            if revision is not None and not self._is_watcher():
+            if position is not None and not self._is_watcher():
                 await trio.sleep(ROLE_CHECK_PERIOD_S)
                 if self._is_watcher():
                     # The store may no longer keep the changes made in the
                     # meantime.
-                    revision = None
+                    position = None
                 continue
             try:
-                revision = await self._list_or_watch(kind, apply, revision)
+                position = await self._list_or_watch(kind, apply, position)
                 backoff = MIN_BACKOFF_S
                 self._set_reachable(True)
             except errors.WatchExpiredError:
-                revision = None
+                position = None
             except STORE_ERRORS as error:
-                revision = None
+                position = None
                 self._set_reachable(False, error)
                 backoff = await self._back_off(backoff)
 
-    async def _list_or_watch(self, kind, apply, revision):
-        """Apply a listing or the next changes; return their revision.
+    async def _list_or_watch(self, kind, apply, position):
+        """Apply a listing or the next changes; return their position.
 
-        :param revision: revision to watch from, None to list all objects
+        :param position: position to watch from, None to list all objects
         """
-        if revision is None:
+        if position is None:
             # What is newer is heard from the nodes that watch.
             listing = await self._client.list(
                 kind, allow_stale=not self._is_watcher()
             )
+            await self._hold_first_configuration()
             for item in listing.items:
                 apply(item)
-            return listing.revision
-        events = await self._client.watch(kind, revision, WATCH_TIMEOUT_S)
+            return listing.position
+        events = await self._client.watch(kind, position, WATCH_TIMEOUT_S)
         for event in events.events:
             if not event.is_deleted:
                 apply(event.object)
-        return events.revision
+        return events.position
+
+    async def _hold_first_configuration(self):
+        """Wait until a node that has a newer configuration could send it."""
+        mesh = self._mesh
+        with trio.move_on_after(MAX_HOLD_S):
+            while mesh.generation == 0:
+                if mesh.fleet.linked_count > 1:
+                    await trio.sleep(PEER_ANSWER_S)
+                    return
+                if self._has_joined and not mesh.fleet.others:
+                    return
+                await trio.sleep(HOLD_CHECK_PERIOD_S)
 
     def _apply_configuration(self, stored):
         """Apply a configuration read from the store."""
@@ -423,7 +491,7 @@
                 self._translator.order_kind,
                 order.service,
                 self._translator.make_status(order, action.state),
-                order.revision,
+                order.position,
             )
             self._apply_order(stored)
             self._mesh.decisions.note(
--- a/packages/pumicestand-standins/pumicestand_standins/objects.py
+++ b/packages/pumicestand-standins/pumicestand_standins/objects.py
@@ -85,6 +85,8 @@
 class ObjectStore:
     """The store without the network.
 
+    ``era_header`` is the format of the header with the era, None for none.
+
     :param page_items: number of objects in one page of a list
     """
 
@@ -94,6 +96,9 @@
         self._history = []
         self._forgotten_revision = 0
         self._revision = 1
+        self._era = 1
+        self._copy = None
+        self.era_header = '{}'
         self._changed = trio.Event()
         self.faults = Faults()
         self.counters = collections.Counter()
@@ -122,6 +127,19 @@
         self._history = []
         self._notify_watches()
 
+    def take_copy(self):
+        """Keep the present state for `restore`."""
+        self._copy = (dict(self._objects), self._revision)
+
+    def restore(self):
+        """Come back from the copy: later revisions are given out again."""
+        objects, self._revision = self._copy
+        self._objects = dict(objects)
+        self._history = []
+        self._forgotten_revision = self._revision
+        self._era += 1
+        self._notify_watches()
+
     def _write(self, kind, name, data, current):
         self._revision += 1
         created = current['metadata']['created'] if current else self._revision
@@ -146,7 +164,17 @@
         self._changed = trio.Event()
 
     async def handle(self, request):
-        """Answer a `http_server.Request`."""
+        """Answer a `http_server.Request`; the response tells the era."""
+        response = await self._answer(request)
+        is_raw = isinstance(response, http_server.RawResponse)
+        if is_raw or self.era_header is None:
+            return response
+        value = self.era_header.format(self._era)
+        return dataclasses.replace(
+            response, headers=(*response.headers, ('store-era', value))
+        )
+
+    async def _answer(self, request):
         faults = self.faults
         self.counters[request.method] += 1
         if faults.slow_s:
@@ -176,6 +204,11 @@
         match request.method:
             case 'GET' if request.query('watch'):
                 return await self._watch(kind, request)
+            case 'GET' if name is not None:
+                stored = self._objects.get((kind, name))
+                if stored is None:
+                    return http_server.json_response({'error': 'none'}, 404)
+                return http_server.json_response(stored)
             case 'GET':
                 return self._list(kind, request)
             case 'POST':
@@ -232,7 +265,11 @@
         wait_s = min(MAX_WAIT_S, int(request.query('wait_ms', '0')) / 1000)
         with trio.move_on_after(wait_s):
             while True:
-                if after_revision < self._forgotten_revision:
+                if not (
+                    self._forgotten_revision
+                    <= after_revision
+                    <= self._revision
+                ):
                     return http_server.json_response({'error': 'gone'}, 410)
                 changed = self._changed
                 if not self.faults.deaf and self._events(kind, after_revision):
--- a/packages/pumicestand/pumicestand/hop.capnp
+++ b/packages/pumicestand/pumicestand/hop.capnp
@@ -60,6 +60,7 @@
   key @5 :UInt64;
   revision @6 :UInt64;
   stored @7 :UInt8;
+  era @8 :UInt32;
 }
 
 struct Suspect {
@@ -85,6 +86,7 @@
   hasTarget @13 :Bool;
   linkRate @14 :Float64;
   suspects @15 :List(Suspect);
+  storeEra @16 :UInt32;
 }
 
 struct Busy {
--- a/packages/pumicestand/pumicestand/hop.py
+++ b/packages/pumicestand/pumicestand/hop.py
@@ -158,6 +158,7 @@
     builder.storeReachable = report.store_reachable
     builder.generation = report.generation
     builder.linkRate = report.link_rate
+    builder.storeEra = report.store_era
     builder.hasTarget = report.target is not None
     if report.target is not None:
         _write_target(builder.init('target'), report.target)
@@ -173,6 +174,7 @@
         item.key = verdict.order_id
         item.revision = verdict.revision
         stored = verdict.stored_state
+        item.era = verdict.era
         item.stored = _NO_STORED_STATE if stored is None else int(stored)
     items = builder.init('suspects', len(report.suspects))
     for item, suspect in zip(items, report.suspects, strict=True):
@@ -314,6 +316,7 @@
         order_id=reader.key,
         revision=reader.revision,
         stored_state=stored,
+        era=reader.era,
     )
 
 
@@ -360,6 +363,7 @@
         store_reachable=reader.storeReachable,
         generation=reader.generation,
         link_rate=reader.linkRate,
+        store_era=reader.storeEra,
         evidence=_read_evidence(reader),
         verdicts=tuple(_read_verdict(item) for item in reader.verdicts),
         suspects=tuple(
--- a/packages/pumicestand/pumicestand/hop_messages.py
+++ b/packages/pumicestand/pumicestand/hop_messages.py
@@ -110,6 +110,7 @@
         order
     :param revision: revision of the store's object
     :param stored_state: state that the store holds, None if it holds none
+    :param era: era of the store that the revision belongs to
     """
 
     service: str
@@ -120,6 +121,7 @@
     order_id: int = 0
     revision: int = 0
     stored_state: RolloutState | None = None
+    era: int = 0
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -146,6 +148,7 @@
         on, 0 for none
     :param link_rate: capacity of the VM's network link in bytes per second,
         0 if it is not known
+    :param store_era: latest era of the store that the node knows
     """
 
     name: str
@@ -163,6 +166,7 @@
     evidence: tuple[Evidence, ...] = ()
     verdicts: tuple[Verdict, ...] = ()
     suspects: tuple[Suspect, ...] = ()
+    store_era: int = 0
 
     @property
     def sort_key(self):
@@ -171,14 +175,17 @@
 
     @property
     def fleet_part(self):
-        """The verdicts, without the fields that change with time.
+        """The store's era and the verdicts, but for what changes with time.
 
-        All nodes have the same ones, so a few nodes of each availability
+        All nodes have the same, so a few nodes of each availability
         zone pass them on to the others.
         """
-        return tuple(
-            dataclasses.replace(verdict, elapsed_ms=0)
-            for verdict in self.verdicts
+        return (
+            self.store_era,
+            tuple(
+                dataclasses.replace(verdict, elapsed_ms=0)
+                for verdict in self.verdicts
+            ),
         )
 
     @property
@@ -192,6 +199,7 @@
             generation=0,
             evidence=(),
             verdicts=(),
+            store_era=0,
         )
 
     @property
--- a/packages/pumicestand/pumicestand/reporting.py
+++ b/packages/pumicestand/pumicestand/reporting.py
@@ -68,7 +68,7 @@
         self._load_sent_at = float('-inf')
         self._load_count = 0
         self._announced_own_part = None
-        self._announced_fleet_part = ()
+        self._announced_fleet_part = (0, ())
         self._announced_generation = 0
         self._announced_at = float('-inf')
 
--- a/packages/pumicestand/pumicestand/rollouts.py
+++ b/packages/pumicestand/pumicestand/rollouts.py
@@ -16,6 +16,7 @@
 from pumicestand import hop_messages
 from pumicestand import messages
 from pumicestand import regressions
+from pumicestand import stored_objects
 from pumicestand import zone_summaries
 
 State = hop_messages.RolloutState
@@ -47,6 +48,7 @@
     :param order_id: identifier that is the same for all revisions of an
         order
     :param stored_state: state that the store holds, None if it holds none
+    :param era: era of the store that the revision belongs to
     """
 
     service: str
@@ -55,6 +57,17 @@
     revision: int
     order_id: int
     stored_state: hop_messages.RolloutState | None = None
+    era: int = 0
+
+    @property
+    def position(self):
+        """The `stored_objects.Position` of the store's object."""
+        return stored_objects.Position(self.era, self.revision)
+
+    @property
+    def content(self):
+        """What the operator wrote: the same in each era of the store."""
+        return (self.service, self.version, self.duration)
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -105,6 +118,10 @@
         self._rollouts = {}
         self._known_versions = {}
         self._unordered_since = {}
+        # Content of an order to the roll-out that a later order replaced.
+        self._replaced = {}
+        # Service to the position of a replaced order in the store's copy.
+        self._copied = {}
 
     @property
     def has_running(self):
@@ -135,6 +152,7 @@
                 order_id=rollout.order.order_id,
                 revision=rollout.order.revision,
                 stored_state=rollout.order.stored_state,
+                era=rollout.order.era,
             )
             for rollout in self._rollouts.values()
         )
@@ -145,19 +163,49 @@
         :returns: whether the order or its state is new to this node
         """
         known = self._rollouts.get(order.service)
-        if known is not None and known.order.revision >= order.revision:
+        if known is not None and known.order.position >= order.position:
             return False
         if known is not None and _is_revision_of(known.order, order):
             known.order = order
             return self._advance(
                 known, order.stored_state, 'state read from the store'
             )
+        if known is not None and order.era > known.order.era:
+            return self._apply_order_of_new_era(known, order, now)
+        self._replace(known, order, now)
+        return True
+
+    def _replace(self, known, order, now):
+        """Put an order into the place of a known one, if there is one."""
+        if known is not None:
+            self._replaced[known.order.content] = known
+        self._copied.pop(order.service, None)
         self._rollouts[order.service] = _Rollout(
             order,
             now,
             order.stored_state or State.RUNNING,
             credit=self._rng.random(),
         )
+
+    def _apply_order_of_new_era(self, known, order, now):
+        """Apply another order than the known one that a copy may hold.
+
+        The copy may be older than the known order. The operator then writes
+        that one again, and until then it stays in force. An order that was
+        known before goes on in the state that it had.
+        """
+        earlier = self._replaced.get(order.content)
+        if earlier is None:
+            self._replace(known, order, now)
+            return True
+        copied = self._copied.setdefault(order.service, order.position)
+        if order.position <= copied:
+            return False
+        del self._copied[order.service]
+        self._replaced[known.order.content] = known
+        earlier.order = order
+        self._rollouts[order.service] = earlier
+        self._advance(earlier, order.stored_state, 'state read from the store')
         return True
 
     def apply_verdict(self, verdict, now):
@@ -175,6 +223,7 @@
             revision=verdict.revision,
             order_id=verdict.order_id,
             stored_state=verdict.stored_state,
+            era=verdict.era,
         )
         is_new = self.apply_order(order, now - verdict.elapsed_ms / 1000)
         known = self._rollouts[verdict.service]
@@ -311,7 +360,13 @@
 
 
 def _is_revision_of(known, order):
-    """Whether an order is a later revision of a known one."""
+    """Whether an order is a later revision of a known one.
+
+    In a later era of the store the copy may lack the object or its state, and
+    the operator writes it again.
+    """
+    if order.era > known.era:
+        return known.content == order.content
     if known.order_id != order.order_id:
         return False
     # An operator who removes the state wants the order to be run again.
--- a/packages/pumicestand/pumicestand/stored_objects.py
+++ b/packages/pumicestand/pumicestand/stored_objects.py
@@ -7,11 +7,24 @@
 import typing
 
 
+@dataclasses.dataclass(frozen=True, slots=True, order=True)
+class Position:
+    """A state of the store.
+
+    The store may come back from an older copy. Then its era rises by one, and
+    revisions are given out again: only with their era can they be compared.
+    """
+
+    era: int = 0
+    revision: int = 0
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class StoredObject:
     """An object as the store holds it.
 
     :param revision: revision of the store at the object's last change
+    :param era: era of the store that the revision belongs to
     :param created_revision: revision of the store at its creation
     :param spec: the part that the owner writes, decoded from JSON
     :param status: the part that others write, decoded from JSON
@@ -25,14 +38,20 @@
     spec: typing.Any = None
     status: typing.Any = None
     is_deleting: bool = False
+    era: int = 0
+
+    @property
+    def position(self):
+        """The `Position` of the object's last change."""
+        return Position(self.era, self.revision)
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Listing:
-    """All objects of a kind at one revision of the store."""
+    """All objects of a kind at one position of the store."""
 
     items: tuple[StoredObject, ...]
-    revision: int
+    position: Position
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -45,7 +64,7 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Events:
-    """The changes that a watch returned, up to and including `revision`."""
+    """The changes that a watch returned, up to and including `position`."""
 
     events: tuple[Event, ...]
-    revision: int
+    position: Position
--- a/tests/pumicestand/mesh_fakes.py
+++ b/tests/pumicestand/mesh_fakes.py
@@ -72,4 +72,5 @@
         revision=kwargs.pop('revision', 5),
         order_id=kwargs.pop('order_id', 5),
         stored_state=kwargs.pop('stored_state', None),
+        era=kwargs.pop('era', 0),
     )
--- a/tests/pumicestand/test_rollouts.py
+++ b/tests/pumicestand/test_rollouts.py
@@ -274,3 +274,63 @@
     again = mesh_fakes.make_order(revision=9)
     assert tracked.apply_order(again, 20.0)
     assert tracked.order_and_state('s') == (again, State.RUNNING)
+
+
+# State before the store came back from a copy, and the state in the copy.
+RESTORED_STATES = [
+    (State.COMPLETE, State.RUNNING),
+    (State.COMPLETE, None),
+    (State.ROLLED_BACK, State.RUNNING),
+    (State.ROLLED_BACK, None),
+    (State.RUNNING, None),
+]
+
+
+@pytest.mark.parametrize(('state', 'copied_state'), RESTORED_STATES)
+@pytest.mark.parametrize('order_id', [5, 77])
+def test_state_survives_a_store_that_came_back_from_a_copy(
+    state, copied_state, order_id
+):
+    """The object may have been written again and so have another id."""
+    tracked = make_rollouts(mesh_fakes.make_order(stored_state=state))
+    restored = mesh_fakes.make_order(
+        revision=2, era=1, order_id=order_id, stored_state=copied_state
+    )
+    tracked.apply_order(restored, 5.0)
+    order, known_state = tracked.order_and_state('s')
+    assert known_state is state
+    assert order.position == restored.position
+    actions = tracked.evaluate(make_old_new_fleet(), 5.1, lambda: True)
+    # What the store has lost is written again.
+    assert [a.state for a in actions] == [state]
+    assert actions[0].order.position == restored.position
+
+
+def test_older_order_in_a_copy_does_not_replace_a_later_one():
+    tracked = make_rollouts(mesh_fakes.make_order(stored_state=State.COMPLETE))
+    later = mesh_fakes.make_order('v3', revision=9, order_id=9)
+    tracked.apply_order(later, 5.0)
+    copied = mesh_fakes.make_order(
+        revision=5, era=1, stored_state=State.COMPLETE
+    )
+    assert not tracked.apply_order(copied, 6.0)
+    assert tracked.order_and_state('s')[0].version == 'v3'
+    # The operator writes the later order again.
+    again = mesh_fakes.make_order('v3', revision=6, order_id=6, era=1)
+    tracked.apply_order(again, 7.0)
+    order, state = tracked.order_and_state('s')
+    assert (order.position, state) == (again.position, State.RUNNING)
+
+
+def test_earlier_order_written_in_a_new_era_applies():
+    """The operator goes back to a version that was moved to before."""
+    tracked = make_rollouts(
+        mesh_fakes.make_order(stored_state=State.ROLLED_BACK)
+    )
+    later = mesh_fakes.make_order('v3', revision=9, order_id=9)
+    tracked.apply_order(later, 5.0)
+    for revision in (5, 8):
+        copied = mesh_fakes.make_order(revision=revision, era=1)
+        tracked.apply_order(copied, 6.0)
+    order, state = tracked.order_and_state('s')
+    assert (order.version, state) == ('v2', State.ROLLED_BACK)
--- a/tests/pumicestand_node/test_mesh_store.py
+++ b/tests/pumicestand_node/test_mesh_store.py
@@ -1,7 +1,9 @@
 """Tests of a node's use of the store, under faults of the stand-in store."""
 
 import contextlib
+import json
 import random
+import zlib
 
 import pytest
 import trio
@@ -36,12 +38,17 @@
             configuration.Translator(),
             trio.current_time,
             random.Random(seed),
-            self.records.extend,
+            self.add_records,
             lambda: None,
             self.count_change,
             is_first_start,
         )
 
+    def add_records(self, records):
+        self.records.extend(records)
+        for record in records:
+            self.mesh.fleet.add_record(record, trio.current_time())
+
     def count_change(self):
         self.change_count += 1
 
@@ -349,3 +356,150 @@
             assert {r.name for r in node.records} == {'z'}
 
     mock_clock.run(main)
+
+
+RECORD_KIND = node_records.KIND
+
+
+@pytest.mark.parametrize('with_copy_of_record', [True, False])
+def test_own_record_lost_with_the_store_is_written_again(with_copy_of_record):
+    async def main():
+        async with open_nodes('a') as ((node,), store):
+            if not with_copy_of_record:
+                store.take_copy()
+            await trio.sleep(1.5)
+            if with_copy_of_record:
+                store.take_copy()
+                target = mesh_fakes.make_target('t', started_ms=2)
+                node.mesh.target_watch.apply(targets.Heartbeat(target, 1), 0.0)
+                await node.mesh_store.save_own_record()
+            expected = store.get(RECORD_KIND, 'a')['spec']
+            store.restore()
+            assert (store.get(RECORD_KIND, 'a') or {}).get('spec') != expected
+            # Nothing else changes, so the next watch shows the era.
+            await trio.sleep(
+                mesh_store.WATCH_TIMEOUT_S + mesh_store.ERA_CHECK_SPREAD_S + 1
+            )
+            assert store.get(RECORD_KIND, 'a')['spec'] == expected
+            assert node.mesh.store_era == 2
+
+    mock_clock.run(main)
+
+
+def test_node_that_does_not_watch_hears_of_a_new_era():
+    async def main():
+        async with open_nodes('a') as ((node,), store):
+            store.take_copy()
+            await trio.sleep(1.5)
+            expected = store.get(RECORD_KIND, 'a')['spec']
+            # The watch of this node stays silent, as if it had none.
+            store.faults.deaf = True
+            store.restore()
+            node.mesh_store.hear_era(2)
+            await trio.sleep(mesh_store.ERA_CHECK_SPREAD_S + 1)
+            assert store.get(RECORD_KIND, 'a')['spec'] == expected
+
+    mock_clock.run(main)
+
+
+def test_configuration_in_force_survives_an_older_copy():
+    async def main():
+        async with open_nodes('a') as ((node,), store):
+            await trio.sleep(1.5)
+            store.take_copy()
+            put_configuration(store, '00000020')
+            await trio.sleep(0.1)
+            store.restore()
+            await trio.sleep(1)
+            assert node.mesh.generation == 0x20
+            put_configuration(store, '00000020')
+            put_configuration(store, '00000021')
+            await trio.sleep(0.1)
+            assert node.mesh.generation == 0x21
+
+    mock_clock.run(main)
+
+
+@pytest.mark.parametrize('restores', [1, 2])
+def test_roll_out_state_lost_with_the_store_is_written_again(restores):
+    async def main():
+        async with open_nodes('a') as ((node,), store):
+            put_order(store)
+            store.take_copy()
+            await trio.sleep(1.5)
+            order, _ = node.mesh.rollouts.order_and_state('s')
+            verdict = hop_messages.Verdict(
+                's', 'v2', State.ROLLED_BACK, 12_000, 0, order.order_id
+            )
+            node.mesh.rollouts.apply_verdict(verdict, trio.current_time())
+            for _ in range(restores):
+                await write_pending_states(node)
+                status = store.get('rollouts', 's')['status']
+                assert status['state'] == 'rolled_back'
+                store.restore()
+                assert store.get('rollouts', 's')['status'] is None
+                await trio.sleep(0.5)
+            await write_pending_states(node)
+            status = store.get('rollouts', 's')['status']
+            assert status['state'] == 'rolled_back'
+
+    async def write_pending_states(node):
+        for action in node.mesh.rollouts.evaluate(
+            node.mesh.fleet, trio.current_time(), lambda: True
+        ):
+            node.mesh_store.write_rollout_status(action)
+        await trio.sleep(0.5)
+
+    mock_clock.run(main)
+
+
+def test_starting_node_does_not_act_on_an_older_copy_than_its_peers():
+    """It links to a node that has a newer configuration in force."""
+
+    async def main():
+        async with test_objects.open_store() as (client, store, _):
+            put_configuration(store, '0000001f')
+            for name in ('a', 'b'):
+                record = node_records.NodeRecord(name, '10.0.0.1', 7000, 'a')
+                store.put(RECORD_KIND, name, node_records.to_json(record))
+            async with trio.open_nursery() as nursery:
+                node = Node(client, 'a', is_first_start=False)
+                nursery.start_soon(link_to_peer, node)
+                await node.mesh_store.start(nursery)
+                generations = set()
+                for _ in range(100):
+                    await trio.sleep(0.01)
+                    generations.add(node.mesh.generation)
+                assert generations == {0, 0x30}
+                nursery.cancel_scope.cancel()
+
+    async def link_to_peer(node):
+        await trio.sleep(0.2)
+        report = mesh_fakes.make_report('b', generation=0x30)
+        node.mesh.fleet.apply_report(report, trio.current_time())
+        node.mesh.fleet.get('b').is_linked = True
+        await trio.sleep(0.02)
+        spec = {**test_configuration.SPEC, 'version': '00000030'}
+        content = zlib.compress(json.dumps(spec).encode())
+        node.mesh_store.apply_peer_configuration(
+            hop_messages.Configuration(0x30, content), 'b'
+        )
+
+    mock_clock.run(main)
+
+
+def test_starting_node_without_peers_acts_on_the_store():
+    async def main():
+        async with test_objects.open_store() as (client, store, _):
+            put_configuration(store, '0000001f')
+            for name in ('a', 'b'):
+                record = node_records.NodeRecord(name, '10.0.0.1', 7000, 'a')
+                store.put(RECORD_KIND, name, node_records.to_json(record))
+            async with trio.open_nursery() as nursery:
+                node = Node(client, 'a', is_first_start=False)
+                await node.mesh_store.start(nursery)
+                await trio.sleep(mesh_store.MAX_HOLD_S + 0.1)
+                assert node.mesh.generation == 0x1F
+                nursery.cancel_scope.cancel()
+
+    mock_clock.run(main)
--- a/tests/pumicestand_platform/test_objects.py
+++ b/tests/pumicestand_platform/test_objects.py
@@ -35,16 +35,16 @@
         async with open_store() as (client, _, _):
             first = await client.create(KIND, 'a', {'x': 1})
             assert (first.name, first.spec) == ('a', {'x': 1})
-            second = await client.replace(KIND, 'a', {'x': 2}, first.revision)
-            assert second.revision > first.revision
+            second = await client.replace(KIND, 'a', {'x': 2}, first.position)
+            assert second.position > first.position
             assert second.created_revision == first.created_revision
             third = await client.replace_status(
-                KIND, 'a', {'y': 3}, second.revision
+                KIND, 'a', {'y': 3}, second.position
             )
             assert (third.spec, third.status) == ({'x': 2}, {'y': 3})
             listing = await client.list(KIND)
             assert listing.items == (third,)
-            assert listing.revision == third.revision
+            assert listing.position == third.position
 
     mock_clock.run(main)
 
@@ -53,11 +53,11 @@
     async def main():
         async with open_store() as (client, _, _):
             first = await client.create(KIND, 'a', 1)
-            second = await client.replace(KIND, 'a', 2, first.revision)
+            second = await client.replace(KIND, 'a', 2, first.position)
             for attempt in (
                 client.create(KIND, 'a', 3),
-                client.replace(KIND, 'a', 3, first.revision),
-                client.replace_status(KIND, 'a', 3, first.revision),
+                client.replace(KIND, 'a', 3, first.position),
+                client.replace_status(KIND, 'a', 3, first.position),
             ):
                 with pytest.raises(errors.ConflictError) as caught:
                     await attempt
@@ -81,7 +81,7 @@
 def test_watch_waits_and_resumes_after_last_revision():
     async def main():
         async with open_store() as (client, store, _):
-            at = (await client.list(KIND)).revision
+            at = (await client.list(KIND)).position
             async with trio.open_nursery() as nursery:
 
                 async def write():
@@ -92,7 +92,7 @@
                 nursery.start_soon(write)
                 events = await client.watch(KIND, at, 5.0)
             assert [e.object.name for e in events.events] == ['a']
-            more = await client.watch(KIND, events.revision, 1.0)
+            more = await client.watch(KIND, events.position, 1.0)
             assert more.events == ()
 
     mock_clock.run(main)
@@ -101,7 +101,7 @@
 def test_watch_from_dropped_history_expires():
     async def main():
         async with open_store() as (client, store, _):
-            at = (await client.list(KIND)).revision
+            at = (await client.list(KIND)).position
             store.put(KIND, 'a', 1)
             store.forget_history()
             with pytest.raises(errors.WatchExpiredError):
@@ -153,3 +153,99 @@
                 await client.list(KIND)
 
     mock_clock.run(main)
+
+
+def test_new_era_is_told_once_and_positions_before_it_are_void():
+    async def main():
+        async with open_store() as (client, store, _):
+            eras = []
+            client.on_new_era = lambda *change: eras.append(change)
+            stored = await client.create(KIND, 'a', {'x': 1})
+            store.take_copy()
+            store.put(KIND, 'b', 1)
+            store.restore()
+            listing = await client.list(KIND)
+            assert eras == [(1, 2)]
+            assert listing.position > stored.position
+            assert [item.name for item in listing.items] == ['a']
+            puts = store.counters['PUT']
+            for write in (client.replace, client.replace_status):
+                with pytest.raises(errors.ConflictError):
+                    await write(KIND, 'a', {'x': 2}, stored.position)
+            # The revision may be of another object now, so nothing is sent.
+            assert store.counters['PUT'] == puts
+
+    mock_clock.run(main)
+
+
+@pytest.mark.parametrize('revisions_after', [0, 1, 3])
+def test_watch_across_a_restore_expires(revisions_after):
+    """Also if the revision it waits for has been given out again."""
+
+    async def main():
+        async with open_store() as (client, store, _):
+            store.put(KIND, 'a', 1)
+            store.take_copy()
+            store.put(KIND, 'b', 1)
+            position = (await client.list(KIND)).position
+            store.restore()
+            for number in range(revisions_after):
+                store.put(KIND, f'c{number}', 1)
+            with pytest.raises(errors.WatchExpiredError):
+                await client.watch(KIND, position, 1.0)
+
+    mock_clock.run(main)
+
+
+def test_waiting_watch_ends_when_another_call_shows_a_new_era():
+    async def main():
+        async with open_store() as (client, store, _):
+            position = (await client.list(KIND)).position
+
+            async def hear():
+                await trio.sleep(1)
+                client.advance_era(2)
+
+            async with trio.open_nursery() as nursery:
+                nursery.start_soon(hear)
+                started_at = trio.current_time()
+                with pytest.raises(errors.WatchExpiredError):
+                    await client.watch(KIND, position, 25.0)
+                assert trio.current_time() - started_at < 1.1
+
+    mock_clock.run(main)
+
+
+def test_response_of_an_earlier_era_changes_nothing():
+    async def main():
+        async with open_store() as (client, store, _):
+            store.put(KIND, 'a', 1)
+            await client.list(KIND)
+            client.advance_era(2)
+            with pytest.raises(errors.StoreUnavailableError):
+                await client.list(KIND)
+            assert client.era == 2
+
+    mock_clock.run(main)
+
+
+@pytest.mark.parametrize('value', [None, 'x', '-1', ''])
+def test_missing_or_unreadable_era_is_the_known_one(value):
+    async def main():
+        async with open_store() as (client, store, _):
+            await client.list(KIND)
+            store.era_header = value
+            listing = await client.list(KIND)
+            assert (listing.position.era, client.era) == (1, 1)
+
+    mock_clock.run(main)
+
+
+def test_read_returns_one_object_or_none():
+    async def main():
+        async with open_store() as (client, store, _):
+            store.put(KIND, 'a', 1)
+            assert (await client.read(KIND, 'a')).spec == 1
+            assert await client.read(KIND, 'b') is None
+
+    mock_clock.run(main)
