Let the path benchmark wait until its nodes have joined

Cause: a node on its first start waits up to 2 s for its target before it joins; the benchmark's caller has no target that announces itself.

--- a/benchmarks/mesh_path.py
+++ b/benchmarks/mesh_path.py
@@ -149,9 +149,9 @@
             adapter = platform_main.make_adapter(settings)
             node = mesh_node.MeshNode(settings, adapter)
             await node.start(nursery)
-        await trio.sleep(1.0)
+        await trio.sleep(4)
         await send_heartbeat(all_settings[1], target.port)
-        await trio.sleep(0.5)
+        await trio.sleep(4)
         if profile:
             profile.enable()
         started = time.process_time()
