Keep the process running after an unexpected error

By reading: the tasks of the links, the store and the controllers run in the node's own nursery. Change: tasks are supervised, started again with growing delays and logged as task-failed; an error while a link is served closes that link only. Broken off chunked responses join the table of a target's faults. Before: the new test of links fails with the process's nursery. After: passes.

--- a/packages/pumicestand-node/pumicestand_node/links.py
+++ b/packages/pumicestand-node/pumicestand_node/links.py
@@ -94,7 +94,13 @@
                     delay = min(MAX_RECONNECT_DELAY_S, delay * 2)
                     continue
                 delay = MIN_RECONNECT_DELAY_S
-                await self._run_connection(stream)
+                try:
+                    await self._run_connection(stream)
+                except Exception as error:
+                    # One message must not end the process.
+                    loguru.logger.opt(exception=error).error(
+                        'link to {} failed: {!r}', self._peer.name, error
+                    )
                 await trio.sleep(MIN_RECONNECT_DELAY_S * self._rng.random())
 
     async def _connect(self):
--- a/packages/pumicestand-node/pumicestand_node/mesh_links.py
+++ b/packages/pumicestand-node/pumicestand_node/mesh_links.py
@@ -19,6 +19,7 @@
 from pumicestand_node import frame_streams
 from pumicestand_node import link_server
 from pumicestand_node import links
+from pumicestand_node import supervision
 
 # Delay before a requested report is sent, so that it covers further changes.
 REPORT_COALESCING_S = 0.01
@@ -85,8 +86,8 @@
         own.is_linked = True
         own.unreachable_since = None
         self.refresh_own_peer()
-        nursery.start_soon(self._send_reports)
-        nursery.start_soon(self._send_summaries)
+        for task in (self._send_reports, self._send_summaries):
+            nursery.start_soon(supervision.supervise, task.__name__, task)
 
     async def send_call(self, peer, call):
         """Send a call to a peer, or run it here if the peer is this node.
--- a/packages/pumicestand-node/pumicestand_node/mesh_node.py
+++ b/packages/pumicestand-node/pumicestand_node/mesh_node.py
@@ -18,6 +18,7 @@
 from pumicestand_node import mesh_store
 from pumicestand_node import outbound_calls
 from pumicestand_node import plain_http
+from pumicestand_node import supervision
 from pumicestand_node import target_calls
 
 # Period of the roll-out controller and the link checks while there is a
@@ -150,7 +151,7 @@
             self._run_controllers,
             self._flush_log,
         ):
-            nursery.start_soon(task)
+            nursery.start_soon(supervision.supervise, task.__name__, task)
         self._decisions.note(
             'started',
             incarnation=self._mesh.incarnation,
--- a/packages/pumicestand-node/pumicestand_node/mesh_store.py
+++ b/packages/pumicestand-node/pumicestand_node/mesh_store.py
@@ -16,6 +16,7 @@
 from pumicestand import errors
 from pumicestand import node_records
 from pumicestand import stored_objects
+from pumicestand_node import supervision
 
 # Time for which a watch request waits for a change; each request costs. It
 # also bounds the time for which a store that came back from a copy without a
@@ -106,14 +107,23 @@
         self._nursery = nursery
         self._client.on_new_era = self._on_new_era
         await self._client.start()
-        nursery.start_soon(self._join)
-        nursery.start_soon(self._maintain_own_record)
-        nursery.start_soon(self._search_nodes)
+        for task in (
+            self._join,
+            self._maintain_own_record,
+            self._search_nodes,
+        ):
+            nursery.start_soon(supervision.supervise, task.__name__, task)
         for kind, apply in (
             (self._translator.configuration_kind, self._apply_configuration),
             (self._translator.order_kind, self._apply_order),
         ):
-            nursery.start_soon(self._sync_kind, kind, apply)
+            nursery.start_soon(
+                supervision.supervise,
+                f'sync of {kind}',
+                self._sync_kind,
+                kind,
+                apply,
+            )
 
     def hear_era(self, era):
         """Act on the era of the store that another node has reported."""
@@ -124,7 +134,12 @@
         self._mesh.store_era = era
         self._mesh.decisions.note('store-era', previous=previous, era=era)
         self._on_change()
-        self._nursery.start_soon(self._check_own_record, era)
+        self._nursery.start_soon(
+            supervision.supervise,
+            'check of the own record',
+            self._check_own_record,
+            era,
+        )
 
     async def _check_own_record(self, era):
         """Write this node's record again if it is missing or older.
@@ -482,7 +497,13 @@
         if key in self._pending_statuses:
             return
         self._pending_statuses[key] = True
-        self._nursery.start_soon(self._write_rollout_status, action, key)
+        self._nursery.start_soon(
+            supervision.supervise,
+            'write of a roll-out state',
+            self._write_rollout_status,
+            action,
+            key,
+        )
 
     async def _write_rollout_status(self, action, key):
         order = action.order
--- /dev/null
+++ b/packages/pumicestand-node/pumicestand_node/supervision.py
@@ -0,0 +1,39 @@
+"""Keeps background tasks running after unexpected errors.
+
+An error that nobody expected must cost one message or one period of a task,
+not the process with all its calls.
+"""
+
+import loguru
+import trio
+
+# Delay before a failed task is started again, doubled after each failure, and
+# the time without a failure after which it is the first one again.
+MIN_RESTART_DELAY_S = 0.1
+MAX_RESTART_DELAY_S = 5.0
+RESET_AFTER_S = 30.0
+
+
+async def supervise(name, run, *args):
+    """Run a task until it returns; start it again if it fails.
+
+    :param name: name of the task, for the log
+    :param run: coroutine function
+    :param args: its arguments
+    """
+    delay_s = MIN_RESTART_DELAY_S
+    while True:
+        started_at = trio.current_time()
+        try:
+            return await run(*args)
+        except Exception as error:
+            if trio.current_time() - started_at > RESET_AFTER_S:
+                delay_s = MIN_RESTART_DELAY_S
+            loguru.logger.opt(exception=error).bind(event='task-failed').error(
+                'task {} failed and starts again in {:.1f} s: {!r}',
+                name,
+                delay_s,
+                error,
+            )
+        await trio.sleep(delay_s)
+        delay_s = min(MAX_RESTART_DELAY_S, 2 * delay_s)
--- a/tests/pumicestand_node/test_links.py
+++ b/tests/pumicestand_node/test_links.py
@@ -73,8 +73,12 @@
         monkeypatch.setattr(links.trio, 'open_tcp_stream', self.connect)
         monkeypatch.setattr(links, 'set_tcp_user_timeout', lambda stream: None)
         nursery.start_soon(self.link.run)
+        self.fails_once = False
 
     def receive(self, peer, message):
+        if self.fails_once:
+            self.fails_once = False
+            raise KeyError('unexpected')
         self.received_by_node.append(message)
         if isinstance(message, hop_messages.Report):
             self.fleet.apply_report(message, trio.current_time())
@@ -372,3 +376,16 @@
         )
 
     mock_clock.run(main)
+
+
+def test_message_that_raises_an_unexpected_error_costs_only_its_link(run_test):
+    async def test(harness):
+        harness.fails_once = True
+        harness.remote_ends[0].frames.send(
+            mesh_fakes.make_report('peer', sequence=2)
+        )
+        await trio.sleep(1.0)
+        assert len(harness.remote_ends) == 2
+        assert harness.peer.is_linked
+
+    run_test(test)
--- a/tests/pumicestand_node/test_mesh_calls.py
+++ b/tests/pumicestand_node/test_mesh_calls.py
@@ -39,6 +39,16 @@
     b'Pumicestand-Server-Stamp: s\r\n\r\nhello'
 )
 TRUNCATED_RESPONSE = OK_RESPONSE[:-2]
+CHUNKED_HEAD = OK_RESPONSE.replace(
+    b'content-length: 5\r\n\r\nhello', b'transfer-encoding: chunked\r\n\r\n'
+)
+TRUNCATED_CHUNKS = CHUNKED_HEAD + b'5\r\nhel'
+CHUNKS_WITHOUT_END = CHUNKED_HEAD + b'5\r\nhello\r\n'
+BROKEN_OFF_RESPONSES = (
+    TRUNCATED_RESPONSE,
+    TRUNCATED_CHUNKS,
+    CHUNKS_WITHOUT_END,
+)
 RESPONSE_TO_OTHER = OK_RESPONSE.replace(b'%b', b'other')
 RESPONSE_WITHOUT_STAMP = OK_RESPONSE.replace(
     b'Pumicestand-Server-Stamp: s\r\n', b''
@@ -180,7 +190,7 @@
                 return True
             case bytes():
                 await stream.send_all(step.replace(b'%b', request_id))
-        if step in (TRUNCATED_RESPONSE, RESPONSE_WITHOUT_LENGTH):
+        if step in (*BROKEN_OFF_RESPONSES, RESPONSE_WITHOUT_LENGTH):
             await stream.aclose()
             return False
         return True
@@ -247,6 +257,8 @@
     'error': (SERVER_ERROR, 200, 2, 500, 1),
     'reset': ('reset', 200, 2, 502, 1),
     'truncated response': (TRUNCATED_RESPONSE, 200, 2, 502, 1),
+    'truncated chunk': (TRUNCATED_CHUNKS, 200, 2, 502, 1),
+    'no last chunk': (CHUNKS_WITHOUT_END, 200, 2, 502, 1),
     'no length': (RESPONSE_WITHOUT_LENGTH, 200, 1, 200, 1),
     'extra response': ('extra', 200, 1, 200, 1),
     'other response first': ('other first', 200, 1, 200, 1),
