Tell the soak's nodes whether they start for the first time

Cause: the soak's settings left out whether the fleet starts for the first time, so each restart waited for its target as on the first start. Change: the settings file says it, as on the platform.

--- a/soak/clusters.py
+++ b/soak/clusters.py
@@ -44,6 +44,7 @@
 bounds.retry_budget_ratio=0.2
 bounds.retry_budget_slack=60
 bounds.budget_window_s=10
+bootstrap={{bootstrap}}
 note={{note}}
 """
 
@@ -112,6 +113,7 @@
             zone=self._zone,
             service=self._service,
             note=note,
+            bootstrap='true' if self.start_count == 0 else 'false',
         )
         path = self._folder / f'{self.name}.conf'
         path.write_text(text, encoding='utf-8')
