Agree on the interfaces for organisations, cold targets and hard load

The next parts are built side by side, so their data classes, wire frames, header names and settings come first; nothing uses them yet.

Tests of frames cover the new ones.

--- a/packages/pumicestand-node/pumicestand_node/mesh_settings.py
+++ b/packages/pumicestand-node/pumicestand_node/mesh_settings.py
@@ -21,12 +21,31 @@
     :param retry_constant: number of retries allowed to the whole fleet in
         addition
     :param retry_window: seconds over which retries are counted
+    :param is_revocation_strict: whether a withdrawn key must be refused in
+        time also by nodes that can't reach the store
+    :param revocation: seconds after which a withdrawn key is refused
+    :param quota_window: seconds over which calls of an organisation count
+    :param quota_excess: fraction by which they may exceed the quota
+    :param quota_slack: calls that may exceed it in addition
+    :param evacuation: seconds after which a zone that is being emptied gets
+        no calls, 0 if zones are not emptied
+    :param cold_excess: factor by which the calls of a cold target may exceed
+        its rate in one second
+    :param cold_slack: calls that may exceed it in addition
     """
 
     grace: float
     retry_ratio: float
     retry_constant: float
     retry_window: float
+    is_revocation_strict: bool = False
+    revocation: float = 5.0
+    quota_window: float = 5.0
+    quota_excess: float = 0.1
+    quota_slack: float = 20.0
+    evacuation: float = 0.0
+    cold_excess: float = 1.5
+    cold_slack: float = 8.0
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/packages/pumicestand/pumicestand/call_headers.py
+++ b/packages/pumicestand/pumicestand/call_headers.py
@@ -20,6 +20,9 @@
     :param limit: calls a second that a target takes from all nodes together,
         as a decimal number
     :param leaving: present if the target is about to leave
+    :param api_key: key of the organisation that the client belongs to
+    :param organisation: name of that organisation, for the target
+    :param cold_ms: time for which the target stays cold, in milliseconds
     """
 
     request_id: bytes
@@ -31,3 +34,6 @@
     stamp: bytes
     limit: bytes
     leaving: bytes
+    api_key: bytes
+    organisation: bytes
+    cold_ms: bytes
--- a/packages/pumicestand/pumicestand/documents.py
+++ b/packages/pumicestand/pumicestand/documents.py
@@ -33,6 +33,8 @@
         require of its targets
     :param calls: names of the services that this service calls
     :param limits: limits of each target of the service
+    :param cold_start: seconds for which a target is cold after its start
+    :param cold_rate: calls a second that a cold target bears, 0 for no limit
     """
 
     name: str
@@ -41,6 +43,8 @@
     resources: tuple[str, ...]
     calls: tuple[str, ...]
     limits: TargetLimits
+    cold_start: float = 0.0
+    cold_rate: float = 0.0
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -80,6 +84,7 @@
     :param idempotent: whether a call may run more than once
     :param objective: latency objective in seconds, 0 for none
     :param priority: 0 is the highest priority
+    :param is_public: whether calls need no key of an organisation
     """
 
     name: str
@@ -93,6 +98,7 @@
     retries: Retries
     objective: float = 0.0
     priority: int = 0
+    is_public: bool = False
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -174,14 +180,35 @@
     idle_timeout: float = 75.0
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class Organisation:
+    """A customer whose clients identify themselves by a key.
+
+    :param keys: keys of which any one is accepted
+    :param priority: replaces the priority of routes, None to keep it
+    :param rate: calls a second over the whole fleet, 0 for no limit
+    :param burst: calls that may exceed the rate
+    """
+
+    name: str
+    keys: frozenset[str] = dataclasses.field(repr=False)
+    priority: int | None = None
+    rate: float = 0.0
+    burst: float = 0.0
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class Document:
-    """The services, routes, moves and client limits of one environment."""
+    """What operators configure for one environment.
+
+    :param organisations: customers; if there are none, clients need no keys
+    """
 
     services: tuple[Service, ...] = ()
     routes: tuple[Route, ...] = ()
     moves: tuple[Move, ...] = ()
     client_limits: ClientLimits = ClientLimits()
+    organisations: tuple[Organisation, ...] = ()
 
     def service(self, name):
         """Return the service with the given name, or None."""
--- a/packages/pumicestand/pumicestand/hop.capnp
+++ b/packages/pumicestand/pumicestand/hop.capnp
@@ -18,6 +18,11 @@
     acting @11 :UInt64;
     relay @12 :Report;
     summary @13 :ZoneSummary;
+    withdraw @14 :UInt64;
+    freshnessRequest @15 :UInt32;
+    freshnessReply @16 :FreshnessReply;
+    quotaRequest @17 :QuotaRequest;
+    quotaReply @18 :QuotaReply;
   }
 }
 
@@ -87,6 +92,44 @@
   linkRate @14 :Float64;
   suspects @15 :List(Suspect);
   storeEra @16 :UInt32;
+  evacuations @17 :Evacuations;
+  hasEvacuations @18 :Bool;
+}
+
+struct Evacuations {
+  era @0 :UInt32;
+  revision @1 :UInt64;
+  zones @2 :List(Text);
+}
+
+struct FreshnessReply {
+  number @0 :UInt32;
+  generation @1 :UInt64;
+  ageMs @2 :UInt32;
+}
+
+struct QuotaUse {
+  organisation @0 :Text;
+  used @1 :UInt32;
+  wanted @2 :UInt32;
+}
+
+struct QuotaRequest {
+  number @0 :UInt32;
+  nodeCount @1 :UInt32;
+  uses @2 :List(QuotaUse);
+}
+
+struct QuotaGrant {
+  organisation @0 :Text;
+  granted @1 :UInt32;
+  delayMs @2 :UInt32;
+  relaxed @3 :Bool;
+}
+
+struct QuotaReply {
+  number @0 :UInt32;
+  grants @1 :List(QuotaGrant);
 }
 
 struct Busy {
@@ -124,6 +167,7 @@
   body @16 :Data;
   rest @17 :UInt32;
   expectedMs @18 :Float32;
+  organisation @19 :Text;
 }
 
 struct Part {
--- a/packages/pumicestand/pumicestand/hop.py
+++ b/packages/pumicestand/pumicestand/hop.py
@@ -64,6 +64,38 @@
             configuration = builder.init('configuration')
             configuration.generation = generation
             configuration.content = content
+        case hop_messages.Withdraw(id_):
+            builder.withdraw = id_
+        case hop_messages.FreshnessRequest(number):
+            builder.freshnessRequest = number
+        case hop_messages.FreshnessReply(number, generation, age_ms):
+            reply = builder.init('freshnessReply')
+            reply.number, reply.generation = number, generation
+            reply.ageMs = age_ms
+        case hop_messages.QuotaRequest():
+            _write_quota_request(builder.init('quotaRequest'), message)
+        case hop_messages.QuotaReply():
+            _write_quota_reply(builder.init('quotaReply'), message)
+
+
+def _write_quota_request(builder, request):
+    builder.number = request.number
+    builder.nodeCount = request.node_count
+    items = builder.init('uses', len(request.uses))
+    for item, use in zip(items, request.uses, strict=True):
+        item.organisation = use.organisation
+        item.used = use.used
+        item.wanted = use.wanted
+
+
+def _write_quota_reply(builder, reply):
+    builder.number = reply.number
+    items = builder.init('grants', len(reply.grants))
+    for item, grant in zip(items, reply.grants, strict=True):
+        item.organisation = grant.organisation
+        item.granted = grant.granted
+        item.delayMs = grant.delay_ms
+        item.relaxed = grant.is_relaxed
 
 
 def _write_call(builder, call):
@@ -86,6 +118,7 @@
     builder.body = call.body
     builder.rest = call.remaining_bytes
     builder.expectedMs = call.expected_ms
+    builder.organisation = call.organisation
 
 
 def _write_result(builder, result):
@@ -159,6 +192,12 @@
     builder.generation = report.generation
     builder.linkRate = report.link_rate
     builder.storeEra = report.store_era
+    builder.hasEvacuations = report.evacuations is not None
+    if report.evacuations is not None:
+        evacuations = builder.init('evacuations')
+        evacuations.era = report.evacuations.era
+        evacuations.revision = report.evacuations.revision
+        evacuations.zones = list(report.evacuations.zones)
     builder.hasTarget = report.target is not None
     if report.target is not None:
         _write_target(builder.init('target'), report.target)
@@ -235,9 +274,45 @@
             return hop_messages.Configuration(
                 reader.generation, reader.content
             )
+        case 'withdraw':
+            return hop_messages.Withdraw(frame.withdraw)
+        case 'freshnessRequest':
+            return hop_messages.FreshnessRequest(frame.freshnessRequest)
+        case 'freshnessReply':
+            reply = frame.freshnessReply
+            return hop_messages.FreshnessReply(
+                reply.number, reply.generation, reply.ageMs
+            )
+        case 'quotaRequest':
+            return _read_quota_request(frame.quotaRequest)
+        case 'quotaReply':
+            return _read_quota_reply(frame.quotaReply)
     raise ValueError('unknown kind of frame')
 
 
+def _read_quota_request(reader):
+    return hop_messages.QuotaRequest(
+        reader.number,
+        reader.nodeCount,
+        tuple(
+            hop_messages.QuotaUse(item.organisation, item.used, item.wanted)
+            for item in reader.uses
+        ),
+    )
+
+
+def _read_quota_reply(reader):
+    return hop_messages.QuotaReply(
+        reader.number,
+        tuple(
+            hop_messages.QuotaGrant(
+                item.organisation, item.granted, item.delayMs, item.relaxed
+            )
+            for item in reader.grants
+        ),
+    )
+
+
 def _read_call(reader):
     return hop_messages.Call(
         id=reader.id,
@@ -259,6 +334,7 @@
         body=reader.body,
         remaining_bytes=reader.rest,
         expected_ms=reader.expectedMs,
+        organisation=reader.organisation,
     )
 
 
@@ -349,6 +425,15 @@
     )
 
 
+def _read_evacuations(reader):
+    if not reader.hasEvacuations:
+        return None
+    evacuations = reader.evacuations
+    return hop_messages.Evacuations(
+        evacuations.era, evacuations.revision, tuple(evacuations.zones)
+    )
+
+
 def _read_report(reader):
     return hop_messages.Report(
         name=reader.name,
@@ -364,6 +449,7 @@
         generation=reader.generation,
         link_rate=reader.linkRate,
         store_era=reader.storeEra,
+        evacuations=_read_evacuations(reader),
         evidence=_read_evidence(reader),
         verdicts=tuple(_read_verdict(item) for item in reader.verdicts),
         suspects=tuple(
--- a/packages/pumicestand/pumicestand/hop_messages.py
+++ b/packages/pumicestand/pumicestand/hop_messages.py
@@ -138,6 +138,25 @@
     answers: int
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class Evacuations:
+    """The availability zones whose targets get no calls.
+
+    :param era: era of the store that the revision belongs to
+    :param revision: revision of the store at which they were read
+    :param zones: names of the zones, sorted
+    """
+
+    era: int
+    revision: int
+    zones: tuple[str, ...] = ()
+
+    @property
+    def sort_key(self):
+        """The key by which states are sorted, latest last."""
+        return (self.era, self.revision)
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class Report:
     """The whole state that a node reports; a later report replaces it.
@@ -149,6 +168,7 @@
     :param link_rate: capacity of the VM's network link in bytes per second,
         0 if it is not known
     :param store_era: latest era of the store that the node knows
+    :param evacuations: latest known `Evacuations`, None if none are known
     """
 
     name: str
@@ -167,6 +187,7 @@
     verdicts: tuple[Verdict, ...] = ()
     suspects: tuple[Suspect, ...] = ()
     store_era: int = 0
+    evacuations: Evacuations | None = None
 
     @property
     def sort_key(self):
@@ -175,13 +196,14 @@
 
     @property
     def fleet_part(self):
-        """The store's era and the verdicts, but for what changes with time.
+        """The store's era, evacuations and verdicts, without their times.
 
         All nodes have the same, so a few nodes of each availability
         zone pass them on to the others.
         """
         return (
             self.store_era,
+            self.evacuations,
             tuple(
                 dataclasses.replace(verdict, elapsed_ms=0)
                 for verdict in self.verdicts
@@ -200,6 +222,7 @@
             evidence=(),
             verdicts=(),
             store_era=0,
+            evacuations=None,
         )
 
     @property
@@ -290,6 +313,8 @@
     :param remaining_bytes: bytes of the body that follow in parts
     :param expected_ms: time that calls of the route take, in milliseconds,
         from the sender's experience with all targets; 0 if it has none
+    :param organisation: organisation whose key the client sent, empty for
+        none
     """
 
     id: int
@@ -311,6 +336,7 @@
     body: bytes = b''
     remaining_bytes: int = 0
     expected_ms: float = 0.0
+    organisation: str = ''
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -329,6 +355,16 @@
     id: int
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class Withdraw:
+    """The sender asks for the result of a call that has not started yet.
+
+    A call that has started goes on.
+    """
+
+    id: int
+
+
 @dataclasses.dataclass(slots=True)
 class Result:
     """The result of a call.
@@ -392,6 +428,77 @@
     content: bytes
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class FreshnessRequest:
+    """A request for the age of the receiver's freshness proof."""
+
+    number: int
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class FreshnessReply:
+    """The answer to a `FreshnessRequest`, with the same number.
+
+    :param generation: generation that the sender acts on
+    :param age_ms: time since the generation is known to have been the
+        newest, in milliseconds
+    """
+
+    number: int
+    generation: int
+    age_ms: int
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class QuotaUse:
+    """What a node reports of one organisation's calls.
+
+    :param used: calls started and not yet acknowledged as counted
+    :param wanted: calls that wait for a token
+    """
+
+    organisation: str
+    used: int = 0
+    wanted: int = 0
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class QuotaRequest:
+    """Delegates the sender's share of the quotas and asks for tokens.
+
+    :param number: rises with each request of the sender
+    :param node_count: nodes of the fleet as the sender knows them
+    """
+
+    number: int
+    node_count: int
+    uses: tuple[QuotaUse, ...] = ()
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class QuotaGrant:
+    """What a coordinator grants of one organisation's quota.
+
+    :param granted: calls that the node may start
+    :param delay_ms: time until a token is expected, in milliseconds; 0 if one
+        was granted
+    :param is_relaxed: whether calls may start without a token
+    """
+
+    organisation: str
+    granted: int = 0
+    delay_ms: int = 0
+    is_relaxed: bool = False
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class QuotaReply:
+    """The answer to a `QuotaRequest`, with the same number."""
+
+    number: int
+    grants: tuple[QuotaGrant, ...] = ()
+
+
 Message = (
     Hello
     | Report
@@ -402,9 +509,14 @@
     | Call
     | Part
     | Cancel
+    | Withdraw
     | Result
     | Ping
     | Pong
     | FetchConfiguration
     | Configuration
+    | FreshnessRequest
+    | FreshnessReply
+    | QuotaRequest
+    | QuotaReply
 )
--- a/tests/pumicestand/test_hop.py
+++ b/tests/pumicestand/test_hop.py
@@ -19,6 +19,7 @@
     link_rate=625_000.0,
     evidence=(hop_messages.Evidence('r', 'v1', 5, 1, 4, 80.0),),
     suspects=(hop_messages.Suspect(2**63 + 1, 2, 1),),
+    evacuations=hop_messages.Evacuations(2, 9, ('zone-a', 'zone-b')),
     verdicts=(
         hop_messages.Verdict('s', 'v2', State.RUNNING, 9000, 10, 5, 6),
         hop_messages.Verdict(
@@ -46,6 +47,7 @@
     body=b'body',
     remaining_bytes=5,
     expected_ms=12.5,
+    organisation='north',
 )
 MESSAGES = [
     hop_messages.Hello(REPORT),
@@ -54,6 +56,13 @@
     CALL,
     hop_messages.Part(3, b'x' * 10, True),
     hop_messages.Cancel(3),
+    hop_messages.Withdraw(3),
+    hop_messages.FreshnessRequest(5),
+    hop_messages.FreshnessReply(5, 7, 120),
+    hop_messages.QuotaRequest(6, 91, (hop_messages.QuotaUse('north', 3, 1),)),
+    hop_messages.QuotaReply(
+        6, (hop_messages.QuotaGrant('north', 2, 40, True),)
+    ),
     hop_messages.Result(
         3,
         hop_messages.Outcome.ANSWERED,
