Ask for large bodies when the link has room, tell late calls from run ones

The six targets of the service that takes uploads have links of 5.5 Mbit/s; all nodes send their bodies at once, so short frames, results of nested calls among them, wait half a second behind them, and a result that is late leaves the outcome unknown.

Ruled out: lost links (2 of 3,553 unknown outcomes), a target that does not answer (the runs ended well, their results were late).

Change: a sender keeps a large body for a narrow link until the receiver asks for it; the receiver asks for what its link carries in 0.15 s, by priority, and refuses what can't arrive in time before it crosses the link. A call that has not started 50 ms before its deadline is withdrawn, so the client learns that it has not run.

--- a/packages/pumicestand-node/pumicestand_node/frame_streams.py
+++ b/packages/pumicestand-node/pumicestand_node/frame_streams.py
@@ -196,10 +196,32 @@
             message, body=body[:MAX_PART_BYTES], remaining_bytes=rest
         )
     )
-    for start in range(MAX_PART_BYTES, len(body), MAX_PART_BYTES):
+    send_parts(frames, message.id, body[MAX_PART_BYTES:])
+
+
+def send_without_body(frames, call):
+    """Send a call whose body the other node has to ask for.
+
+    :param frames: `FrameStream`
+    :param call: `hop_messages.Call`
+    """
+    frames.send(
+        dataclasses.replace(
+            call, body=b'', remaining_bytes=len(call.body), holds_body=True
+        )
+    )
+
+
+def send_parts(frames, id_, body):
+    """Send a body, or what is left of one, in parts.
+
+    :param frames: `FrameStream`
+    :param id_: id of the call or result that the body belongs to
+    """
+    for start in range(0, len(body), MAX_PART_BYTES):
         chunk = body[start : start + MAX_PART_BYTES]
         is_last = start + MAX_PART_BYTES >= len(body)
-        frames.send_part(hop_messages.Part(message.id, chunk, is_last))
+        frames.send_part(hop_messages.Part(id_, chunk, is_last))
 
 
 class BodyAssembler:
--- a/packages/pumicestand-node/pumicestand_node/link_server.py
+++ b/packages/pumicestand-node/pumicestand_node/link_server.py
@@ -18,15 +18,17 @@
 
     :param frames: `frame_streams.FrameStream` of the link
     :param target_calls: `target_calls.TargetCalls` that run the calls
+    :param bodies: `body_receiver.BodyReceiver` of this node
     :param mesh: `mesh_state.MeshState` of this node
     :param on_message: called with (this server, message) for each message
         that is not about a call
     :param clock: returns monotonic seconds
     """
 
-    def __init__(self, frames, target_calls, mesh, on_message, clock):
+    def __init__(self, frames, target_calls, bodies, mesh, on_message, clock):
         self.frames = frames
         self._target_calls = target_calls
+        self._bodies = bodies
         self._mesh = mesh
         self._on_message = on_message
         self._clock = clock
@@ -34,6 +36,11 @@
         self._assembler = frame_streams.BodyAssembler()
         self._cancel_scopes = {}
         self._received_at = {}
+        # Id of a call to the `body_transfers.Transfer` of its body, from the
+        # request for the body until it has arrived.
+        self._transfers = {}
+        # Id to call, for those that wait for a slot or run.
+        self._running = {}
         self.peer_name = ''
         self.is_cross_zone = False
         self.last_call_at = float('-inf')
@@ -42,7 +49,11 @@
         """Serve the link until it ends, then cancel its calls."""
         async with trio.open_nursery() as nursery:
             self._nursery = nursery
-            await self.frames.run(self._handle_message)
+            try:
+                await self.frames.run(self._handle_message)
+            finally:
+                for transfer in self._transfers.values():
+                    self._bodies.finish(transfer)
             nursery.cancel_scope.cancel()
 
     def _handle_message(self, message):
@@ -51,15 +62,23 @@
             case hop_messages.Call():
                 self.last_call_at = self._clock()
                 self._received_at[message.id] = self.last_call_at
-                self._start_call(self._assembler.add_first(message))
-            case hop_messages.Part():
+                if message.holds_body:
+                    self._nursery.start_soon(self._request_body, message)
+                else:
+                    self._start_call(self._assembler.add_first(message))
+            case hop_messages.Part(id_, _, is_last):
+                if is_last:
+                    self._finish_transfer(id_)
                 self._start_call(self._assembler.add_part(message))
             case hop_messages.Cancel(id_):
                 self._assembler.discard(id_)
                 self._received_at.pop(id_, None)
+                self._finish_transfer(id_)
                 scope = self._cancel_scopes.pop(id_, None)
                 if scope is not None:
                     scope.cancel()
+            case hop_messages.Withdraw(id_):
+                self._withdraw(id_)
             case hop_messages.Hello(report):
                 self.peer_name = report.name
                 self.is_cross_zone = report.zone != self._mesh.identity.zone
@@ -76,6 +95,53 @@
             case _:
                 self._on_message(self, message)
 
+    async def _request_body(self, call):
+        """Ask for the body of a call, or refuse the call without it."""
+        with trio.CancelScope() as scope:
+            self._cancel_scopes[call.id] = scope
+            result = self._target_calls.refuse_before_body(
+                call, self._bodies.expected_s(call)
+            )
+            if result is None:
+                transfer = self._bodies.make_transfer(
+                    call, self._target_calls.latest_arrival(call)
+                )
+                if await self._bodies.admit(transfer):
+                    self._transfers[call.id] = transfer
+                    self._assembler.add_first(call)
+                    self.frames.send(hop_messages.SendBody(call.id))
+                else:
+                    result = self._target_calls.refuse_overdue(call)
+            if result is not None:
+                self._received_at.pop(call.id, None)
+                self.frames.send(result)
+        self._cancel_scopes.pop(call.id, None)
+
+    def _withdraw(self, id_):
+        """End a call that has not started and report that it has not run."""
+        call = self._running.get(id_)
+        if call is not None:
+            self._target_calls.withdraw(call)
+            return
+        if self._received_at.pop(id_, None) is None:
+            # Its result is on the way.
+            return
+        self._assembler.discard(id_)
+        self._finish_transfer(id_)
+        scope = self._cancel_scopes.pop(id_, None)
+        if scope is not None:
+            scope.cancel()
+        self.frames.send(
+            hop_messages.Result(
+                id_, hop_messages.Outcome.NOT_HANDED_ON, 'deadline-before-run'
+            )
+        )
+
+    def _finish_transfer(self, id_):
+        transfer = self._transfers.pop(id_, None)
+        if transfer is not None:
+            self._bodies.finish(transfer)
+
     def _start_call(self, call):
         """Run a call in the background; do nothing if it is None."""
         if call is None:
@@ -96,7 +162,9 @@
 
     async def _run_call(self, call, scope):
         """Run a call and send its result unless the scope is cancelled."""
+        self._running[call.id] = call
         with scope:
             result = await self._target_calls.run(call)
             frame_streams.send_with_parts(self.frames, result)
+        self._running.pop(call.id, None)
         self._cancel_scopes.pop(call.id, None)
--- a/packages/pumicestand-node/pumicestand_node/links.py
+++ b/packages/pumicestand-node/pumicestand_node/links.py
@@ -9,6 +9,7 @@
 import loguru
 import trio
 
+from pumicestand import body_transfers
 from pumicestand import hop_messages
 from pumicestand import link_meter
 from pumicestand_node import frame_streams
@@ -22,19 +23,28 @@
 # Time for which sent data may stay unacknowledged before the kernel closes
 # the connection.
 TCP_USER_TIMEOUT_MS = 2_000
+# Time before its deadline at which a call is withdrawn if it has not started:
+# a few round trips, so that the client learns whether it has run. A call with
+# little time left is withdrawn after half of it.
+WITHDRAW_BEFORE_DEADLINE_S = 0.05
 # Delay between two attempts to open a link, doubled after each failure.
 MIN_RECONNECT_DELAY_S = 0.15
 MAX_RECONNECT_DELAY_S = 1.5
 
 
 class _PendingCall:
-    """A call that was sent and awaits its result."""
+    """A call that was sent and awaits its result.
 
-    __slots__ = ('done', 'result')
+    :param held_body: body that the peer has not asked for, None if it was
+        sent with the call
+    """
+
+    __slots__ = ('done', 'result', 'held_body')
 
-    def __init__(self):
+    def __init__(self, held_body):
         self.done = trio.Event()
         self.result = None
+        self.held_body = held_body
 
 
 class Link:
@@ -152,6 +162,8 @@
                 self._complete_call(self._assembler.add_first(message))
             case hop_messages.Part():
                 self._complete_call(self._assembler.add_part(message))
+            case hop_messages.SendBody(id_):
+                self._send_held_body(id_)
             case hop_messages.Pong():
                 pass
             case hop_messages.Report(name=name) if name != self._peer.name:
@@ -172,6 +184,14 @@
             case _:
                 self._on_message(self._peer, message)
 
+    def _send_held_body(self, id_):
+        """Send the body of a call unless the call has ended."""
+        pending = self._pending.get(id_)
+        if pending is None or pending.held_body is None:
+            return
+        body, pending.held_body = pending.held_body, None
+        frame_streams.send_parts(self._frames, id_, body)
+
     def _complete_call(self, result):
         """Pass a result to its call; do nothing if it is None."""
         if result is None:
@@ -185,6 +205,8 @@
         """Send a call and return its result.
 
         If the caller is cancelled, the call is cancelled on the other node.
+        Shortly before its deadline the call is withdrawn, which ends it only
+        if it has not started there.
 
         :param call: `hop_messages.Call` with an id unique on this node
         :returns: `hop_messages.Result`, None if the link broke before the
@@ -192,20 +214,48 @@
         """
         frames = self._frames
         if frames is None:
-            return hop_messages.Result(
-                0, hop_messages.Outcome.NOT_HANDED_ON, 'no-link'
-            )
+            return _not_handed_on('no-link')
         id_ = call.id
-        pending = self._pending[id_] = _PendingCall()
-        frame_streams.send_with_parts(frames, call)
+        holds_body = self._holds_body(call)
+        pending = self._pending[id_] = _PendingCall(
+            call.body if holds_body else None
+        )
+        if holds_body:
+            frame_streams.send_without_body(frames, call)
+        else:
+            frame_streams.send_with_parts(frames, call)
+        remaining_s = call.remaining_ms / 1000
+        withdraw_in_s = max(
+            remaining_s / 2, remaining_s - WITHDRAW_BEFORE_DEADLINE_S
+        )
         try:
-            await pending.done.wait()
+            with trio.move_on_after(withdraw_in_s):
+                await pending.done.wait()
+            if not pending.done.is_set():
+                if pending.held_body is not None:
+                    return _not_handed_on('deadline-before-run')
+                frames.send(hop_messages.Withdraw(id_))
+                await pending.done.wait()
         finally:
             if self._pending.pop(id_, None) is not None:
                 self._assembler.discard(id_)
                 frames.send(hop_messages.Cancel(id_))
+        if pending.result is None and pending.held_body is not None:
+            return _not_handed_on('link-lost')
         return pending.result
 
+    def _holds_body(self, call):
+        """Return whether the peer's link is too narrow to send the body now.
+
+        The peer then asks for it when its link has room.
+        """
+        report = self._peer.report
+        return (
+            len(call.body) > frame_streams.MAX_PART_BYTES
+            and report is not None
+            and body_transfers.is_scheduled(len(call.body), report.link_rate)
+        )
+
     def silence_s(self, now):
         """Return for how long nothing was received on the open link.
 
@@ -264,6 +314,11 @@
         )
 
 
+def _not_handed_on(code):
+    """Return the result of a call that certainly has not run."""
+    return hop_messages.Result(0, hop_messages.Outcome.NOT_HANDED_ON, code)
+
+
 def set_tcp_user_timeout(stream):
     """Have the kernel close a connection whose data stays unacknowledged.
 
--- a/packages/pumicestand-node/pumicestand_node/mesh_links.py
+++ b/packages/pumicestand-node/pumicestand_node/mesh_links.py
@@ -17,6 +17,7 @@
 from pumicestand import link_selection
 from pumicestand import reporting
 from pumicestand import zone_summaries
+from pumicestand_node import body_receiver
 from pumicestand_node import frame_streams
 from pumicestand_node import link_server
 from pumicestand_node import links
@@ -54,6 +55,7 @@
         self._rng = rng
         self._links = {}
         self._link_servers = set()
+        self._bodies = body_receiver.BodyReceiver(mesh.link_meter.rate, clock)
         self._selector = link_selection.LinkSelector(
             mesh.identity.name, mesh.identity.zone
         )
@@ -206,6 +208,7 @@
         server = link_server.LinkServer(
             frames,
             self._target_calls,
+            self._bodies,
             self._mesh,
             self._handle_opener_message,
             self._clock,
--- a/packages/pumicestand-node/pumicestand_node/outbound_calls.py
+++ b/packages/pumicestand-node/pumicestand_node/outbound_calls.py
@@ -30,6 +30,9 @@
 OVERLOADED_CODES = frozenset(('overloaded', 'waited-in-vain'))
 # The final response is sent this long before the client's deadline.
 RESPONSE_MARGIN_S = 0.01
+# Least time before the deadline at which a call is sent to a further node.
+# Calls that have not started are withdrawn a little later than this.
+MIN_PLACEMENT_S = 0.06
 # Seconds for which other nodes are preferred after the link to a node broke.
 AVOID_NODE_S = 0.5
 # Least time before the deadline at which a retry can still succeed.
@@ -287,7 +290,11 @@
                         or call.overloaded_placements
                         >= MAX_OVERLOADED_PLACEMENTS
                     )
-                    if call.placements < MAX_PLACEMENTS and not is_final:
+                    if (
+                        call.placements < MAX_PLACEMENTS
+                        and not is_final
+                        and self._clock() < call.deadline - MIN_PLACEMENT_S
+                    ):
                         continue
                     return result
                 case Outcome.NOT_RUN:
--- a/packages/pumicestand-node/pumicestand_node/target_calls.py
+++ b/packages/pumicestand-node/pumicestand_node/target_calls.py
@@ -75,6 +75,8 @@
         self._pool = target_exchange.TargetPool(clock, connect)
         # Ticket number to [event, whether the call may run].
         self._waiters = {}
+        # Request id to ticket of the calls that wait.
+        self._waiting_tickets = {}
         # (route, version) to `hop_messages.Evidence`.
         self._evidence = {}
         self._running_calls = {}
@@ -193,26 +195,61 @@
         code = self._refusal_code() or self._mismatch_code(call)
         if code is not None:
             return self._make_result(call, Outcome.NOT_HANDED_ON, code)
-        ticket = target_queue.Ticket(
-            priority=call.priority,
-            is_nested=call.is_nested,
-            is_client_retry=call.is_client_retry,
-            deadline=now + call.remaining_ms / 1000,
-            objective_at=now + call.objective_remaining_ms / 1000,
-            route=call.route,
-        )
+        ticket = _make_ticket(call, now)
         match self._queue.offer(ticket, now):
             case target_queue.Refuse(retry_after_s):
                 return self._make_result(
                     call, Outcome.NOT_HANDED_ON, 'overloaded', retry_after_s
                 )
             case target_queue.Wait():
-                if not await self._wait_for_slot(ticket):
+                self._waiting_tickets[call.request_id] = ticket
+                try:
+                    has_slot = await self._wait_for_slot(ticket)
+                finally:
+                    self._waiting_tickets.pop(call.request_id, None)
+                if not has_slot:
                     return self._make_result(
                         call, Outcome.NOT_HANDED_ON, 'waited-in-vain'
                     )
         return await self._run_in_slot(call, ticket)
 
+    def refuse_before_body(self, call, arrival_s):
+        """Return the result that refuses a call, or None to take its body.
+
+        :param call: `hop_messages.Call` whose body has not arrived
+        :param arrival_s: seconds until the body is expected to have arrived
+        """
+        code = self._refusal_code() or self._mismatch_code(call)
+        if code is not None:
+            return self._make_result(call, Outcome.NOT_HANDED_ON, code)
+        now = self._clock()
+        refusal = self._queue.refuse_late(
+            _make_ticket(call, now), now, arrival_s
+        )
+        if refusal is None:
+            return None
+        return self._make_result(
+            call, Outcome.NOT_HANDED_ON, 'overloaded', refusal.retry_after
+        )
+
+    def latest_arrival(self, call):
+        """Return when the body of a call must have arrived to be in time.
+
+        :returns: monotonic seconds
+        """
+        return self._queue.overdue_at(_make_ticket(call, self._clock()))
+
+    def refuse_overdue(self, call):
+        """Return the result that refuses a call whose body is too late."""
+        return self._make_result(call, Outcome.NOT_HANDED_ON, 'waited-in-vain')
+
+    def withdraw(self, call):
+        """Refuse a call now if it still waits for a slot."""
+        ticket = self._waiting_tickets.get(call.request_id)
+        # A call that has been given a slot is about to run.
+        if ticket is not None and ticket.started_at is None:
+            self._resume_waiter(ticket, False)
+
     async def _wait_for_slot(self, ticket):
         """Wait for a slot and return whether the call may run."""
         event = trio.Event()
@@ -512,3 +549,15 @@
     async def close(self):
         """Close the idle connections to the target."""
         await self._pool.close_idle()
+
+
+def _make_ticket(call, now):
+    """Return the `target_queue.Ticket` of a call that has arrived now."""
+    return target_queue.Ticket(
+        priority=call.priority,
+        is_nested=call.is_nested,
+        is_client_retry=call.is_client_retry,
+        deadline=now + call.remaining_ms / 1000,
+        objective_at=now + call.objective_remaining_ms / 1000,
+        route=call.route,
+    )
--- a/packages/pumicestand/pumicestand/hop.capnp
+++ b/packages/pumicestand/pumicestand/hop.capnp
@@ -23,6 +23,7 @@
     freshnessReply @16 :FreshnessReply;
     quotaRequest @17 :QuotaRequest;
     quotaReply @18 :QuotaReply;
+    sendBody @19 :UInt64;
   }
 }
 
@@ -168,6 +169,7 @@
   rest @17 :UInt32;
   expectedMs @18 :Float32;
   organisation @19 :Text;
+  holdsBody @20 :Bool;
 }
 
 struct Part {
--- a/packages/pumicestand/pumicestand/hop.py
+++ b/packages/pumicestand/pumicestand/hop.py
@@ -66,6 +66,8 @@
             configuration.content = content
         case hop_messages.Withdraw(id_):
             builder.withdraw = id_
+        case hop_messages.SendBody(id_):
+            builder.sendBody = id_
         case hop_messages.FreshnessRequest(number):
             builder.freshnessRequest = number
         case hop_messages.FreshnessReply(number, generation, age_ms):
@@ -119,6 +121,7 @@
     builder.rest = call.remaining_bytes
     builder.expectedMs = call.expected_ms
     builder.organisation = call.organisation
+    builder.holdsBody = call.holds_body
 
 
 def _write_result(builder, result):
@@ -276,6 +279,8 @@
             )
         case 'withdraw':
             return hop_messages.Withdraw(frame.withdraw)
+        case 'sendBody':
+            return hop_messages.SendBody(frame.sendBody)
         case 'freshnessRequest':
             return hop_messages.FreshnessRequest(frame.freshnessRequest)
         case 'freshnessReply':
@@ -335,6 +340,7 @@
         remaining_bytes=reader.rest,
         expected_ms=reader.expectedMs,
         organisation=reader.organisation,
+        holds_body=reader.holdsBody,
     )
 
 
--- a/packages/pumicestand/pumicestand/hop_messages.py
+++ b/packages/pumicestand/pumicestand/hop_messages.py
@@ -315,6 +315,8 @@
         from the sender's experience with all targets; 0 if it has none
     :param organisation: organisation whose key the client sent, empty for
         none
+    :param holds_body: whether the sender keeps the body until it is asked for
+        it with `SendBody`
     """
 
     id: int
@@ -337,6 +339,7 @@
     remaining_bytes: int = 0
     expected_ms: float = 0.0
     organisation: str = ''
+    holds_body: bool = False
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -355,6 +358,13 @@
     id: int
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class SendBody:
+    """The receiver of a call asks for the body that the sender holds."""
+
+    id: int
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class Withdraw:
     """The sender asks for the result of a call that has not started yet.
@@ -509,6 +519,7 @@
     | Call
     | Part
     | Cancel
+    | SendBody
     | Withdraw
     | Result
     | Ping
--- a/packages/pumicestand/pumicestand/target_queue.py
+++ b/packages/pumicestand/pumicestand/target_queue.py
@@ -298,6 +298,22 @@
         self._waiting.append(ticket)
         return Wait()
 
+    def refuse_late(self, ticket, now, arrival_s):
+        """Return the `Refuse` of a call that can't finish in time, or None.
+
+        :param ticket: `Ticket` of a call whose body has yet to arrive
+        :param arrival_s: seconds until the body has arrived
+        """
+        if self._slots <= 0:
+            return Refuse(MIN_RETRY_AFTER_S)
+        wait_s = max(arrival_s, self.expected_wait_s(now, ticket))
+        finish = (
+            now + wait_s + self.route_work_s(ticket.route) + RESPONSE_MARGIN_S
+        )
+        if finish <= self._latest_finish(ticket):
+            return None
+        return Refuse(self._retry_after(wait_s))
+
     def _sort_key(self, ticket, now):
         """Return the sort key of waiting tickets; the lowest goes first.
 
--- a/tests/pumicestand/test_hop.py
+++ b/tests/pumicestand/test_hop.py
@@ -48,6 +48,7 @@
     remaining_bytes=5,
     expected_ms=12.5,
     organisation='north',
+    holds_body=True,
 )
 MESSAGES = [
     hop_messages.Hello(REPORT),
@@ -56,6 +57,7 @@
     CALL,
     hop_messages.Part(3, b'x' * 10, True),
     hop_messages.Cancel(3),
+    hop_messages.SendBody(3),
     hop_messages.Withdraw(3),
     hop_messages.FreshnessRequest(5),
     hop_messages.FreshnessReply(5, 7, 120),
