Place large bodies by the bodies that wait at a node's link

The load that a node reports did not tell of bodies that wait, and a result set the known utilisation of the link to zero.

Change: a load carries the time until a large body is asked for, results carry the state of the link as reports do, and placement adds it for large bodies.

--- a/packages/pumicestand-node/pumicestand_node/body_receiver.py
+++ b/packages/pumicestand-node/pumicestand_node/body_receiver.py
@@ -11,21 +11,16 @@
 class BodyReceiver:
     """Carries out the plans of `body_transfers.BodyTransfers`.
 
-    :param rate: rate of this VM's link in bytes per second; 0 if unknown
+    :param transfers: the `body_transfers.BodyTransfers` of this node
     :param clock: returns monotonic seconds
     """
 
-    def __init__(self, rate, clock):
-        self._transfers = body_transfers.BodyTransfers(rate)
+    def __init__(self, transfers, clock):
+        self._transfers = transfers
         self._clock = clock
         # Number of a waiting transfer to the event that ends its wait.
         self._waiters = {}
 
-    @property
-    def waiting(self):
-        """Number of bodies that wait until they are asked for."""
-        return self._transfers.waiting
-
     def expected_s(self, call):
         """Return the seconds until a call's body has arrived.
 
--- a/packages/pumicestand-node/pumicestand_node/link_server.py
+++ b/packages/pumicestand-node/pumicestand_node/link_server.py
@@ -167,6 +167,7 @@
         self._running[call.id] = call
         with scope:
             result = await self._target_calls.run(call)
+            result.load = self._mesh.add_link_load(result.load, self._clock())
             frame_streams.send_with_parts(self.frames, result)
         self._running.pop(call.id, None)
         self._cancel_scopes.pop(call.id, None)
--- a/packages/pumicestand-node/pumicestand_node/links.py
+++ b/packages/pumicestand-node/pumicestand_node/links.py
@@ -250,10 +250,8 @@
         The peer then asks for it when its link has room.
         """
         report = self._peer.report
-        return (
-            len(call.body) > frame_streams.MAX_PART_BYTES
-            and report is not None
-            and body_transfers.is_scheduled(len(call.body), report.link_rate)
+        return report is not None and body_transfers.is_scheduled(
+            len(call.body), report.link_rate
         )
 
     def silence_s(self, now):
--- a/packages/pumicestand-node/pumicestand_node/mesh_links.py
+++ b/packages/pumicestand-node/pumicestand_node/mesh_links.py
@@ -55,7 +55,7 @@
         self._rng = rng
         self._links = {}
         self._link_servers = set()
-        self._bodies = body_receiver.BodyReceiver(mesh.link_meter.rate, clock)
+        self._bodies = body_receiver.BodyReceiver(mesh.body_transfers, clock)
         self._selector = link_selection.LinkSelector(
             mesh.identity.name, mesh.identity.zone
         )
--- a/packages/pumicestand-node/pumicestand_node/mesh_state.py
+++ b/packages/pumicestand-node/pumicestand_node/mesh_state.py
@@ -1,7 +1,9 @@
 """The state of one node, including its view of the other nodes."""
 
 import dataclasses
+import math
 
+from pumicestand import body_transfers
 from pumicestand import documents
 from pumicestand import fleet as fleets
 from pumicestand import hop_messages
@@ -13,6 +15,10 @@
 from pumicestand import targets
 from pumicestand import zone_roles
 
+# Priority key of the calls that carry large bodies: not nested, of any
+# priority.
+OUTER_CALL_PRIORITY_KEY = (True, math.inf)
+
 
 class MeshState:
     """State shared by the components of a node on the platform.
@@ -49,6 +55,7 @@
         )
         self.target_watch = targets.TargetWatch()
         self.link_meter = link_meter.LinkMeter(link_rate)
+        self.body_transfers = body_transfers.BodyTransfers(link_rate)
         self.suspects = suspects.Suspects()
         self.zone_roles = zone_roles.ZoneRoles(
             identity, self.fleet, self.link_meter
@@ -92,6 +99,19 @@
         )
         return True
 
+    def add_link_load(self, load, now):
+        """Return a load with the state of this VM's network link.
+
+        :param load: `hop_messages.Load` of the target beside this node
+        :param now: monotonic seconds
+        """
+        delay_s = self.body_transfers.delay_s(OUTER_CALL_PRIORITY_KEY, now)
+        return dataclasses.replace(
+            load,
+            link_utilisation=self.link_meter.utilisation(now),
+            body_delay_ms=delay_s * 1000,
+        )
+
     def new_report(self, load, evidence, now):
         """Return a `hop_messages.Report` with the next sequence number.
 
@@ -110,9 +130,7 @@
             host=identity.host,
             port=identity.port,
             target=self.target_watch.target,
-            load=dataclasses.replace(
-                load, link_utilisation=self.link_meter.utilisation(now)
-            ),
+            load=self.add_link_load(load, now),
             is_leaving=self.is_leaving,
             store_reachable=self.store_reachable,
             generation=self.generation,
--- a/packages/pumicestand/pumicestand/body_transfers.py
+++ b/packages/pumicestand/pumicestand/body_transfers.py
@@ -22,7 +22,9 @@
 MIN_TRANSIT_S = 0.25
 # Share of the link that bodies are expected to get.
 BODY_SHARE = 0.8
-# Bodies that take less time than this on the receiver's link are sent at once.
+# Bodies that are smaller, or take less time on the receiver's link, are sent
+# at once.
+MIN_SCHEDULED_BYTES = 16_384
 MIN_SCHEDULED_S = 0.01
 
 
@@ -38,7 +40,9 @@
     >>> is_scheduled(60_000, 0)
     False
     """
-    return link_rate > 0 and size / link_rate >= MIN_SCHEDULED_S
+    if size <= MIN_SCHEDULED_BYTES or link_rate <= 0:
+        return False
+    return size / link_rate >= MIN_SCHEDULED_S
 
 
 @dataclasses.dataclass(slots=True)
@@ -111,6 +115,14 @@
         )
         return (ahead + size) / (BODY_SHARE * self._rate)
 
+    def delay_s(self, priority_key, now):
+        """Return the seconds until a body offered now is asked for.
+
+        :param priority_key: see `Transfer`
+        :param now: monotonic seconds
+        """
+        return self.expected_s(0, priority_key, now)
+
     def offer(self, transfer):
         """Add a transfer; `plan` then tells when its body is asked for."""
         transfer.number = next(self._numbers)
--- a/packages/pumicestand/pumicestand/hop.capnp
+++ b/packages/pumicestand/pumicestand/hop.capnp
@@ -46,6 +46,7 @@
   failing @4 :Float32;
   slowness @5 :Float32;
   linkBusy @6 :Float32;
+  bodyDelayMs @7 :Float32;
 }
 
 struct Evidence {
--- a/packages/pumicestand/pumicestand/hop.py
+++ b/packages/pumicestand/pumicestand/hop.py
@@ -146,6 +146,7 @@
     builder.failing = load.failure_ratio
     builder.slowness = load.slowness
     builder.linkBusy = load.link_utilisation
+    builder.bodyDelayMs = load.body_delay_ms
 
 
 def _write_target(builder, target):
@@ -369,6 +370,7 @@
         failure_ratio=reader.failing,
         slowness=reader.slowness,
         link_utilisation=reader.linkBusy,
+        body_delay_ms=reader.bodyDelayMs,
     )
 
 
--- a/packages/pumicestand/pumicestand/hop_messages.py
+++ b/packages/pumicestand/pumicestand/hop_messages.py
@@ -60,6 +60,8 @@
     :param slowness: processing time of calls at the target, as a multiple of
         the time that calls of the same routes take at all targets
     :param link_utilisation: fraction of the VM's network link in use
+    :param body_delay_ms: time until a large body that is offered now is asked
+        for, in milliseconds
     """
 
     running: int = 0
@@ -69,6 +71,7 @@
     failure_ratio: float = 0.0
     slowness: float = 1.0
     link_utilisation: float = 0.0
+    body_delay_ms: float = 0.0
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/packages/pumicestand/pumicestand/link_meter.py
+++ b/packages/pumicestand/pumicestand/link_meter.py
@@ -87,6 +87,18 @@
     return kilobytes * 1e6 / rate / max(MIN_FREE_SHARE, 1 - utilisation)
 
 
+def unshared_transfer_ms(kilobytes, rate):
+    """Return the time that a body takes on a link of its own.
+
+    :param kilobytes: size of the body
+    :param rate: rate of the link in bytes per second
+
+    >>> unshared_transfer_ms(360, 5e6 / 8)
+    576.0
+    """
+    return kilobytes * 1e6 / rate
+
+
 def backlog_delay_s(*rates):
     """Return how long other traffic may delay a ping, in seconds.
 
--- a/packages/pumicestand/pumicestand/placing.py
+++ b/packages/pumicestand/pumicestand/placing.py
@@ -12,6 +12,7 @@
 import dataclasses
 import math
 
+from pumicestand import body_transfers
 from pumicestand import link_meter
 
 # Share by which the cost of time varies at random between equal choices, so
@@ -103,6 +104,23 @@
     kilobytes: float
 
 
+def _transfer_ms(peer, kilobytes):
+    """Return the time until the bytes of a call have reached a peer.
+
+    Small calls share the peer's link with all others; large bodies also wait
+    until the peer asks for them.
+    """
+    rate = peer.report.link_rate
+    shared_ms = link_meter.transfer_ms(
+        kilobytes, rate, peer.load.link_utilisation
+    )
+    if not body_transfers.is_scheduled(kilobytes * 1000, rate):
+        return shared_ms
+    waiting_ms = peer.load.body_delay_ms
+    waiting_ms += link_meter.unshared_transfer_ms(kilobytes, rate)
+    return max(shared_ms, waiting_ms)
+
+
 class PeerSelector:
     """Chooses peers for calls.
 
@@ -140,11 +158,7 @@
         """Return the cost of a call at a peer, in late responses."""
         latency_ms = expected_latency_ms(peer, requirements.work_ms, now)
         if peer.name != self._own_name:
-            latency_ms += link_meter.transfer_ms(
-                requirements.kilobytes,
-                peer.report.link_rate,
-                peer.load.link_utilisation,
-            )
+            latency_ms += _transfer_ms(peer, requirements.kilobytes)
         traffic_cost = 0.0
         if peer.report.zone != self._zone:
             latency_ms += CROSS_ZONE_RTT_MS
--- a/packages/pumicestand/pumicestand/reporting.py
+++ b/packages/pumicestand/pumicestand/reporting.py
@@ -144,6 +144,7 @@
             (load.failure_ratio, other.failure_ratio),
             (load.slowness, other.slowness),
             (load.link_utilisation, other.link_utilisation),
+            (load.body_delay_ms, other.body_delay_ms),
         )
     )
 
--- a/tests/pumicestand/test_placing.py
+++ b/tests/pumicestand/test_placing.py
@@ -110,6 +110,15 @@
     assert choose(candidates, kilobytes=100.0) == 'a3'
 
 
+def test_large_body_avoids_a_node_at_which_others_wait():
+    """Guards against uploads that queue at one node while others are free."""
+    candidates = peers(a2=load(body_delay_ms=400.0), a3=load(running=2))
+    set_link(candidates, 'a2', 5)
+    set_link(candidates, 'a3', 5)
+    assert choose(candidates, kilobytes=60.0) == 'a3'
+    assert choose(candidates, kilobytes=1.0) == 'a2'
+
+
 def test_call_to_the_own_target_uses_no_link():
     candidates = peers(a1=load(running=2), a2=load())
     set_link(candidates, 'a1', 5)
--- a/tests/pumicestand_node/test_held_bodies.py
+++ b/tests/pumicestand_node/test_held_bodies.py
@@ -6,6 +6,7 @@
 import trio
 import trio.testing
 
+from pumicestand import body_transfers
 from pumicestand import fleet as fleets
 from pumicestand import hop_messages
 from pumicestand import link_meter
@@ -71,7 +72,9 @@
         self.server_scope = trio.CancelScope()
         self._rate = rate
         clock = trio.current_time
-        self.bodies = body_receiver.BodyReceiver(rate, clock)
+        self.bodies = body_receiver.BodyReceiver(
+            body_transfers.BodyTransfers(rate), clock
+        )
         fleet = fleets.Fleet('own')
         self.peer = fleet.get_or_add('peer', '10.0.0.1', 7000, 0.0)
         self.link = links.Link(
--- a/tests/pumicestand_node/test_links.py
+++ b/tests/pumicestand_node/test_links.py
@@ -352,7 +352,12 @@
         )
         target_calls = FakeTargetCalls()
         server = link_server.LinkServer(
-            frames, target_calls, None, None, None, trio.current_time
+            frames,
+            target_calls,
+            None,
+            mesh_fakes.make_mesh(),
+            None,
+            trio.current_time,
         )
         call = hop_messages.dataclasses.replace(
             test_hop.CALL,
