Read organisations, compare unchanged rows of a configuration cheaply

The adapter reads the table of organisations and the column that opens a route to clients without keys. A configuration in which two organisations share a key is refused as a whole, since whose quota and priority applied would depend on the order of the rows. A name that would break the header it is sent in is refused, too; empty keys are dropped.

Rows are compared with the row of the same name in the table before, not by the text of each row, and changed rows are validated in one call. All three tables reuse unchanged rows, and an unchanged table is returned as the same tuple.

--- a/tests/pumicestand_platform/test_configuration.py
+++ b/tests/pumicestand_platform/test_configuration.py
@@ -160,3 +160,138 @@
     )
     _, document = translator.read_configuration(spec)
     assert document.routes[0].timeout == 0.3
+
+
+def make_spec_with_organisations(rows):
+    spec = copy.deepcopy(SPEC)
+    spec['tenants'] = {
+        'columns': ['name', 'api_keys', 'priority', 'rate_per_s', 'burst'],
+        'rows': rows,
+    }
+    return spec
+
+
+def test_organisations_are_translated():
+    spec = make_spec_with_organisations(
+        [['acme', ['k1', 'k2', ''], 2, 12.5, 4], ['no-limit', [], 1, None, 0]]
+    )
+    _, document = configuration.read_configuration(spec)
+    assert document.organisations == (
+        documents.Organisation('acme', frozenset(('k1', 'k2')), 2, 12.5, 4.0),
+        documents.Organisation('no-limit', frozenset(), 1, 0.0, 0.0),
+    )
+
+
+@pytest.mark.parametrize('table', [None, {'columns': ['name'], 'rows': []}])
+def test_configuration_without_rows_of_organisations_has_none(table):
+    spec = {**SPEC, 'tenants': table}
+    _, document = configuration.read_configuration(spec)
+    assert document.organisations == ()
+
+
+def test_route_is_public_only_if_configured_so():
+    """A route without the column must not be open to clients without keys."""
+    spec = copy.deepcopy(SPEC)
+    _, document = configuration.read_configuration(spec)
+    assert [route.is_public for route in document.routes] == [False, False]
+    spec['routes']['columns'].append('public')
+    for row, value in zip(spec['routes']['rows'], (True, None), strict=True):
+        row.append(value)
+    _, document = configuration.read_configuration(spec)
+    assert [route.is_public for route in document.routes] == [True, False]
+
+
+@pytest.mark.parametrize(
+    'rows',
+    [
+        [['a', ['k1', 'k2'], 1, 0, 0], ['b', ['k3', 'k2'], 1, 0, 0]],
+        [['a', ['k1'], 1, 0, 0], ['a', ['k1'], 1, 0, 0]],
+        [['a\r\nx-other: 1', ['k1'], 1, 0, 0]],
+        [['', ['k1'], 1, 0, 0]],
+        [['a', 'k1', 1, 0, 0]],
+        [['a', ['k1'], 1, -1, 0]],
+        [[None, ['k1'], 1, 0, 0]],
+        [['a', ['k1'], 1, 0]],
+    ],
+    ids=[
+        'shared key',
+        'same row twice',
+        'header in name',
+        'empty name',
+        'keys not a list',
+        'negative rate',
+        'no name',
+        'missing field',
+    ],
+)
+def test_configuration_with_invalid_organisation_is_rejected(rows):
+    """Nothing of such a configuration may come into force."""
+    translator = configuration.Translator()
+    spec = make_spec_with_organisations(rows)
+    assert translator.read_configuration(spec) is None
+    # An unchanged table is not parsed again, but still invalid.
+    assert translator.read_configuration(copy.deepcopy(spec)) is None
+
+
+def test_key_may_move_from_one_organisation_to_another():
+    translator = configuration.Translator()
+    translator.read_configuration(
+        make_spec_with_organisations(
+            [['a', ['k1'], 1, 0, 0], ['b', ['k2'], 1, 0, 0]]
+        )
+    )
+    _, document = translator.read_configuration(
+        make_spec_with_organisations(
+            [['a', ['k2'], 1, 0, 0], ['b', ['k1'], 1, 0, 0]]
+        )
+    )
+    assert [o.keys for o in document.organisations] == [{'k2'}, {'k1'}]
+
+
+def test_unchanged_organisations_are_reused():
+    translator = configuration.Translator()
+    rows = [['a', ['k1'], 1, 0, 0], ['b', ['k2'], 1, 0, 0]]
+    spec = make_spec_with_organisations(rows)
+    _, first = translator.read_configuration(spec)
+    _, second = translator.read_configuration(copy.deepcopy(spec))
+    assert second.organisations is first.organisations
+    changed = copy.deepcopy(spec)
+    changed['tenants']['rows'][0][3] = 5
+    _, third = translator.read_configuration(changed)
+    assert third.organisations[0].rate == 5.0
+    assert third.organisations[1] is first.organisations[1]
+
+
+def test_inserted_moved_and_removed_rows_are_read():
+    """Rows are reused by name and content, not by their position."""
+    translator = configuration.Translator()
+    translator.read_configuration(SPEC)
+    spec = copy.deepcopy(SPEC)
+    rows = spec['routes']['rows']
+    rows.reverse()
+    rows.insert(0, ['r0', *rows[0][1:]])
+    _, document = translator.read_configuration(copy.deepcopy(spec))
+    assert [route.name for route in document.routes] == ['r0', 'r2', 'r1']
+    assert document == configuration.read_configuration(spec)[1]
+    del rows[1]
+    _, document = translator.read_configuration(copy.deepcopy(spec))
+    assert document == configuration.read_configuration(spec)[1]
+
+
+def test_invalid_row_does_not_spoil_the_rows_kept():
+    """A value must not be paired with the row of another configuration."""
+    translator = configuration.Translator()
+    translator.read_configuration(SPEC)
+    invalid = copy.deepcopy(SPEC)
+    invalid['routes']['rows'][0][4] = 'soon'
+    assert translator.read_configuration(invalid) is None
+    assert translator.read_configuration(copy.deepcopy(invalid)) is None
+    _, document = translator.read_configuration(copy.deepcopy(SPEC))
+    assert document == configuration.read_configuration(SPEC)[1]
+
+
+def test_generation_is_read_from_otherwise_invalid_configuration():
+    translator = configuration.Translator()
+    assert translator.read_generation({'version': '0000001f'}) == 31
+    for spec in (None, [], {}, {'version': 'x'}, {'version': None}):
+        assert translator.read_generation(spec) is None
