Admit calls by the key of an organisation

Where the configuration has organisations, a call on a route that is not public needs a known key, and is answered 401 without one. The key is looked up in one dict and never sent on; the target gets the organisation's name in place of what the client sent. The organisation's priority replaces the route's. Public routes and nested calls need no key and have no organisation.

The check is made on arrival and again before each send to a node, since a configuration may have come into force meanwhile; a call that may have run is then answered 502 and not 401. In the first 5 s after the start of a node, a call without a key whose id looks nested is answered 503: the calls that the previous process had running, and whose answers are lost, are not known.

A call that a nested call makes has an id with two suffixes. Its parent is found by the longest prefix that runs here, where keys are needed. Without organisations the first prefix alone is tried, as before.

--- a/packages/pumicestand-node/pumicestand_node/heads.py
+++ b/packages/pumicestand-node/pumicestand_node/heads.py
@@ -29,6 +29,7 @@
 _REASONS = {
     200: b'OK',
     400: b'Bad Request',
+    401: b'Unauthorized',
     404: b'Not Found',
     408: b'Request Timeout',
     413: b'Content Too Large',
--- a/packages/pumicestand-node/pumicestand_node/mesh_metrics.py
+++ b/packages/pumicestand-node/pumicestand_node/mesh_metrics.py
@@ -23,6 +23,12 @@
             ('kind', 'service', 'status'),
             'Calls of callers, by what they were answered',
         )
+        registry.export_counter(
+            'pumicestand_access',
+            outbound_calls.access.counts,
+            ('decision', 'organisation'),
+            'Calls of callers, by what their key admits them to',
+        )
         registry.export_counter(
             'pumicestand_target',
             target_calls.counts,
--- a/packages/pumicestand-node/pumicestand_node/outbound_call.py
+++ b/packages/pumicestand-node/pumicestand_node/outbound_call.py
@@ -25,6 +25,11 @@
     :param is_nested: whether the target on this VM makes the call while it
         runs another one
     :param header_lines: header lines for the target, as bytes
+    :param configuration: `documents.InForce` under which it was admitted
+    :param organisation: `documents.Organisation` that it belongs to, None for
+        none
+    :param access_refusal: `refusals.Refusal` of the key that was withdrawn
+        while the call waited, None if it was not
     :param placements: number of nodes that the call was sent to
     :param overloaded_placements: how many of them had no room for it in time
     :param sends: how often the call may have been sent to a target
@@ -49,6 +54,9 @@
     is_client_retry: bool
     is_nested: bool
     header_lines: bytes
+    configuration: documents.InForce
+    organisation: documents.Organisation | None = None
+    access_refusal: refusals.Refusal | None = None
     placements: int = 0
     overloaded_placements: int = 0
     sends: int = 0
@@ -60,6 +68,19 @@
     last_node: str = ''
     node_results: list = dataclasses.field(default_factory=list)
 
+    @property
+    def organisation_name(self):
+        """The name of the organisation, empty for none."""
+        return self.organisation.name if self.organisation else ''
+
+    @property
+    def priority(self):
+        """The priority of the organisation, of the route if it has none."""
+        organisation = self.organisation
+        if organisation is None or organisation.priority is None:
+            return self.route.priority
+        return organisation.priority
+
     @property
     def method(self):
         """The method of the request."""
@@ -96,6 +117,8 @@
             refusals.CallCode.ANSWER_LOST,
             f'{call.last_code} at {call.last_node}',
         )
+    if call.access_refusal is not None:
+        return call.access_refusal
     if call.last_code == QUARANTINED:
         return refusals.not_run(
             refusals.CallCode.QUARANTINED,
--- a/packages/pumicestand-node/pumicestand_node/outbound_calls.py
+++ b/packages/pumicestand-node/pumicestand_node/outbound_calls.py
@@ -15,6 +15,7 @@
 from pumicestand import placing
 from pumicestand import refusals
 from pumicestand import routing
+from pumicestand_node import call_access
 from pumicestand_node import heads
 from pumicestand_node import outbound_call
 
@@ -38,9 +39,6 @@
 # A call with less than this share of the longest time limit of its route is a
 # client's retry; the limits of first attempts differ by up to a seventh.
 CLIENT_RETRY_TIMEOUT_RATIO = 0.8
-# The request id of a call that a target makes while it runs another call is
-# the id of that call, this separator and a suffix.
-PARENT_SEPARATOR = '.'
 # Approximate size of a call and its result without their bodies.
 CALL_OVERHEAD_BYTES = 800
 # Weight of one response in the moving averages of its route.
@@ -53,7 +51,7 @@
     ``in_flight`` is the number of requests being served. ``counts`` holds the
     number of refusals as ('refused', code, status) and of finished calls as
     ('answered', service, status). ``durations`` are
-    those of finished calls.
+    those of finished calls. ``access`` is the `call_access.CallAccess`.
 
     :param mesh: the `mesh_state.MeshState`, used for ``configuration``,
         ``fleet``, ``peer_selector``, ``rollouts``, ``retry_quota``,
@@ -88,6 +86,7 @@
                 headers.not_run,
             )
         )
+        self.access = call_access.CallAccess(headers, find_running, clock)
         self.in_flight = 0
         self.counts = collections.Counter()
         self.durations = latencies.Latencies()
@@ -126,12 +125,32 @@
         if request.expects_continue:
             await connection.send(b'HTTP/1.1 100 Continue\r\n\r\n')
         body = await request.read_all()
+        # A newer one may have come into force while the body arrived.
+        configuration = self._mesh.configuration
         route = self._match_route(configuration, request.head)
         if route is None:
             return await self._refuse_without_route(
                 request, connection, configuration
             )
-        call = self._create_call(request.head, body, route, started_at)
+        decision = self.access.decide(
+            configuration, route, request.head, self._request_id(request.head)
+        )
+        self.access.record(decision)
+        refusal = call_access.refusal(
+            decision, self._client_timeout_s(request.head)
+        )
+        if refusal is not None:
+            return await self._refuse_access(
+                request, connection, route, refusal
+            )
+        call = self._create_call(
+            request.head,
+            body,
+            route,
+            started_at,
+            configuration,
+            decision.organisation,
+        )
         if self._mesh.is_leaving and not call.is_nested:
             # The target may still make calls for those that it runs; other
             # clients use another node.
@@ -166,6 +185,19 @@
         )
         return await self._send_refusal(request, connection, refusal)
 
+    async def _refuse_access(self, request, connection, route, refusal):
+        """Refuse a request whose key does not admit it to its route."""
+        self._mesh.decisions.note(
+            'call',
+            id=self._request_id(request.head),
+            route=route.name,
+            status=refusal.status,
+            code=str(refusal.code),
+            why=refusal.detail,
+            generation=self._mesh.generation,
+        )
+        return await self._send_refusal(request, connection, refusal)
+
     def _request_id(self, head):
         value = head.header(self._headers.request_id) or b''
         return value.decode('latin-1')
@@ -186,16 +218,27 @@
             )
         return picker.pick(route.to).service
 
-    def _create_call(self, head, body, route, started_at):
-        header_names = self._headers
-        client_timeout_s = _parse_int(
-            head.header(header_names.deadline_ms), DEFAULT_TIMEOUT_S * 1000
+    def _client_timeout_s(self, head):
+        """Return the seconds for which the client waits."""
+        value = head.header(self._headers.deadline_ms)
+        return _parse_int(value, DEFAULT_TIMEOUT_S * 1000) / 1000
+
+    def _find_parent(self, configuration, request_id):
+        """Return the call at the target on this VM that has made a call."""
+        if self.access.needs_keys(configuration):
+            return self.access.find_parent(request_id)
+        return self._find_running(
+            request_id.partition(call_access.PARENT_SEPARATOR)[0]
         )
-        client_timeout_s /= 1000
+
+    def _create_call(
+        self, head, body, route, started_at, configuration, organisation
+    ):
+        client_timeout_s = self._client_timeout_s(head)
         max_timeout_s = max(self._max_timeout_s[route.name], client_timeout_s)
         self._max_timeout_s[route.name] = max_timeout_s
         request_id = self._request_id(head)
-        parent = self._find_running(request_id.partition(PARENT_SEPARATOR)[0])
+        parent = self._find_parent(configuration, request_id)
         # A client that retries has less time left than at its first attempt.
         is_client_retry = (
             parent is None
@@ -222,12 +265,19 @@
             objective_at=started_at + max(0.0, route.objective - elapsed_s),
             is_client_retry=is_client_retry,
             is_nested=parent is not None,
-            header_lines=self._format_target_headers(head),
+            header_lines=self._format_target_headers(
+                head, configuration, organisation
+            ),
+            configuration=configuration,
+            organisation=organisation,
         )
 
-    def _format_target_headers(self, head):
+    def _format_target_headers(self, head, configuration, organisation):
         lines = bytearray()
-        for key, value in heads.filter_request_headers(head.headers):
+        headers = heads.filter_request_headers(head.headers)
+        if self.access.needs_keys(configuration):
+            headers = self.access.filter_headers(headers, organisation)
+        for key, value in headers:
             if key not in self._replaced_headers:
                 lines += key + b': ' + value + b'\r\n'
         lines += self._headers.caller_service + b': '
@@ -364,6 +414,8 @@
         ):
             call.last_code = outbound_call.QUARANTINED
             return None
+        if not self._renew_access(call, now):
+            return None
         peer = self._choose_peer(call, now)
         if peer is None:
             call.last_code = call.last_code or 'no-target'
@@ -384,7 +436,7 @@
             headers=call.header_lines,
             remaining_ms=max(1, int(remaining_s * 1000)),
             objective_remaining_ms=int((call.objective_at - now) * 1000),
-            priority=call.route.priority,
+            priority=call.priority,
             route=call.route.name,
             request_id=call.request_id,
             is_idempotent=call.route.idempotent,
@@ -393,6 +445,7 @@
             is_client_retry=call.is_client_retry,
             body=call.body,
             expected_ms=self._mean_work_ms.get(call.route.name, 0.0),
+            organisation=call.organisation_name,
         )
         peer.in_flight += 1
         peer.sent_since_load += 1
@@ -415,6 +468,36 @@
         peer.update_load(result.load, self._clock())
         return result
 
+    def _renew_access(self, call, now):
+        """Check the call's key again; return whether the call may run.
+
+        Since the call arrived, a configuration may have come into force that
+        withdraws the key, or the first one that needs keys.
+        """
+        configuration = self._mesh.configuration
+        is_same = configuration is call.configuration
+        if is_same and not self.access.needs_keys(configuration):
+            return True
+        organisation = None
+        if not call.is_nested:
+            decision = self.access.decide(
+                configuration, call.route, call.head, call.request_id
+            )
+            call.access_refusal = call_access.refusal(
+                decision, call.deadline - now
+            )
+            if call.access_refusal is not None:
+                call.last_code = call.access_refusal.code.value
+                return False
+            organisation = decision.organisation
+        if not is_same:
+            call.configuration = configuration
+            call.organisation = organisation
+            call.header_lines = self._format_target_headers(
+                call.head, configuration, organisation
+            )
+        return True
+
     async def _forward_response(self, call, result, request, connection):
         await connection.wait_for_turn()
         keep_alive = self._may_keep_alive(request, connection)
@@ -455,6 +538,7 @@
             id=call.request_id,
             route=call.route.name,
             service=call.service,
+            organisation=call.organisation_name,
             node=call.last_node,
             status=status,
             code=str(code),
--- a/packages/pumicestand/pumicestand/refusals.py
+++ b/packages/pumicestand/pumicestand/refusals.py
@@ -22,6 +22,9 @@
 
     NO_DOCUMENT = 'no-document'
     NO_ROUTE = 'no-route'
+    UNKNOWN_KEY = 'unknown-key'
+    NO_FRESH_PROOF = 'no-fresh-proof'
+    UNKNOWN_PARENT = 'unknown-parent'
     NO_RESOURCE = 'no-resource'
     NO_TARGET = 'no-target'
     OVERLOADED = 'overloaded'
--- a/tests/pumicestand_node/test_mesh_metrics.py
+++ b/tests/pumicestand_node/test_mesh_metrics.py
@@ -23,6 +23,7 @@
     outbound = outbound_calls.OutboundCalls(
         mesh, headers.HEADERS, 'own-service', targets.find_running, clock
     )
+    outbound.access.counts[('Admitted', 'acme')] += 3
     node_metrics = mesh_metrics.MeshMetrics(mesh, outbound, targets, clock)
     lines = node_metrics.text().decode().splitlines()
     values = {
@@ -32,5 +33,6 @@
     }
     assert float(values['pumicestand_link_busy']) == 0.5
     assert 'pumicestand_target_limit' not in values
+    assert float(values['pumicestand_access_total']) == 3
     refused = values['pumicestand_requests_refused_for_crashes']
     assert float(refused) == 1
