Obtain the proofs that keys need from the store and other nodes

ZoneRoles tells which nodes of the zone watch the store. MeshStore.is_watcher and MeshLinks.send_to became public for the agent.

The stand-in of the store can hold a stale state for reads that allow it, and writes configurations with organisations.

--- a/packages/pumicestand-node/pumicestand_node/mesh_links.py
+++ b/packages/pumicestand-node/pumicestand_node/mesh_links.py
@@ -7,6 +7,7 @@
 """
 
 import collections
+import functools
 
 import trio
 
@@ -36,7 +37,8 @@
     """Opens links to the selected nodes and serves the links others open.
 
     ``on_store_era`` is called with a later era of the store that another node
-    has reported.
+    has reported, ``on_freshness`` with a message about freshness proofs and a
+    function that sends one back; both are optional.
 
     :param mesh: `mesh_state.MeshState` of this node
     :param target_calls: `target_calls.TargetCalls` of this node
@@ -66,6 +68,7 @@
         self._report_selector = reporting.ReportSelector()
         self._summary_sequence = 0
         self.on_store_era = None
+        self.on_freshness = None
         self._nursery = None
 
     @property
@@ -240,6 +243,10 @@
                     self._record_generation(peer, generation)
             case hop_messages.Configuration():
                 self._receive_configuration(server.peer_name, message)
+            case (
+                hop_messages.FreshnessRequest() | hop_messages.FreshnessReply()
+            ):
+                self._receive_freshness(message, server.frames.send)
 
     def _handle_message(self, peer, message):
         """Handle a message received on a link that this node opened."""
@@ -256,6 +263,17 @@
                 self._send_configuration(peer.name)
             case hop_messages.Configuration():
                 self._receive_configuration(peer.name, message)
+            case (
+                hop_messages.FreshnessRequest() | hop_messages.FreshnessReply()
+            ):
+                self._receive_freshness(
+                    message, functools.partial(self.send_to, peer.name)
+                )
+
+    def _receive_freshness(self, message, send):
+        """Pass on a message about proofs, where keys need them."""
+        if self.on_freshness is not None:
+            self.on_freshness(message, send)
 
     def _handle_relayed(self, message, is_from_other_zone):
         """Apply what is of another zone and pass it on in this zone.
@@ -337,21 +355,22 @@
             generation, self._mesh.zone_roles.is_fetcher, now
         )
         if name is not None:
-            self._send_to(
-                name, hop_messages.FetchConfiguration(generation + 1)
-            )
+            self.send_to(name, hop_messages.FetchConfiguration(generation + 1))
 
     def _send_configuration(self, name):
         mesh = self._mesh
-        self._send_to(
+        self.send_to(
             name,
             hop_messages.Configuration(
                 mesh.generation, mesh.configuration_content
             ),
         )
 
-    def _send_to(self, name, message):
-        """Send a message to a node on whichever link there is."""
+    def send_to(self, name, message):
+        """Send a message to a node on whichever link there is.
+
+        :param name: name of the node; without a link nothing is sent
+        """
         peer = self._mesh.fleet.get(name)
         if name in self._links and peer is not None and peer.is_linked:
             self._links[name].send(message)
--- a/packages/pumicestand-node/pumicestand_node/mesh_metrics.py
+++ b/packages/pumicestand-node/pumicestand_node/mesh_metrics.py
@@ -10,9 +10,11 @@
     :param outbound_calls: `outbound_calls.OutboundCalls` of this node
     :param target_calls: `target_calls.TargetCalls` of this node
     :param clock: returns monotonic seconds
+    :param agent: `freshness_agent.FreshnessAgent` of this node, None if keys
+        need no proofs
     """
 
-    def __init__(self, mesh, outbound_calls, target_calls, clock):
+    def __init__(self, mesh, outbound_calls, target_calls, clock, agent=None):
         registry = metrics.Metrics(
             mesh.identity.name, outbound_calls.durations
         )
@@ -95,6 +97,21 @@
             ),
         ):
             registry.create_gauge(name, read_value, description)
+        if agent is not None:
+            self._register_freshness(agent)
+
+    def _register_freshness(self, agent):
+        self._registry.export_counter(
+            'pumicestand_freshness',
+            agent.counts,
+            ('event', 'result'),
+            'Requests, replies and reads for freshness proofs, by result',
+        )
+        self._registry.create_gauge(
+            'pumicestand_freshness_age',
+            lambda: agent.age,
+            'Seconds since the configuration is known to have been the newest',
+        )
 
     def text(self):
         """Return all metrics in the text format of the scraper, as bytes."""
--- a/packages/pumicestand-node/pumicestand_node/mesh_node.py
+++ b/packages/pumicestand-node/pumicestand_node/mesh_node.py
@@ -12,6 +12,7 @@
 from pumicestand import documents
 from pumicestand import node_records
 from pumicestand_node import client_port
+from pumicestand_node import freshness_agent
 from pumicestand_node import listeners
 from pumicestand_node import mesh_links
 from pumicestand_node import mesh_state
@@ -121,6 +122,7 @@
             settings.is_first_start,
         )
         self._links.on_store_era = self._store.hear_era
+        self._freshness = self._make_freshness_agent()
         self._metrics = None
         self._client_port = client_port.ClientPort(
             self._outbound_calls.serve, self._log_refusal, self._client_limits
@@ -129,6 +131,23 @@
         self._nursery = None
         self._outbound_scope = trio.CancelScope()
 
+    def _make_freshness_agent(self):
+        """Return the agent that proves that keys are valid, or None."""
+        bounds = self._settings.bounds
+        if not bounds.is_revocation_strict:
+            return None
+        agent = freshness_agent.FreshnessAgent(
+            self._mesh,
+            self._store,
+            self._links.send_to,
+            bounds.revocation,
+            self._clock,
+            self._rng,
+        )
+        self._links.on_freshness = agent.receive
+        self._outbound_calls.access.is_fresh = agent.is_fresh
+        return agent
+
     async def start(self, nursery):
         """Open all ports and start the background tasks in a nursery."""
         self._nursery = nursery
@@ -148,6 +167,8 @@
         )
         await self._links.start(nursery)
         await self._store.start(nursery)
+        if self._freshness is not None:
+            await self._freshness.start(nursery)
         for task in (
             self._run_controllers,
             self._flush_log,
@@ -336,6 +357,7 @@
                 self._outbound_calls,
                 self._target_calls,
                 self._clock,
+                self._freshness,
             )
         return plain_http.PlainResponse(200, self._metrics.text())
 
--- a/packages/pumicestand-node/pumicestand_node/mesh_store.py
+++ b/packages/pumicestand-node/pumicestand_node/mesh_store.py
@@ -14,6 +14,7 @@
 import trio
 
 from pumicestand import errors
+from pumicestand import freshness
 from pumicestand import node_records
 from pumicestand import stored_objects
 from pumicestand_node import supervision
@@ -102,6 +103,11 @@
         self._settled_at = float('inf')
         self._nursery = None
 
+    @property
+    def era(self):
+        """Latest known era of the store, 0 if none is known."""
+        return self._client.era
+
     async def start(self, nursery):
         """Start the synchronisation tasks in a nursery."""
         self._nursery = nursery
@@ -344,7 +350,7 @@
         self._own_position = stored.position
         self._written_record = record
 
-    def _is_watcher(self):
+    def is_watcher(self):
         """Return whether this node should watch the store."""
         mesh = self._mesh
         if mesh.is_leaving or self._clock() < self._settled_at:
@@ -368,9 +374,9 @@
         answered_at = self._clock()
         backoff = MIN_BACKOFF_S
         while True:
-            if position is not None and not self._is_watcher():
+            if position is not None and not self.is_watcher():
                 await trio.sleep(ROLE_CHECK_PERIOD_S)
-                if self._is_watcher():
+                if self.is_watcher():
                     # The store may no longer keep the changes made in the
                     # meantime.
                     position = None
@@ -409,7 +415,7 @@
         if position is None:
             # What is newer is heard from the nodes that watch.
             listing = await self._client.list(
-                kind, allow_stale=not self._is_watcher()
+                kind, allow_stale=not self.is_watcher()
             )
             await self._hold_first_configuration()
             for item in listing.items:
@@ -450,6 +456,28 @@
         ):
             self._on_change()
 
+    async def read_configuration(self):
+        """Read the stored configuration and apply it if it is newer.
+
+        :returns: `freshness.Found`, None if it can't be read
+        """
+        translator = self._translator
+        try:
+            stored = await self._client.read(
+                translator.configuration_kind, translator.configuration_name
+            )
+        except STORE_ERRORS as error:
+            loguru.logger.debug('configuration was not read: {}', error)
+            return None
+        if stored is None:
+            return None
+        generation = translator.read_generation(stored.spec)
+        if generation is None:
+            return None
+        if generation > self._mesh.generation:
+            self._apply_configuration(stored)
+        return freshness.Found(generation, stored.era)
+
     def apply_peer_configuration(self, configuration, peer):
         """Apply a configuration received from another node.
 
--- a/packages/pumicestand-standins/pumicestand_standins/objects.py
+++ b/packages/pumicestand-standins/pumicestand_standins/objects.py
@@ -49,12 +49,13 @@
     is_deleted: bool
 
 
-def make_configuration(generation, routes, services, host):
+def make_configuration(generation, routes, services, host, tenants=()):
     """Return the spec of a configuration as the operator writes it.
 
     :param routes: (name, path prefix, type, service, attempts) of each route
     :param services: names of the services
     :param host: host of all routes
+    :param tenants: (name, list of keys, priority) of each organisation
     """
     columns = ['name', 'path_prefix', 'route_type', 'service', 'max_attempts']
     common_fields = {
@@ -73,6 +74,10 @@
             'columns': ['name'],
             'rows': [[name] for name in services],
         },
+        'tenants': {
+            'columns': ['name', 'api_keys', 'priority'],
+            'rows': [list(tenant) for tenant in tenants],
+        },
         'limits': {
             'max_header_bytes': 16_384,
             'max_body_bytes': 1_000_000,
@@ -98,6 +103,7 @@
         self._revision = 1
         self._era = 1
         self._copy = None
+        self._stale_state = None
         self.era_header = '{}'
         self._changed = trio.Event()
         self.faults = Faults()
@@ -127,6 +133,10 @@
         self._history = []
         self._notify_watches()
 
+    def hold_stale_state(self):
+        """Answer reads that allow it from the present state from now on."""
+        self._stale_state = (dict(self._objects), self._revision)
+
     def take_copy(self):
         """Keep the present state for `restore`."""
         self._copy = (dict(self._objects), self._revision)
@@ -221,17 +231,20 @@
 
     def _list(self, kind, request):
         after = urllib.parse.unquote(request.query('after'))
+        objects, revision = self._objects, self._revision
+        if self._stale_state is not None and request.query('allow_stale'):
+            objects, revision = self._stale_state
         names = sorted(
             object_name
-            for object_kind, object_name in self._objects
+            for object_kind, object_name in objects
             if object_kind == kind and object_name > after
         )
         page = names[: self._page_items]
         return http_server.json_response(
             {
-                'items': [self._objects[(kind, name)] for name in page],
+                'items': [objects[(kind, name)] for name in page],
                 'more': len(names) > len(page),
-                'at': self._revision,
+                'at': revision,
             }
         )
 
--- a/packages/pumicestand/pumicestand/zone_roles.py
+++ b/packages/pumicestand/pumicestand/zone_roles.py
@@ -47,10 +47,14 @@
 
     def is_watcher(self):
         """Whether this node watches the store."""
+        return self._identity.name in self.watchers()
+
+    def watchers(self):
+        """Return the names of the nodes of this zone that watch the store."""
         zones = {peer.zone for peer in self._fleet.peers if peer.zone}
         zones.add(self._identity.zone)
         count = math.ceil(MIN_WATCHERS / len(zones))
-        return self._is_among_first('watch', count, reaches_store)
+        return self._first('watch', count, reaches_store)
 
     def is_writer(self):
         """Whether this node writes roll-out states, first in the fleet.
@@ -58,15 +62,21 @@
         Nodes of other zones are known by few nodes, so several may write at
         once; the writes are conditional.
         """
-        return self._is_among_first('write', 1, reaches_store, all_zones=True)
+        return self._is_among_first(
+            'write', 1, is_eligible=reaches_store, all_zones=True
+        )
+
+    def _is_among_first(self, role, count, **options):
+        """Return whether this node is among the first-ranked for a role."""
+        return self._identity.name in self._first(role, count, **options)
 
-    def _is_among_first(
+    def _first(
         self, role, count, is_eligible=lambda peer: True, all_zones=False
     ):
-        """Return whether this node is among the first-ranked for a role.
+        """Return the names of the nodes that rank first for a role.
 
-        It is always eligible itself. Nodes on slow links come last, since
-        what they pass on would delay the calls of their VM.
+        This node is always eligible itself. Nodes on slow links come last,
+        since what they pass on would delay the calls of their VM.
         """
         identity = self._identity
         rates = {identity.name: self._meter.rate}
@@ -86,7 +96,7 @@
         ranked = ranking.rank(role, rates.keys() - slow) + ranking.rank(
             role, slow
         )
-        return identity.name in ranked[:count]
+        return ranked[:count]
 
 
 def reaches_store(peer):
--- a/tests/pumicestand_node/test_mesh_links.py
+++ b/tests/pumicestand_node/test_mesh_links.py
@@ -47,6 +47,9 @@
     def __init__(self):
         self.sent = []
 
+    def send(self, message):
+        self.sent.append(message)
+
     def send_encoded(self, data, kind):
         self.sent.append(hop.decode(data[hop.LENGTH_PREFIX.size :], 'test'))
 
@@ -417,3 +420,40 @@
         assert message_types(harness.sent)[2:] == ['Load']
 
     run_test(test)
+
+
+def test_messages_about_proofs_are_passed_on_and_answered_on_their_link(
+    run_test,
+):
+    """They arrive on links of either direction."""
+
+    async def test(harness):
+        received = []
+
+        def receive(message, send):
+            received.append(message)
+            send(hop_messages.FreshnessReply(message.number, 3, 20))
+
+        harness.links.on_freshness = receive
+        harness.mesh.fleet.get_or_add('a-1', '10.0.0.2', 7000, 0.0)
+        (contact,) = add_contacts(harness, 1)
+        server = harness.link_servers[0]
+        request = hop_messages.FreshnessRequest(9)
+        harness.links._handle_opener_message(server, request)
+        harness.links._handle_message(harness.mesh.fleet.get('b-0'), request)
+        assert received == [request, request]
+        reply = hop_messages.FreshnessReply(9, 3, 20)
+        assert server.frames.sent[-1] == reply
+        assert contact.sent == [reply]
+
+    run_test(test)
+
+
+def test_request_for_a_proof_is_ignored_where_keys_need_none(run_test):
+    async def test(harness):
+        server = harness.link_servers[0]
+        request = hop_messages.FreshnessRequest(9)
+        harness.links._handle_opener_message(server, request)
+        assert 'FreshnessReply' not in message_types(harness.sent)
+
+    run_test(test)
--- a/tests/pumicestand_node/test_mesh_store.py
+++ b/tests/pumicestand_node/test_mesh_store.py
@@ -10,6 +10,7 @@
 import trio.testing
 
 from pumicestand import decision_log
+from pumicestand import freshness
 from pumicestand import hop_messages
 from pumicestand import node_records
 from pumicestand import rollouts
@@ -546,3 +547,60 @@
                 nursery.cancel_scope.cancel()
 
     mock_clock.run(main)
+
+
+def test_read_configuration_is_applied_if_it_is_newer():
+    """The watch may be silent although there are changes."""
+
+    async def main():
+        async with open_nodes('a') as ((node,), store):
+            await trio.sleep(1.5)
+            changes = node.change_count
+            found = await node.mesh_store.read_configuration()
+            assert found == freshness.Found(0x1F, 1)
+            assert node.change_count == changes
+            store.faults.deaf = True
+            put_configuration(store, '00000020')
+            found = await node.mesh_store.read_configuration()
+            assert found == freshness.Found(0x20, 1)
+            assert node.mesh.generation == 0x20
+            assert node.change_count == changes + 1
+
+    mock_clock.run(main)
+
+
+def test_read_of_unusable_configuration_tells_its_generation():
+    async def main():
+        async with open_nodes('a') as ((node,), store):
+            await trio.sleep(1.5)
+            store.put('config', 'main', {'version': '00000020'})
+            found = await node.mesh_store.read_configuration()
+            assert found == freshness.Found(0x20, 1)
+            assert node.mesh.generation == 0x1F
+            store.put('config', 'main', {'version': 'x'})
+            assert await node.mesh_store.read_configuration() is None
+
+    mock_clock.run(main)
+
+
+@pytest.mark.parametrize(
+    'fault', ['down', 'busy', 'reset', 'silent', 'spoilt', 'slow_s']
+)
+def test_failed_read_of_the_configuration_finds_nothing(fault):
+    async def main():
+        async with open_nodes('a') as ((node,), store):
+            await trio.sleep(1.5)
+            setattr(store.faults, fault, 5.0 if fault == 'slow_s' else True)
+            assert await node.mesh_store.read_configuration() is None
+
+    mock_clock.run(main)
+
+
+def test_configuration_that_does_not_exist_is_not_found():
+    async def main():
+        async with open_nodes('a') as ((node,), store):
+            await trio.sleep(1.5)
+            del store._objects[('config', 'main')]
+            assert await node.mesh_store.read_configuration() is None
+
+    mock_clock.run(main)
