--- a/packages/pumicestand-node/pumicestand_node/call_access.py
+++ b/packages/pumicestand-node/pumicestand_node/call_access.py
@@ -12,6 +12,7 @@
 # Time after the start of the node in which the target may still run calls
 # that it was sent by the previous process, in seconds.
 UNKNOWN_PARENTS_S = 5.0
+_ADMITTED = organisations.Admitted()
 
 
 class CallAccess:
@@ -57,7 +58,7 @@
         :param head: the `heads.RequestHead`
         """
         if not self.needs_keys(configuration):
-            return organisations.Admitted()
+            return _ADMITTED
         parent = None
         may_be_nested = False
         if PARENT_SEPARATOR in request_id:
--- a/packages/pumicestand-node/pumicestand_node/outbound_calls.py
+++ b/packages/pumicestand-node/pumicestand_node/outbound_calls.py
@@ -141,7 +141,7 @@
         )
         if refusal is not None:
             return await self._refuse_access(
-                request, connection, route, refusal
+                request, connection, configuration, route, refusal
             )
         call = self._create_call(
             request.head,
@@ -185,7 +185,9 @@
         )
         return await self._send_refusal(request, connection, refusal)
 
-    async def _refuse_access(self, request, connection, route, refusal):
+    async def _refuse_access(
+        self, request, connection, configuration, route, refusal
+    ):
         """Refuse a request whose key does not admit it to its route."""
         self._mesh.decisions.note(
             'call',
@@ -194,7 +196,8 @@
             status=refusal.status,
             code=str(refusal.code),
             why=refusal.detail,
-            generation=self._mesh.generation,
+            generation=configuration.accepted.generation,
+            in_force_s=round(self._clock() - configuration.since, 3),
         )
         return await self._send_refusal(request, connection, refusal)
 
--- a/tests/pumicestand_node/test_freshness_agent.py
+++ b/tests/pumicestand_node/test_freshness_agent.py
@@ -219,6 +219,29 @@
     mock_clock.run(main)
 
 
+def test_store_that_came_back_from_a_copy_costs_no_calls():
+    """It has an older configuration than all nodes, which keep theirs."""
+
+    async def main():
+        async with open_fleet('a', 'b', 'c') as (nodes, store):
+            await trio.sleep(3.0)
+            store.take_copy()
+            put_configuration(store, 4)
+            await trio.sleep(1.0)
+            store.restore()
+            for _ in range(100):
+                await trio.sleep(0.1)
+                for node in nodes.values():
+                    assert node.mesh.generation == 4
+                    assert node.agent.is_fresh()
+            put_configuration(store, 5)
+            await trio.sleep(1.5)
+            for node in nodes.values():
+                assert node.mesh.generation == 5 or not node.agent.is_fresh()
+
+    mock_clock.run(main)
+
+
 def test_node_turned_away_by_the_store_gets_proofs_of_others():
     async def main():
         async with open_fleet('a', 'b', 'c', 'd', 'e') as (nodes, _):
