Read settings, records and configurations without pydantic

Loading it late was weighed: it would still come before the first call, since that needs the settings, the records and the configuration.

field_reading reads data classes from decoded JSON. Tables of tests compare each reader with the models that it replaces, field by field. The only inputs that are no longer accepted are malformed integers such as 0-5 and 0__5.

--- a/packages/pumicestand/pumicestand/node_records.py
+++ b/packages/pumicestand/pumicestand/node_records.py
@@ -2,9 +2,9 @@
 
 import dataclasses
 
-import pydantic
-
+from pumicestand import field_reading
 from pumicestand import hop_messages
+from pumicestand import target_states
 
 KIND = 'pumicestand-nodes'
 
@@ -20,12 +20,33 @@
     target: hop_messages.Target | None = None
 
 
-_ADAPTER = pydantic.TypeAdapter(NodeRecord)
+_TARGET_READER = field_reading.RecordReader(
+    hop_messages.Target,
+    instance=field_reading.read_text,
+    service=field_reading.read_text,
+    version=field_reading.read_text,
+    host=field_reading.read_text,
+    port=field_reading.read_integer,
+    slots=field_reading.read_integer,
+    state=field_reading.member_of(target_states.TargetState),
+    started_ms=field_reading.read_integer,
+)
+_READER = field_reading.RecordReader(
+    NodeRecord,
+    name=field_reading.read_text,
+    host=field_reading.read_text,
+    port=field_reading.read_integer,
+    zone=field_reading.read_text,
+    target=field_reading.optional(_TARGET_READER.read),
+)
 
 
 def to_json(record):
     """Return a record as data for a JSON encoder."""
-    return _ADAPTER.dump_python(record, mode='json')
+    data = dataclasses.asdict(record)
+    if record.target is not None:
+        data['target']['state'] = int(record.target.state)
+    return data
 
 
 def from_json(data):
@@ -40,6 +61,6 @@
     True
     """
     try:
-        return _ADAPTER.validate_python(data)
-    except pydantic.ValidationError:
+        return _READER.read(data)
+    except field_reading.FieldError:
         return None
