Import loguru at the first record

loguru imports asyncio and multiprocessing: 15 to 30 ms of processor time and 3 MB of each start, while most starts write no line by it. log.logger is loguru's logger still; the modules read it from log. A node that logs pays for the import then.

--- a/packages/pumicestand-node/pumicestand_node/client_port.py
+++ b/packages/pumicestand-node/pumicestand_node/client_port.py
@@ -2,10 +2,10 @@
 
 import time
 
-import loguru
 import trio
 
 from pumicestand import documents
+from pumicestand import log
 from pumicestand_node import client_connections
 
 
@@ -53,7 +53,8 @@
         try:
             await connection.run()
         except OSError as error:
-            loguru.logger.debug('connection from a client failed: {}', error)
+            if log.is_written('DEBUG'):
+                log.logger.debug('connection from a client failed: {}', error)
         finally:
             self._connections.discard(connection)
             if connection.refusal is not None:
--- a/packages/pumicestand-node/pumicestand_node/frame_streams.py
+++ b/packages/pumicestand-node/pumicestand_node/frame_streams.py
@@ -7,12 +7,12 @@
 import collections
 import dataclasses
 
-import loguru
 import trio
 
 from pumicestand import errors
 from pumicestand import hop
 from pumicestand import hop_messages
+from pumicestand import log
 from pumicestand_node import socket_io
 
 MAX_READ_BYTES = 65_536
@@ -117,7 +117,7 @@
         except* (trio.BrokenResourceError, trio.ClosedResourceError, OSError):
             pass
         except* errors.InvalidFrameError as group:
-            loguru.logger.warning('closing a link: {}', group.exceptions[0])
+            log.logger.warning('closing a link: {}', group.exceptions[0])
         finally:
             self.is_closed = True
             await trio.aclose_forcefully(self._stream)
--- a/packages/pumicestand-node/pumicestand_node/links.py
+++ b/packages/pumicestand-node/pumicestand_node/links.py
@@ -6,11 +6,11 @@
 
 import socket
 
-import loguru
 import trio
 
 from pumicestand import hop_messages
 from pumicestand import link_meter
+from pumicestand import log
 from pumicestand_node import frame_streams
 
 CONNECT_TIMEOUT_S = 1.0
@@ -98,7 +98,7 @@
                     await self._run_connection(stream)
                 except Exception as error:
                     # One message must not end the process.
-                    loguru.logger.opt(exception=error).error(
+                    log.logger.opt(exception=error).error(
                         'link to {} failed: {!r}', self._peer.name, error
                     )
                 await trio.sleep(MIN_RECONNECT_DELAY_S * self._rng.random())
@@ -156,7 +156,7 @@
                 pass
             case hop_messages.Report(name=name) if name != self._peer.name:
                 # Another node has taken over the address.
-                loguru.logger.warning(
+                log.logger.warning(
                     'address of node {} is now used by node {}; closing the '
                     'link',
                     self._peer.name,
@@ -239,7 +239,7 @@
             return True
         if now - self._pinged_at <= self._ping_timeout_s():
             return True
-        loguru.logger.warning(
+        log.logger.warning(
             'link to {} received nothing for {:.1f} s with {} calls '
             'pending; closing it',
             self._peer.name,
--- a/packages/pumicestand-node/pumicestand_node/main.py
+++ b/packages/pumicestand-node/pumicestand_node/main.py
@@ -4,7 +4,6 @@
 import signal
 import sys
 
-import loguru
 import trio
 
 from pumicestand import errors
@@ -72,7 +71,7 @@
         return 0
     log.configure(loaded.values.name, loaded.values.log_level)
     for warning in loaded.warnings:
-        loguru.logger.warning('{}', warning)
+        log.logger.warning('{}', warning)
     trio.run(run, loaded.values)
     return 0
 
--- a/packages/pumicestand-node/pumicestand_node/mesh_node.py
+++ b/packages/pumicestand-node/pumicestand_node/mesh_node.py
@@ -5,11 +5,11 @@
 import random
 import time
 
-import loguru
 import trio
 
 from pumicestand import decision_log
 from pumicestand import documents
+from pumicestand import log
 from pumicestand import node_records
 from pumicestand_node import client_port
 from pumicestand_node import listeners
@@ -183,7 +183,7 @@
                 await serve(stream)
             except Exception as error:
                 # An error on one connection must not stop the process.
-                loguru.logger.opt(exception=error).error(
+                log.logger.opt(exception=error).error(
                     'connection on port {} failed: {!r}',
                     address.port,
                     error,
@@ -365,7 +365,7 @@
         """Handle a heartbeat or a departure of the target on this VM."""
         control = self._adapter.read_control_request(method, path, body)
         if control is None:
-            loguru.logger.error(
+            log.logger.error(
                 'control request {} {} with a body of {} bytes is invalid',
                 method,
                 path,
--- a/packages/pumicestand-node/pumicestand_node/mesh_store.py
+++ b/packages/pumicestand-node/pumicestand_node/mesh_store.py
@@ -10,10 +10,10 @@
 import json
 import zlib
 
-import loguru
 import trio
 
 from pumicestand import errors
+from pumicestand import log
 from pumicestand import node_records
 from pumicestand import stored_objects
 from pumicestand_node import supervision
@@ -228,7 +228,7 @@
         for item in listing.items:
             record = node_records.from_json(item.spec)
             if record is None:
-                loguru.logger.warning(
+                log.logger.warning(
                     'object {} of kind {} is not a valid node record',
                     item.name,
                     item.kind,
@@ -437,7 +437,7 @@
         """Apply a configuration read from the store."""
         parsed = self._translator.read_configuration(stored.spec)
         if parsed is None:
-            loguru.logger.error(
+            log.logger.error(
                 'object {} of kind {} is not a valid configuration',
                 stored.name,
                 stored.kind,
@@ -464,7 +464,7 @@
             )
             parsed = self._translator.read_configuration(json.loads(data))
         except (zlib.error, ValueError) as error:
-            loguru.logger.error(
+            log.logger.error(
                 'configuration of generation {} from {} cannot be decoded: {}',
                 configuration.generation,
                 peer,
@@ -472,7 +472,7 @@
             )
             return
         if parsed is None or parsed[0] != configuration.generation:
-            loguru.logger.error(
+            log.logger.error(
                 'configuration of generation {} from {} is invalid or its '
                 'content is of another generation',
                 configuration.generation,
@@ -488,7 +488,7 @@
         """Apply a roll-out order read from the store."""
         order = self._translator.read_order(stored)
         if order is None:
-            loguru.logger.error(
+            log.logger.error(
                 'object {} of kind {} is not a valid roll-out order',
                 stored.name,
                 stored.kind,
@@ -541,7 +541,7 @@
         except errors.ConflictError:
             await self._reload_orders()
         except STORE_ERRORS as error:
-            loguru.logger.warning(
+            log.logger.warning(
                 'status {} of the roll-out of {} was not written: {}',
                 action.state.name,
                 order.service,
--- a/packages/pumicestand-node/pumicestand_node/supervision.py
+++ b/packages/pumicestand-node/pumicestand_node/supervision.py
@@ -4,9 +4,10 @@
 not the process with all its calls.
 """
 
-import loguru
 import trio
 
+from pumicestand import log
+
 # Delay before a failed task is started again, doubled after each failure, and
 # the time without a failure after which it is the first one again.
 MIN_RESTART_DELAY_S = 0.1
@@ -29,7 +30,7 @@
         except Exception as error:
             if trio.current_time() - started_at > RESET_AFTER_S:
                 delay_s = MIN_RESTART_DELAY_S
-            loguru.logger.opt(exception=error).bind(event='task-failed').error(
+            log.logger.opt(exception=error).bind(event='task-failed').error(
                 'task {} failed and starts again in {:.1f} s: {!r}',
                 name,
                 delay_s,
--- a/packages/pumicestand-node/pumicestand_node/target_calls.py
+++ b/packages/pumicestand-node/pumicestand_node/target_calls.py
@@ -8,11 +8,11 @@
 import collections
 import dataclasses
 
-import loguru
 import trio
 
 from pumicestand import fingerprints
 from pumicestand import hop_messages
+from pumicestand import log
 from pumicestand import rate_limits
 from pumicestand import refusals
 from pumicestand import target_queue
@@ -372,7 +372,7 @@
         if value is not None and limit is None:
             if value != self._invalid_limit:
                 self._invalid_limit = value
-                loguru.logger.bind(event='target-limit').warning(
+                log.logger.bind(event='target-limit').warning(
                     'target {} advertises the invalid rate limit {!r}, '
                     'ignored',
                     target.instance,
@@ -384,7 +384,7 @@
             self._set_rate_limit(limit)
         if not rate_limits.is_change(previous, limit):
             return
-        loguru.logger.bind(event='target-limit').info(
+        log.logger.bind(event='target-limit').info(
             'rate limit of target {} is {} calls a second, before {}',
             target.instance,
             'unlimited' if limit is None else limit,
@@ -439,7 +439,7 @@
         if not error.may_be_sent:
             self._unreachable_until = self._clock() + UNREACHABLE_PAUSE_S
             self._on_change()
-            loguru.logger.bind(event='target-unreachable').warning(
+            log.logger.bind(event='target-unreachable').warning(
                 'target {} at {}:{} is unreachable: {}',
                 target.instance,
                 target.host,
@@ -463,7 +463,7 @@
         if not fingerprints:
             return
         self._on_change()
-        loguru.logger.bind(event='target-crashed').warning(
+        log.logger.bind(event='target-crashed').warning(
             'target {} crashed while {} calls ran, with fingerprints {}',
             target.instance,
             len(fingerprints),
@@ -475,7 +475,7 @@
             # The target had started the call, so it lost the response.
             return
         max_idle_s = self._pool.record_stale(connection)
-        loguru.logger.bind(event='connection-forgotten').warning(
+        log.logger.bind(event='connection-forgotten').warning(
             'target {} had closed a connection that was idle for {:.2f} s; '
             'connections are now reused only within {:.2f} s',
             target.instance,
--- a/packages/pumicestand-node/pumicestand_node/target_exchange.py
+++ b/packages/pumicestand-node/pumicestand_node/target_exchange.py
@@ -6,9 +6,9 @@
 """
 
 import httptools
-import loguru
 import trio
 
+from pumicestand import log
 from pumicestand import response_buffers
 from pumicestand import tcp_options
 from pumicestand_node import socket_io
@@ -157,7 +157,7 @@
                     )
                 # The target is out of step; it may send more of the kind.
                 self._has_foreign_response = True
-                loguru.logger.bind(event='foreign-response').warning(
+                log.logger.bind(event='foreign-response').warning(
                     'target sent a response with status {} that is not for '
                     'the current call; it is ignored',
                     response.status,
