--- a/packages/pumicestand-node/pumicestand_node/links.py
+++ b/packages/pumicestand-node/pumicestand_node/links.py
@@ -11,6 +11,7 @@
 from pumicestand import hop_messages
 from pumicestand import link_meter
 from pumicestand import log
+from pumicestand import tcp_streams
 from pumicestand_node import frame_streams
 
 CONNECT_TIMEOUT_S = 1.0
@@ -107,7 +108,7 @@
         """Return a stream to the peer, None if it can't be reached."""
         try:
             with trio.fail_after(CONNECT_TIMEOUT_S):
-                stream = await trio.open_tcp_stream(*self.address)
+                stream = await tcp_streams.open_stream(*self.address)
         except (OSError, trio.TooSlowError):
             return None
         set_tcp_user_timeout(stream)
--- a/packages/pumicestand-node/pumicestand_node/listeners.py
+++ b/packages/pumicestand-node/pumicestand_node/listeners.py
@@ -2,6 +2,8 @@
 
 import trio
 
+from pumicestand import tcp_streams
+
 BACKLOG_CONNECTIONS = 512
 
 
@@ -15,5 +17,5 @@
     if tls is not None:
         raise NotImplementedError('TLS is not implemented for listeners')
     return await trio.open_tcp_listeners(
-        port, host=host, backlog=BACKLOG_CONNECTIONS
+        port, host=tcp_streams.encode_host(host), backlog=BACKLOG_CONNECTIONS
     )
--- a/packages/pumicestand-node/pumicestand_node/target_calls.py
+++ b/packages/pumicestand-node/pumicestand_node/target_calls.py
@@ -18,6 +18,7 @@
 from pumicestand import target_queue
 from pumicestand import target_states
 from pumicestand import targets
+from pumicestand import tcp_streams
 from pumicestand_node import target_exchange
 from pumicestand_node import target_responses
 
@@ -63,7 +64,7 @@
         headers,
         clock,
         on_change,
-        connect=trio.open_tcp_stream,
+        connect=tcp_streams.open_stream,
     ):
         self._target_watch = target_watch
         self._suspects = suspects
--- a/packages/pumicestand-node/pumicestand_node/target_exchange.py
+++ b/packages/pumicestand-node/pumicestand_node/target_exchange.py
@@ -11,6 +11,7 @@
 from pumicestand import log
 from pumicestand import response_buffers
 from pumicestand import tcp_options
+from pumicestand import tcp_streams
 from pumicestand_node import socket_io
 from pumicestand_node import target_responses
 
@@ -202,7 +203,7 @@
     :param connect: coroutine function from host and port to a stream
     """
 
-    def __init__(self, clock, connect=trio.open_tcp_stream):
+    def __init__(self, clock, connect=tcp_streams.open_stream):
         self._clock = clock
         self._connect = connect
         self._buffers = response_buffers.ResponseBuffers()
--- a/packages/pumicestand/pumicestand/http_pool.py
+++ b/packages/pumicestand/pumicestand/http_pool.py
@@ -12,6 +12,8 @@
 import httptools
 import trio
 
+from pumicestand import tcp_streams
+
 READ_BYTES = 65_536
 MAX_HEAD_BYTES = 100_000
 
@@ -50,7 +52,7 @@
 
         :raises OSError: if the connection can't be opened
         """
-        stream = await trio.open_tcp_stream(host, port)
+        stream = await tcp_streams.open_stream(host, port)
         for option in self._socket_options:
             stream.setsockopt(*option)
         return stream
