--- a/tests/pumicestand_node/test_links.py
+++ b/tests/pumicestand_node/test_links.py
@@ -70,7 +70,7 @@
             random.Random(1),
             link_meter.LinkMeter(0.0),
         )
-        monkeypatch.setattr(links.trio, 'open_tcp_stream', self.connect)
+        monkeypatch.setattr(links.tcp_streams, 'open_stream', self.connect)
         monkeypatch.setattr(links, 'set_tcp_user_timeout', lambda stream: None)
         nursery.start_soon(self.link.run)
         self.fails_once = False
--- a/tests/pumicestand_node/test_mesh_links.py
+++ b/tests/pumicestand_node/test_mesh_links.py
@@ -164,7 +164,7 @@
             trio.current_time,
             random.Random(1),
         )
-        monkeypatch.setattr(links.trio, 'open_tcp_stream', self._connect)
+        monkeypatch.setattr(links.tcp_streams, 'open_stream', self._connect)
         monkeypatch.setattr(links, 'set_tcp_user_timeout', lambda stream: None)
 
     async def _connect(self, host, port):
