--- a/tests/pumicestand_node/test_held_bodies.py
+++ b/tests/pumicestand_node/test_held_bodies.py
@@ -85,7 +85,7 @@
             random.Random(1),
             link_meter.LinkMeter(0.0),
         )
-        monkeypatch.setattr(links.trio, 'open_tcp_stream', self._connect)
+        monkeypatch.setattr(links.tcp_streams, 'open_stream', self._connect)
         monkeypatch.setattr(links, 'set_tcp_user_timeout', lambda stream: None)
         nursery.start_soon(self.link.run)
 
--- a/tests/pumicestand_platform/test_start_modules.py
+++ b/tests/pumicestand_platform/test_start_modules.py
@@ -12,17 +12,22 @@
 import trio
 
 from benchmarks import harness
+import pumicestand
+import pumicestand_node
 from pumicestand_standins import http_server
 from pumicestand_standins import objects
 from soak import clusters
 
 OWN = """
-pumicestand pumicestand.call_headers pumicestand.decision_log
+pumicestand pumicestand.body_transfers pumicestand.call_headers
+pumicestand.decision_log
 pumicestand.documents pumicestand.errors pumicestand.fetches
 pumicestand.field_reading pumicestand.fingerprints pumicestand.fleet
+pumicestand.freshness
 pumicestand.hop pumicestand.hop_messages pumicestand.http_pool
 pumicestand.latencies pumicestand.link_meter pumicestand.link_probes
 pumicestand.link_selection pumicestand.log pumicestand.node_records
+pumicestand.organisations
 pumicestand.placing pumicestand.ranking pumicestand.rate_limits
 pumicestand.refusals pumicestand.regressions pumicestand.reporting
 pumicestand.response_buffers pumicestand.retry_quota pumicestand.rollouts
@@ -30,8 +35,10 @@
 pumicestand.suspects pumicestand.target_queue pumicestand.target_states
 pumicestand.targets pumicestand.tcp_options pumicestand.tcp_streams
 pumicestand.zone_roles pumicestand.zone_summaries
-pumicestand_node pumicestand_node.client_connections
+pumicestand_node pumicestand_node.body_receiver
+pumicestand_node.call_access pumicestand_node.client_connections
 pumicestand_node.client_port pumicestand_node.frame_streams
+pumicestand_node.freshness_agent
 pumicestand_node.heads pumicestand_node.link_server pumicestand_node.links
 pumicestand_node.listeners pumicestand_node.mesh_links
 pumicestand_node.mesh_node pumicestand_node.mesh_settings
@@ -92,6 +99,14 @@
     )
 
 
+# Without the site packages' start files, the packages of the workspace have
+# to be named.
+PACKAGE_PATHS = [
+    str(pathlib.Path(package.__file__).parents[1])
+    for package in (pumicestand, pumicestand_node)
+]
+
+
 async def start_node(folder):
     """Start a node until it is ready; return the modules it has imported."""
     network = clusters.LoopbackNetwork()
@@ -115,7 +130,7 @@
             folder / 'node.log',
             {
                 'PUMICESTAND_SETTINGS': str(node.write_settings('start')),
-                'PYTHONPATH': os.pathsep.join(sys.path),
+                'PYTHONPATH': os.pathsep.join([*PACKAGE_PATHS, *sys.path]),
             },
         )
         try:
