Read the rates of cold targets and the kind of evacuations

The configuration's services may tell for how long a target is cold after its start and how many calls a second it bears meanwhile; documents.Service has the fields since, nothing filled them. Values that are negative or not finite make the configuration invalid, as other fields of a wrong type do.

--- a/tests/pumicestand_platform/test_boundary.py
+++ b/tests/pumicestand_platform/test_boundary.py
@@ -9,7 +9,10 @@
 ROOT = pathlib.Path(__file__).parents[2]
 NAMES = (
     'born',
+    'bounds.evacuate_s',
     'cold_left_s',
+    'cold_per_s',
+    'cold_start_s',
     'deregister',
     'duration_s',
     'heartbeat_addr',
--- a/tests/pumicestand_platform/test_configuration.py
+++ b/tests/pumicestand_platform/test_configuration.py
@@ -65,6 +65,37 @@
     )
 
 
+def with_cold_columns(cold_start_s, cold_per_s):
+    spec = copy.deepcopy(SPEC)
+    spec['services']['columns'] += ['cold_start_s', 'cold_per_s']
+    for row in spec['services']['rows']:
+        row += [cold_start_s, cold_per_s]
+    return spec
+
+
+@pytest.mark.parametrize(
+    'columns, expected',
+    [((8, 12.5), (8.0, 12.5)), ((None, None), (0.0, 0.0)), ((5, 0), (5, 0))],
+)
+def test_rate_of_cold_targets_is_read(columns, expected):
+    _, document = configuration.read_configuration(with_cold_columns(*columns))
+    service = document.service('s')
+    assert (service.cold_start, service.cold_rate) == expected
+
+
+def test_service_without_cold_columns_has_no_cold_rate():
+    _, document = configuration.read_configuration(SPEC)
+    service = document.service('s')
+    assert (service.cold_start, service.cold_rate) == (0.0, 0.0)
+
+
+@pytest.mark.parametrize('columns', [(8, -1), (-1, 8), (8, float('inf'))])
+def test_configuration_with_an_impossible_cold_rate_is_rejected(columns):
+    """It would stop all calls of the service, or pace none."""
+    spec = with_cold_columns(*columns)
+    assert configuration.read_configuration(spec) is None
+
+
 @pytest.mark.parametrize(
     'invalidate',
     [
