Pace the calls of a cold target at its service's cold rate

A target that has just started crashes when it gets its full load, and the node beside it started as many calls as there were free slots. The node now keeps until when its target is cold, from heartbeats, a response header, refused connections and its own start, and starts at most the cold rate and a burst of two calls in any second. Calls that started before the target turned cold count, waiting calls that no longer fit are refused with the time at which room is expected, and the load tells fewer usable slots meanwhile. At the end of the cold time all free slots are used at once. Services without a cold rate are not paced.

--- a/packages/pumicestand-node/pumicestand_node/mesh_metrics.py
+++ b/packages/pumicestand-node/pumicestand_node/mesh_metrics.py
@@ -67,6 +67,16 @@
                 lambda: target_calls.limit,
                 "The target's rate limit in calls a second, while it has one",
             ),
+            (
+                'pumicestand_target_cold',
+                lambda: int(target_calls.is_cold),
+                'Whether calls are paced as the target is or may be cold',
+            ),
+            (
+                'pumicestand_target_cold_periods',
+                lambda: target_calls.cold_periods,
+                'Times that the target turned cold',
+            ),
             (
                 'pumicestand_target_connections_opened',
                 lambda: target_calls.connections_opened,
--- a/packages/pumicestand-node/pumicestand_node/mesh_node.py
+++ b/packages/pumicestand-node/pumicestand_node/mesh_node.py
@@ -11,6 +11,7 @@
 from pumicestand import decision_log
 from pumicestand import documents
 from pumicestand import node_records
+from pumicestand import targets
 from pumicestand_node import client_port
 from pumicestand_node import listeners
 from pumicestand_node import mesh_links
@@ -92,6 +93,7 @@
             adapter.headers,
             self._clock,
             self._schedule_report,
+            find_service=self._mesh.find_service,
         )
         self._links = mesh_links.MeshLinks(
             self._mesh,
@@ -263,6 +265,7 @@
                 mesh.fleet, now, self._store.is_designated_writer
             ):
                 self._store.write_rollout_status(action)
+            self._target_calls.update_coldness()
             self._links.check_links(now)
             if now - timeouts_checked_at >= TIMEOUT_CHECK_PERIOD_S:
                 timeouts_checked_at = now
@@ -374,7 +377,10 @@
             return plain_http.PlainResponse(400, b'not understood\n')
         watch = self._mesh.target_watch
         before = watch.target
-        if not watch.apply(control, self._clock()):
+        is_changed = watch.apply(control, self._clock())
+        if isinstance(control, targets.Heartbeat):
+            self._target_calls.on_heartbeat(control)
+        if not is_changed:
             return plain_http.PlainResponse(200, b'{}', plain_http.JSON)
         self._on_target_changed()
         if before is None or before.state is not watch.target.state:
--- a/packages/pumicestand-node/pumicestand_node/mesh_state.py
+++ b/packages/pumicestand-node/pumicestand_node/mesh_state.py
@@ -39,6 +39,8 @@
         self.decisions = decisions
         self.configuration = None
         self.configuration_content = b''
+        self._services_configuration = None
+        self._services = {}
         self.fleet = fleets.Fleet(identity.name)
         self.peer_selector = placing.PeerSelector(
             rng, identity.name, identity.zone
@@ -68,6 +70,20 @@
             return 0
         return self.configuration.accepted.generation
 
+    def find_service(self, name):
+        """Return the `documents.Service` of a name, None if not known."""
+        configuration = self.configuration
+        if configuration is None:
+            return None
+        if configuration is not self._services_configuration:
+            # Asked for each call, so the services are not searched again.
+            self._services_configuration = configuration
+            self._services = {
+                service.name: service
+                for service in configuration.document.services
+            }
+        return self._services.get(name)
+
     def apply_configuration(self, generation, document, content, now, source):
         """Put a configuration into force if it is newer than the current one.
 
--- a/packages/pumicestand-node/pumicestand_node/target_calls.py
+++ b/packages/pumicestand-node/pumicestand_node/target_calls.py
@@ -11,6 +11,7 @@
 import loguru
 import trio
 
+from pumicestand import coldness
 from pumicestand import fingerprints
 from pumicestand import hop_messages
 from pumicestand import rate_limits
@@ -47,6 +48,7 @@
     ``counts`` holds the number of calls by (outcome, code). While
     ``is_closed`` is true, calls are refused because the node is stopping.
     ``on_leaving`` is called when the target has said that it is leaving.
+    ``cold_periods`` is the number of times that the target turned cold.
 
     :param target_watch: the `targets.TargetWatch`
     :param suspects: the `suspects.Suspects`
@@ -54,6 +56,7 @@
     :param clock: returns monotonic seconds
     :param on_change: called when the load must be reported immediately
     :param connect: coroutine function from host and port to a stream
+    :param find_service: returns the `documents.Service` of a name, or None
     """
 
     def __init__(
@@ -64,8 +67,10 @@
         clock,
         on_change,
         connect=trio.open_tcp_stream,
+        find_service=lambda name: None,
     ):
         self._target_watch = target_watch
+        self._find_service = find_service
         self._suspects = suspects
         self._target_start = None
         self._headers = headers
@@ -83,6 +88,11 @@
         self._slowness = target_queue.SlownessEstimator()
         self._limit = None
         self._invalid_limit = None
+        self._coldness = coldness.Coldness()
+        # Rate and end of the cold time as the queue knows them.
+        self._cold_limit = (None, 0.0)
+        self._is_cold = False
+        self.cold_periods = 0
         self.is_closed = False
         self.on_leaving = None
         self.counts = collections.Counter()
@@ -102,6 +112,11 @@
         """The target's rate limit in calls a second, None if it has none."""
         return self._limit
 
+    @property
+    def is_cold(self):
+        """Whether calls are paced as the target is or may be cold."""
+        return self._is_cold
+
     @property
     def evidence(self):
         """The `hop_messages.Evidence` of each route and version."""
@@ -129,6 +144,59 @@
             slowness=self._slowness.slowness(self._clock()),
         )
 
+    def on_heartbeat(self, heartbeat):
+        """Apply what a heartbeat says of the target's coldness.
+
+        It has been applied to the target watch before, if that accepts it.
+
+        :param heartbeat: `targets.Heartbeat`
+        """
+        target = heartbeat.target
+        self._coldness.record_heartbeat(
+            coldness.Statement(
+                target.instance, target.started_ms, heartbeat.warm_up_left_s
+            ),
+            self._target_watch.heartbeat is heartbeat,
+            self._clock(),
+        )
+        self.update_coldness()
+
+    def update_coldness(self):
+        """Pace calls while the target is cold, and no longer than that.
+
+        Called before each decision and periodically.
+        """
+        target = self._target_watch.target
+        service = self._find_service(target.service) if target else None
+        self._coldness.set_service(service)
+        if not self._coldness.cold_rate and self._cold_limit[0] is None:
+            return
+        now = self._clock()
+        rate = self._coldness.cold_rate or None
+        limit = (rate, self._coldness.cold_until(now))
+        is_cold = rate is not None and now < limit[1]
+        if limit == self._cold_limit and is_cold == self._is_cold:
+            return
+        self._cold_limit = limit
+        for ticket in self._queue.set_cold_limit(*limit, now):
+            self._resume_waiter(ticket, False)
+        if is_cold != self._is_cold:
+            self._set_cold(is_cold, rate)
+
+    def _set_cold(self, is_cold, rate):
+        self._is_cold = is_cold
+        self.cold_periods += is_cold
+        loguru.logger.bind(event='target-cold').info(
+            'target {} is cold, at most {} calls start in a second'
+            if is_cold
+            else 'target {} is warm',
+            self._target_watch.target.instance,
+            rate,
+        )
+        if not is_cold:
+            self._dispatch()
+        self._on_change()
+
     def on_target_changed(self):
         """Apply a change of the target's state.
 
@@ -189,6 +257,7 @@
 
     async def run(self, call):
         """Run a call at the target and return its `hop_messages.Result`."""
+        self.update_coldness()
         now = self._clock()
         code = self._refusal_code() or self._mismatch_code(call)
         if code is not None:
@@ -208,11 +277,18 @@
                 )
             case target_queue.Wait():
                 if not await self._wait_for_slot(ticket):
-                    return self._make_result(
-                        call, Outcome.NOT_HANDED_ON, 'waited-in-vain'
-                    )
+                    return self._refuse_waited(call, ticket)
         return await self._run_in_slot(call, ticket)
 
+    def _refuse_waited(self, call, ticket):
+        """Return the result of a call that waited in vain."""
+        retry_after_s = 0.0
+        if self._is_cold:
+            retry_after_s = self._queue.retry_after_s(ticket, self._clock())
+        return self._make_result(
+            call, Outcome.NOT_HANDED_ON, 'waited-in-vain', retry_after_s
+        )
+
     async def _wait_for_slot(self, ticket):
         """Wait for a slot and return whether the call may run."""
         event = trio.Event()
@@ -252,6 +328,7 @@
 
     def _dispatch(self):
         """Start the waiting calls that may start now."""
+        self.update_coldness()
         started, refused = self._queue.dispatch(self._clock())
         for other in started:
             self._resume_waiter(other, True)
@@ -354,6 +431,7 @@
         ):
             return
         self._read_limit(target, response.header(header_names.limit))
+        self._read_cold_time(target, response.header(header_names.cold_ms))
         if response.header(header_names.leaving) in (None, b'', b'0'):
             return
         leaving = targets.Leaving(target.instance, target.started_ms)
@@ -392,8 +470,23 @@
         )
         self._on_change()
 
+    def _read_cold_time(self, target, value):
+        """Apply the time for which the target says that it stays cold.
+
+        :param value: value of the header, None if there is none
+        """
+        cold_s = None if value is None else coldness.parse_cold_s(value)
+        if cold_s is None:
+            return
+        self._coldness.record_statement(
+            coldness.Statement(target.instance, target.started_ms, cold_s),
+            self._clock(),
+        )
+        self.update_coldness()
+
     def _evaluate_response(self, call, ticket, target, response):
         header_names = self._headers
+        self._coldness.record_response(ticket.started_at, self._clock())
         self._read_condition(target, response)
         if (
             response.header(header_names.not_run) is not None
@@ -446,6 +539,8 @@
                 target.port,
                 error,
             )
+            self._coldness.record_refused_connection(self._clock())
+            self.update_coldness()
             self._record_crash(target)
             return self._make_result(
                 call, Outcome.NOT_HANDED_ON, 'connect-failed'
--- a/packages/pumicestand/pumicestand/target_queue.py
+++ b/packages/pumicestand/pumicestand/target_queue.py
@@ -5,9 +5,9 @@
 that cannot be answered in time is refused at once, with the time after which
 a slot is expected to be free.
 
-An overloaded target may advertise a rate limit. Calls then start at that rate
-at most, however many slots are free, and the wait for a start counts like the
-wait for a slot.
+An overloaded target may advertise a rate limit, and a cold target bears few
+calls. Calls then start at that rate at most, however many slots are free, and
+the wait for a start counts like the wait for a slot.
 
 The *work* of a call is the time that the target takes to run it.
 """
@@ -167,7 +167,7 @@
         self._mean_work_s = INITIAL_WORK_S
         self._route_work_s = {}
         self._demand = _Demand()
-        self._limiter = rate_limits.RateLimiter()
+        self._limiter = rate_limits.StartLimiter()
 
     @property
     def slots(self):
@@ -207,6 +207,22 @@
             at this rate
         """
         self._limiter.set_rate(rate, now)
+        return self._refuse_late(now)
+
+    def set_cold_limit(self, rate, until, now):
+        """Set how many calls may start in a second while the target is cold.
+
+        :param rate: calls a second, None for any number
+        :param until: end of that time, in monotonic seconds
+        :param now: monotonic seconds
+        :returns: waiting tickets to refuse now, as they can't finish in time
+            at this rate
+        """
+        self._limiter.set_cold_limit(rate, until, now)
+        return self._refuse_late(now)
+
+    def _refuse_late(self, now):
+        """Remove and return the waiting calls that the limits make late."""
         kept, refused = [], []
         waiting = sorted(
             self._waiting, key=lambda ticket: self._sort_key(ticket, now)
@@ -331,6 +347,10 @@
         work_s = self.route_work_s(ticket.route)
         return self._latest_finish(ticket) - MIN_WORK_TIME_SHARE * work_s
 
+    def retry_after_s(self, ticket, now):
+        """Return the seconds until room is expected for a refused call."""
+        return self._retry_after(self.expected_wait_s(now, ticket))
+
     def _retry_after(self, wait_s):
         return min(MAX_RETRY_AFTER_S, max(MIN_RETRY_AFTER_S, wait_s))
 
--- a/packages/pumicestand/pumicestand/targets.py
+++ b/packages/pumicestand/pumicestand/targets.py
@@ -76,6 +76,7 @@
         self._sort_key = (0, 0)
         self._departed = set()
         self._heartbeat_at = 0.0
+        self._heartbeat = None
         self._candidate = None
         self._candidate_heartbeats = 0
         self.warm_up_until = 0.0
@@ -85,6 +86,11 @@
         """The `hop_messages.Target`, or None."""
         return self._target
 
+    @property
+    def heartbeat(self):
+        """The latest accepted `Heartbeat`, None before the first."""
+        return self._heartbeat
+
     def restore(self, target):
         """Set the target from the store's record if no heartbeat came yet.
 
@@ -133,6 +139,7 @@
         )
         self._sort_key = heartbeat.sort_key
         self._heartbeat_at = now
+        self._heartbeat = heartbeat
         self._candidate = None
         self.warm_up_until = now + heartbeat.warm_up_left_s
         if self._has_departed(target):
--- a/tests/pumicestand/test_layers.py
+++ b/tests/pumicestand/test_layers.py
@@ -18,6 +18,7 @@
     'application',
     'balancing',
     'blackboard',
+    'coldness',
     'controllers',
     'dissemination',
     'evidence',
