Keep calls away from the targets of evacuated zones

Operators could not empty a zone: calls went on to its targets. Objects of the kind evacuations are now listed and watched where bounds.evacuation is set, reported to all nodes as part of what a whole fleet knows, and the latest by store position applies. Placement and link selection leave the targets of evacuated zones out; the node beside such a target refuses new and waiting calls as not handed on, code zone-evacuated, and running ones end normally. A starting node reads the objects before it is ready unless the store is down.

--- a/packages/pumicestand-node/pumicestand_node/mesh_links.py
+++ b/packages/pumicestand-node/pumicestand_node/mesh_links.py
@@ -155,7 +155,9 @@
             return
         self._selected_change_count = fleet.change_count
         self._selected_at = now
-        self._selected_names = self._selector.select(fleet.others, now)
+        self._selected_names = self._selector.select(
+            fleet.others, now, fleet.evacuated_zones
+        )
         for name in self._selected_names:
             self._open_link(fleet.get(name), now)
         for name in self._links.keys() - self._selected_names:
@@ -309,6 +311,10 @@
         mesh = self._mesh
         if report.store_era > mesh.store_era and self.on_store_era is not None:
             self.on_store_era(report.store_era)
+        if mesh.evacuations.apply_reported(report.evacuations):
+            mesh.use_evacuations(report.name)
+            self._update_selection(self._clock())
+            self.schedule_report()
         if report.name != mesh.identity.name:
             mesh.suspects.set_reported(report.name, report.suspects)
         for verdict in report.verdicts:
--- a/packages/pumicestand-node/pumicestand_node/mesh_metrics.py
+++ b/packages/pumicestand-node/pumicestand_node/mesh_metrics.py
@@ -77,6 +77,16 @@
                 lambda: target_calls.cold_periods,
                 'Times that the target turned cold',
             ),
+            (
+                'pumicestand_evacuated_zones',
+                lambda: len(mesh.fleet.evacuated_zones),
+                'Availability zones whose targets get no calls',
+            ),
+            (
+                'pumicestand_own_zone_evacuated',
+                lambda: int(mesh.evacuations.is_own_zone_evacuated),
+                'Whether the target beside the node gets no calls',
+            ),
             (
                 'pumicestand_target_connections_opened',
                 lambda: target_calls.connections_opened,
--- a/packages/pumicestand-node/pumicestand_node/mesh_node.py
+++ b/packages/pumicestand-node/pumicestand_node/mesh_node.py
@@ -103,6 +103,7 @@
             self._rng,
         )
         self._target_calls.on_leaving = self._on_target_leaving
+        self._mesh.on_own_zone_changed = self._target_calls.set_evacuated
         self._mesh.send_call = self._links.send_call
         self._outbound_calls = outbound_calls.OutboundCalls(
             self._mesh,
@@ -284,12 +285,25 @@
     def _should_be_ready(self, now):
         """Return whether the node has a configuration and enough links."""
         mesh = self._mesh
-        if mesh.configuration is None:
+        if mesh.configuration is None or self._awaits_evacuations():
             return False
         if now - self._started_at > MAX_READINESS_DELAY_S:
             return True
         return self._links.are_selected_linked
 
+    def _awaits_evacuations(self):
+        """Return whether the node must still read the evacuations.
+
+        Without the store it learns them from other nodes, and a node that has
+        been ready stays so.
+        """
+        mesh = self._mesh
+        return (
+            not mesh.is_ready
+            and mesh.evacuations.is_awaited
+            and mesh.store_reachable
+        )
+
     async def _flush_log(self):
         while True:
             await self._decisions_pending.wait()
--- a/packages/pumicestand-node/pumicestand_node/mesh_state.py
+++ b/packages/pumicestand-node/pumicestand_node/mesh_state.py
@@ -3,6 +3,7 @@
 import dataclasses
 
 from pumicestand import documents
+from pumicestand import evacuations
 from pumicestand import fleet as fleets
 from pumicestand import hop_messages
 from pumicestand import link_meter
@@ -20,7 +21,8 @@
     `configuration` is the `documents.InForce` in effect, or None;
     `configuration_content` is its zlib-compressed JSON. `send_call` is set
     by the node to a coroutine function (peer, call) that returns a
-    `hop_messages.Result`, or None if the link broke.
+    `hop_messages.Result`, or None if the link broke. `on_own_zone_changed` is
+    called with whether the zone of this node is evacuated when that changes.
 
     :param identity: `node_records.NodeRecord` of this node, without target
     :param incarnation: number that increases with each start of the process
@@ -55,6 +57,10 @@
         self.zone_roles = zone_roles.ZoneRoles(
             identity, self.fleet, self.link_meter
         )
+        self.evacuations = evacuations.EvacuationTracker(
+            identity.zone, bounds.evacuation > 0
+        )
+        self.on_own_zone_changed = None
         self.is_stopping = False
         self.is_leaving = False
         self.is_ready = False
@@ -108,6 +114,31 @@
         )
         return True
 
+    def use_evacuations(self, source):
+        """Put the known evacuations into effect.
+
+        :param source: ``store`` or the name of a peer, for the log
+        """
+        tracker = self.evacuations
+        before = self.fleet.evacuated_zones
+        if tracker.zones == before:
+            return
+        self.fleet.set_evacuated_zones(tracker.zones)
+        self.decisions.note(
+            'evacuations',
+            zones=' '.join(tracker.state.zones),
+            before=' '.join(sorted(before)),
+            era=tracker.state.era,
+            revision=tracker.state.revision,
+            source=source,
+        )
+        is_evacuated = tracker.is_own_zone_evacuated
+        if (
+            is_evacuated != (self.identity.zone in before)
+            and self.on_own_zone_changed is not None
+        ):
+            self.on_own_zone_changed(is_evacuated)
+
     def new_report(self, load, evidence, now):
         """Return a `hop_messages.Report` with the next sequence number.
 
@@ -137,4 +168,5 @@
             verdicts=self.rollouts.verdicts(now),
             suspects=self.suspects.own_suspects(now),
             store_era=self.store_era,
+            evacuations=self.evacuations.state,
         )
--- a/packages/pumicestand-node/pumicestand_node/mesh_store.py
+++ b/packages/pumicestand-node/pumicestand_node/mesh_store.py
@@ -124,6 +124,14 @@
                 kind,
                 apply,
             )
+        if self._mesh.evacuations.is_enabled:
+            nursery.start_soon(
+                supervision.supervise,
+                'sync of evacuations',
+                self._sync_kind,
+                self._translator.evacuation_kind,
+                None,
+            )
 
     def hear_era(self, era):
         """Act on the era of the store that another node has reported."""
@@ -362,7 +370,8 @@
         """List the objects of a kind, then watch it if this node is a watcher.
 
         :param kind: kind of the store's objects
-        :param apply: called with each `stored_objects.StoredObject`
+        :param apply: called with each `stored_objects.StoredObject`, None
+            for the evacuations, whose deletions count, too
         """
         position = None
         answered_at = self._clock()
@@ -406,6 +415,8 @@
 
         :param position: position to watch from, None to list all objects
         """
+        if kind == self._translator.evacuation_kind:
+            return await self._read_evacuations(position)
         if position is None:
             # What is newer is heard from the nodes that watch.
             listing = await self._client.list(
@@ -421,6 +432,28 @@
                 apply(event.object)
         return events.position
 
+    async def _read_evacuations(self, position):
+        """Apply a listing or the next changes, deletions among them.
+
+        :param position: position to watch from, None to list all objects
+        """
+        kind, tracker = (
+            self._translator.evacuation_kind,
+            self._mesh.evacuations,
+        )
+        if position is None:
+            found = await self._client.list(
+                kind, allow_stale=not self._is_watcher()
+            )
+            is_news = tracker.apply_listing(found)
+        else:
+            found = await self._client.watch(kind, position, WATCH_TIMEOUT_S)
+            is_news = tracker.apply_events(found)
+        if is_news:
+            self._mesh.use_evacuations('store')
+            self._on_change()
+        return found.position
+
     async def _hold_first_configuration(self):
         """Wait until a node that has a newer configuration could send it."""
         mesh = self._mesh
--- a/packages/pumicestand-node/pumicestand_node/target_calls.py
+++ b/packages/pumicestand-node/pumicestand_node/target_calls.py
@@ -26,6 +26,8 @@
 
 MIN_SERVER_ERROR_STATUS = 500
 MISDIRECTED_STATUS = 421
+# Code of calls that are refused since the target's zone is evacuated.
+EVACUATED = 'zone-evacuated'
 # Seconds for which no call is sent after the target refused a connection or
 # said that a call was meant for another instance. The target comes back after
 # some seconds or not at all.
@@ -92,6 +94,7 @@
         # Rate and end of the cold time as the queue knows them.
         self._cold_limit = (None, 0.0)
         self._is_cold = False
+        self._is_evacuated = False
         self.cold_periods = 0
         self.is_closed = False
         self.on_leaving = None
@@ -183,6 +186,17 @@
         if is_cold != self._is_cold:
             self._set_cold(is_cold, rate)
 
+    def set_evacuated(self, is_evacuated):
+        """Set whether the availability zone of the target is evacuated.
+
+        Calls that wait are refused then; calls that run go on.
+        """
+        self._is_evacuated = is_evacuated
+        if is_evacuated:
+            for ticket in self._queue.refuse_all():
+                self._resume_waiter(ticket, False)
+        self._on_change()
+
     def _set_cold(self, is_cold, rate):
         self._is_cold = is_cold
         self.cold_periods += is_cold
@@ -227,6 +241,8 @@
             return 'target-leaving'
         if self.is_closed:
             return 'stopping'
+        if self._is_evacuated:
+            return EVACUATED
         if self._clock() < self._unreachable_until:
             return 'target-unreachable'
         return None
@@ -282,6 +298,8 @@
 
     def _refuse_waited(self, call, ticket):
         """Return the result of a call that waited in vain."""
+        if self._is_evacuated:
+            return self._make_result(call, Outcome.NOT_HANDED_ON, EVACUATED)
         retry_after_s = 0.0
         if self._is_cold:
             retry_after_s = self._queue.retry_after_s(ticket, self._clock())
@@ -366,6 +384,11 @@
                 return self._make_result(
                     call, Outcome.NOT_HANDED_ON, 'deadline-before-run'
                 )
+            if self._is_evacuated:
+                # The zone was evacuated while the node connected.
+                return self._make_result(
+                    call, Outcome.NOT_HANDED_ON, EVACUATED
+                )
             head = self._format_request_head(call, target, remaining_s)
             sent_at = self._clock()
             response = await connection.exchange(
--- a/packages/pumicestand/pumicestand/fleet.py
+++ b/packages/pumicestand/pumicestand/fleet.py
@@ -135,7 +135,8 @@
 class Fleet:
     """All nodes that this node knows, by name.
 
-    ``change_count`` rises when a node, its address or its target changes.
+    ``change_count`` rises when a node, its address or its target changes, or
+    the evacuated availability zones do.
 
     :param own_name: name of this node
     """
@@ -147,6 +148,7 @@
         self._peers_by_service = {}
         # (Zone, service) to (summary, time at which it was received).
         self._summaries = {}
+        self._evacuated_zones = frozenset()
         self.change_count = 0
 
     @property
@@ -159,6 +161,20 @@
         """All known peers except this node."""
         return [p for p in self._peers.values() if p.name != self._own_name]
 
+    @property
+    def evacuated_zones(self):
+        """Names of the availability zones whose targets get no calls."""
+        return self._evacuated_zones
+
+    def set_evacuated_zones(self, zones):
+        """Set the availability zones whose targets get no calls.
+
+        :param zones: frozenset of their names
+        """
+        if zones != self._evacuated_zones:
+            self._evacuated_zones = zones
+            self._record_change()
+
     @property
     def linked_count(self):
         """Number of linked nodes, this node included."""
@@ -298,7 +314,9 @@
         candidates = self._peers_by_service.get(service)
         if candidates is None:
             candidates = self._peers_by_service[service] = [
-                peer for peer in self._peers.values() if peer.has(service)
+                peer
+                for peer in self._peers.values()
+                if peer.has(service) and peer.zone not in self._evacuated_zones
             ]
         return [p for p in candidates if p.is_linked and p.load.slots > 0]
 
--- a/packages/pumicestand/pumicestand/link_selection.py
+++ b/packages/pumicestand/pumicestand/link_selection.py
@@ -17,6 +17,9 @@
 # those of them that are in other zones, as far as there are as many.
 MIN_TARGETS = 10
 MIN_REMOTE_TARGETS = 4
+# The same for a node whose own zone is evacuated: all its calls go to other
+# zones, whose targets have less room than usual.
+MIN_TARGETS_IF_EVACUATED = 16
 # Nodes of each other zone that pass on what the zone has to know. Two, so
 # that one may be frozen.
 CONTACTS_PER_ZONE = 2
@@ -41,12 +44,16 @@
         self._zone = zone
         self._weights = {}
 
-    def select(self, peers, now):
+    def select(self, peers, now, evacuated_zones=frozenset()):
         """Return the names of the nodes to keep links to.
 
         :param peers: the `fleet.Peer`s that are known
         :param now: monotonic seconds
+        :param evacuated_zones: availability zones whose targets get no calls
         """
+        min_targets = MIN_TARGETS
+        if self._zone in evacuated_zones:
+            min_targets = MIN_TARGETS_IF_EVACUATED
         selected = set()
         remote = []
         own_count = collections.Counter()
@@ -55,17 +62,17 @@
                 continue
             if peer.zone == self._zone:
                 selected.add(peer.name)
-                if _is_serving(peer, now):
+                if _is_serving(peer, now, evacuated_zones):
                     own_count[_group(peer)] += 1
             else:
                 remote.append(peer)
         self._forget_weights(remote)
         groups = collections.defaultdict(list)
         for peer in remote:
-            if _is_serving(peer, now):
+            if _is_serving(peer, now, evacuated_zones):
                 groups[_group(peer)].append(peer)
         for group, members in groups.items():
-            wanted = max(MIN_REMOTE_TARGETS, MIN_TARGETS - own_count[group])
+            wanted = max(MIN_REMOTE_TARGETS, min_targets - own_count[group])
             selected.update(self._spread(members, wanted))
         return selected | self._contacts(remote, selected, now)
 
@@ -123,10 +130,11 @@
     return now - peer.unreachable_since < REPLACE_AFTER_S
 
 
-def _is_serving(peer, now):
+def _is_serving(peer, now, evacuated_zones):
     target = peer.target
     return (
         target is not None
+        and peer.zone not in evacuated_zones
         and target.state is target_states.TargetState.SERVING
         and not peer.report.is_leaving
         and _is_reachable(peer, now)
--- a/tests/pumicestand/test_layers.py
+++ b/tests/pumicestand/test_layers.py
@@ -21,6 +21,7 @@
     'coldness',
     'controllers',
     'dissemination',
+    'evacuations',
     'evidence',
     'fleet',
     'floors',
