Test evacuations and tell other zones that a target takes calls again

Nodes of other zones that were refused with no slots send no more calls, and the load went only to nodes that had sent one within 5 s, so they never learned that a target took calls again: after an evacuation of more than 5 s its zone would have stayed empty for them. The load now goes to all linked nodes of other zones once when slots are back.

--- a/packages/pumicestand-node/pumicestand_node/mesh_links.py
+++ b/packages/pumicestand-node/pumicestand_node/mesh_links.py
@@ -412,6 +412,8 @@
                 if server.last_call_at > since
             ]
             self._send_all(callers, plan.load)
+        if plan.returned_load is not None:
+            self._send_all(self._remote_servers(), plan.returned_load)
 
     def _remote_servers(self):
         """Return the links opened by nodes of other zones."""
--- a/packages/pumicestand-standins/pumicestand_standins/objects.py
+++ b/packages/pumicestand-standins/pumicestand_standins/objects.py
@@ -86,6 +86,7 @@
     """The store without the network.
 
     ``era_header`` is the format of the header with the era, None for none.
+    ``kinds_read`` are the kinds that were listed or watched.
 
     :param page_items: number of objects in one page of a list
     """
@@ -101,6 +102,7 @@
         self.era_header = '{}'
         self._changed = trio.Event()
         self.faults = Faults()
+        self.kinds_read = set()
         self.counters = collections.Counter()
 
     def get(self, kind, name):
@@ -121,6 +123,13 @@
         }
         return self._write(kind, name, data, current)
 
+    def delete(self, kind, name):
+        """Delete an object, as the operator does."""
+        self._revision += 1
+        stored = self._objects.pop((kind, name))
+        self._history.append(_Change(self._revision, kind, stored, True))
+        self._notify_watches()
+
     def forget_history(self):
         """Drop the history, so that watches from before it expire."""
         self._forgotten_revision = self._revision
@@ -201,6 +210,8 @@
         if len(parts) < 2 or parts[0] != 'objects':
             return http_server.json_response({'error': 'no such path'}, 404)
         kind, name = parts[1], parts[2] if len(parts) > 2 else None
+        if request.method == 'GET' and name is None:
+            self.kinds_read.add(kind)
         match request.method:
             case 'GET' if request.query('watch'):
                 return await self._watch(kind, request)
--- a/packages/pumicestand/pumicestand/reporting.py
+++ b/packages/pumicestand/pumicestand/reporting.py
@@ -49,12 +49,16 @@
     :param generation: generation for the other zones, None if it is not new
     :param load: load for the nodes of other zones that send calls, None if
         it is not due
+    :param returned_load: load for all nodes of other zones, None unless the
+        target takes calls again; those that were refused call it no more
+        and would not hear of it
     """
 
     message: hop_messages.Message | None
     announcement: hop_messages.Report | None = None
     generation: int | None = None
     load: hop_messages.Load | None = None
+    returned_load: hop_messages.Load | None = None
 
 
 class ReportSelector:
@@ -67,6 +71,7 @@
         self._sent_load = hop_messages.Load()
         self._load_sent_at = float('-inf')
         self._load_count = 0
+        self._had_slots = True
         self._announced_own_part = None
         self._announced_fleet_part = (0, ())
         self._announced_generation = 0
@@ -91,7 +96,13 @@
             self._load_count += 1
             if self._load_count % OTHER_ZONES_LOAD_INTERVAL == 0:
                 load = message
-        return ReportPlan(message, announcement, generation, load)
+        returned_load = None
+        if report.load.slots > 0 and not self._had_slots:
+            returned_load, load = report.load, None
+        self._had_slots = report.load.slots > 0
+        return ReportPlan(
+            message, announcement, generation, load, returned_load
+        )
 
     def _next_message(self, report, now):
         stable_part = report.stable_part
--- a/tests/pumicestand/mesh_fakes.py
+++ b/tests/pumicestand/mesh_fakes.py
@@ -51,12 +51,15 @@
     return fleet
 
 
-def make_mesh(name='own', seed=1, link_rate=0.0):
-    """Return the `mesh_state.MeshState` of a node that knows nothing yet."""
+def make_mesh(name='own', seed=1, link_rate=0.0, evacuation=0.0):
+    """Return the `mesh_state.MeshState` of a node that knows nothing yet.
+
+    :param evacuation: see `mesh_settings.MeshBounds`
+    """
     return mesh_state.MeshState(
         node_records.NodeRecord(name, '10.0.0.1', 7000, 'a'),
         1,
-        mesh_settings.MeshBounds(6.0, 0.2, 60.0, 10.0),
+        mesh_settings.MeshBounds(6.0, 0.2, 60.0, 10.0, evacuation=evacuation),
         decision_log.DecisionLog(name, lambda: 1.0, lambda data: True),
         random.Random(seed),
         link_rate,
--- a/tests/pumicestand/test_fleet.py
+++ b/tests/pumicestand/test_fleet.py
@@ -71,3 +71,18 @@
     report = mesh_fakes.make_report('n', incarnation=3, target=started_again)
     fleet.apply_report(report, 2.0)
     assert [peer.name for peer in fleet.serving('s')] == ['n']
+
+
+def test_targets_of_evacuated_zones_get_no_calls_until_they_are_back():
+    fleet = mesh_fakes.make_fleet(
+        mesh_fakes.make_report('a-1', zone='a'),
+        mesh_fakes.make_report('b-1', zone='b'),
+    )
+    assert [p.name for p in fleet.serving('s')] == ['a-1', 'b-1']
+    count = fleet.change_count
+    fleet.set_evacuated_zones(frozenset(('a',)))
+    assert [p.name for p in fleet.serving('s')] == ['b-1']
+    # Links to targets of other zones have to be selected.
+    assert fleet.change_count > count
+    fleet.set_evacuated_zones(frozenset())
+    assert [p.name for p in fleet.serving('s')] == ['a-1', 'b-1']
--- a/tests/pumicestand/test_link_selection.py
+++ b/tests/pumicestand/test_link_selection.py
@@ -35,9 +35,9 @@
     return list(fleet.peers)
 
 
-def select(peer, peers, now=0.0):
+def select(peer, peers, now=0.0, evacuated_zones=frozenset()):
     selector = link_selection.LinkSelector(peer.name, peer.zone)
-    return selector.select(peers, now)
+    return selector.select(peers, now, evacuated_zones)
 
 
 def count_targets(names, peers):
@@ -153,3 +153,42 @@
     counts = count_targets(selected, usable)
     for service in FLEETS['large'][1]:
         assert counts[service] >= link_selection.MIN_TARGETS - 1
+
+
+@pytest.mark.parametrize('name', FLEETS)
+def test_node_of_an_evacuated_zone_links_to_more_targets_of_others(name):
+    """All calls of its clients and its target's nested calls go there."""
+    zone_count, services = FLEETS[name]
+    peers = make_peers(zone_count, services)
+    own = peers[0]
+    selected = select(own, peers, evacuated_zones={own.zone})
+    others = [peer for peer in peers if peer.zone != own.zone]
+    counts = count_targets(selected, others)
+    for service in services:
+        available = sum(p.target.service == service for p in others)
+        assert counts[service] == min(
+            available, link_selection.MIN_TARGETS_IF_EVACUATED
+        )
+    # It still hears of its own zone.
+    assert {p.name for p in peers if p.zone == own.zone} - selected == {
+        own.name
+    }
+
+
+@pytest.mark.parametrize('name', FLEETS)
+def test_evacuated_zone_is_replaced_by_the_others(name):
+    zone_count, services = FLEETS[name]
+    peers = make_peers(zone_count, services)
+    selected = select(peers[0], peers, evacuated_zones={'z1'})
+    usable = [peer for peer in peers if peer.zone != 'z1']
+    counts = count_targets(selected, usable)
+    for service in services:
+        available = sum(p.target.service == service for p in usable)
+        assert counts[service] >= min(
+            available - 1, link_selection.MIN_TARGETS - 1
+        )
+    # Its nodes still pass on what their zone has to know.
+    by_zone = collections.Counter(
+        peer.zone for peer in peers if peer.name in selected
+    )
+    assert by_zone['z1'] >= link_selection.CONTACTS_PER_ZONE
--- a/tests/pumicestand/test_reporting.py
+++ b/tests/pumicestand/test_reporting.py
@@ -66,6 +66,26 @@
     assert [plan.generation for plan in plans] == [None, 4, None, None]
 
 
+@pytest.mark.parametrize('other_change', [{}, {'store_reachable': True}])
+def test_nodes_of_other_zones_hear_that_a_target_takes_calls_again(
+    other_change,
+):
+    """Refused nodes send it none, so that nothing else would tell them."""
+    selector = reporting.ReportSelector()
+    full = dataclasses.replace(
+        REPORT, load=dataclasses.replace(REPORT.load, slots=0)
+    )
+    again = dataclasses.replace(REPORT, **other_change)
+    plans = plan_messages(selector, [REPORT, full, full, again, again])
+    assert [plan.returned_load for plan in plans] == [
+        None,
+        None,
+        None,
+        again.load,
+        None,
+    ]
+
+
 def test_announcement_is_repeated_without_evidence():
     selector = reporting.ReportSelector()
     report = dataclasses.replace(
--- a/tests/pumicestand_node/test_mesh_links.py
+++ b/tests/pumicestand_node/test_mesh_links.py
@@ -66,8 +66,8 @@
 class Harness:
     """A node that sends reports to some peers."""
 
-    def __init__(self, peer_count=1):
-        self.mesh = mesh_fakes.make_mesh()
+    def __init__(self, peer_count=1, evacuation=0.0):
+        self.mesh = mesh_fakes.make_mesh(evacuation=evacuation)
         self.target_calls = FakeTargetCalls()
         self.links = mesh_links.MeshLinks(
             self.mesh,
@@ -417,3 +417,119 @@
         assert message_types(harness.sent)[2:] == ['Load']
 
     run_test(test)
+
+
+def test_node_of_another_zone_hears_that_a_target_takes_calls_again():
+    """It was refused and sends no calls, so it must be told nevertheless."""
+
+    async def main():
+        harness = Harness(peer_count=1)
+        (other,) = harness.link_servers
+        other.is_cross_zone = True
+        async with trio.open_nursery() as nursery:
+            await harness.links.start(nursery)
+            harness.target_calls.current_load = hop_messages.Load(slots=0)
+            await trio.sleep(20.0)
+            assert not other.frames.sent
+            harness.target_calls.current_load = hop_messages.Load(slots=4)
+            await trio.sleep(reporting.MAX_REPORT_PERIOD_S)
+            assert [load.slots for load in other.frames.sent] == [4]
+            nursery.cancel_scope.cancel()
+
+    mock_clock.run(main)
+
+
+def make_evacuations(revision, *zones):
+    return hop_messages.Evacuations(1, revision, zones)
+
+
+def run_with_evacuations(test, evacuation=5.0):
+    async def main():
+        harness = Harness(evacuation=evacuation)
+        async with trio.open_nursery() as nursery:
+            await harness.links.start(nursery)
+            await trio.sleep(0.1)
+            await test(harness)
+            nursery.cancel_scope.cancel()
+
+    mock_clock.run(main)
+
+
+def hear_report(harness, sequence, state, **kwargs):
+    report = mesh_fakes.make_report(
+        'b-0', 'b', sequence=sequence, evacuations=state, **kwargs
+    )
+    harness.links._apply_report(report)
+
+
+def test_evacuation_that_is_heard_is_reported_at_once():
+    async def test(harness):
+        fleet = harness.mesh.fleet
+        sent_count = len(harness.sent)
+        hear_report(harness, 1, make_evacuations(5, 'b'))
+        assert fleet.evacuated_zones == {'b'}
+        await trio.sleep(2 * mesh_links.REPORT_COALESCING_S)
+        assert harness.sent[-1].evacuations == make_evacuations(5, 'b')
+        hear_report(harness, 2, make_evacuations(9))
+        assert fleet.evacuated_zones == frozenset()
+        await trio.sleep(2 * mesh_links.REPORT_COALESCING_S)
+        assert harness.sent[-1].evacuations == make_evacuations(9)
+        assert len(harness.sent) == sent_count + 2
+
+    run_with_evacuations(test)
+
+
+def test_relayed_report_tells_of_an_evacuation():
+    """Nodes without links to other zones learn of it from their contacts."""
+
+    async def test(harness):
+        report = mesh_fakes.make_report(
+            'b-0', 'b', evacuations=make_evacuations(5, 'b')
+        )
+        harness.links._handle_relayed(hop_messages.Relay(report), False)
+        assert harness.mesh.fleet.evacuated_zones == {'b'}
+
+    run_with_evacuations(test)
+
+
+def test_nodes_that_know_the_same_evacuations_do_not_report_them_again():
+    """Each reads them at another position of the store."""
+
+    async def test(harness):
+        hear_report(harness, 1, make_evacuations(5))
+        await trio.sleep(0.1)
+        sent_count = len(harness.sent)
+        for sequence, revision in ((2, 7), (3, 9), (4, 3)):
+            hear_report(harness, sequence, make_evacuations(revision))
+        await trio.sleep(2 * mesh_links.REPORT_COALESCING_S)
+        assert len(harness.sent) == sent_count
+
+    run_with_evacuations(test)
+
+
+def test_node_of_the_evacuated_zone_is_told_so():
+    async def test(harness):
+        heard = []
+        harness.mesh.on_own_zone_changed = heard.append
+        hear_report(harness, 1, make_evacuations(5, 'b'))
+        hear_report(harness, 2, make_evacuations(6, 'a', 'b'))
+        hear_report(harness, 3, make_evacuations(7, 'a'))
+        hear_report(harness, 4, make_evacuations(8))
+        assert heard == [True, False]
+
+    run_with_evacuations(test)
+
+
+def test_evacuations_mean_nothing_where_no_zone_is_evacuated():
+    async def test(harness):
+        hear_report(harness, 1, make_evacuations(5, 'b'))
+        assert harness.mesh.fleet.evacuated_zones == frozenset()
+        assert harness.mesh.evacuations.state is None
+        await trio.sleep(1.0)
+        assert all(
+            message.evacuations is None
+            for message in harness.sent
+            if isinstance(message, hop_messages.Report)
+        )
+
+    run_with_evacuations(test, evacuation=0.0)
--- a/tests/pumicestand_node/test_mesh_store.py
+++ b/tests/pumicestand_node/test_mesh_store.py
@@ -32,8 +32,10 @@
 class Node:
     """The state of one node and its `mesh_store.MeshStore`."""
 
-    def __init__(self, client, name, seed=1, is_first_start=True):
-        self.mesh = mesh_fakes.make_mesh(name, seed)
+    def __init__(
+        self, client, name, seed=1, is_first_start=True, evacuation=0.0
+    ):
+        self.mesh = mesh_fakes.make_mesh(name, seed, evacuation=evacuation)
         self.records = []
         self.change_count = 0
         self.mesh_store = mesh_store.MeshStore(
@@ -58,7 +60,7 @@
 
 
 @contextlib.asynccontextmanager
-async def open_nodes(*names, version='0000001f'):
+async def open_nodes(*names, version='0000001f', evacuation=0.0):
     """Yield (nodes, store) after storing a configuration."""
     async with test_objects.open_store() as (_, store, backend):
         spec = {**test_configuration.SPEC, 'version': version}
@@ -66,7 +68,11 @@
         async with trio.open_nursery() as nursery:
             # Each node has its own connections; its watches occupy two.
             nodes = [
-                Node(objects.ObjectClient('store', 80, backend), name)
+                Node(
+                    objects.ObjectClient('store', 80, backend),
+                    name,
+                    evacuation=evacuation,
+                )
                 for name in names
             ]
             for node in nodes:
@@ -546,3 +552,136 @@
                 nursery.cancel_scope.cancel()
 
     mock_clock.run(main)
+
+
+# Time after the store's acknowledgement from which a zone that is evacuated
+# gets no calls, in seconds.
+EVACUATION_S = 5.0
+
+
+def test_evacuation_and_its_end_take_effect_at_once():
+    async def main():
+        async with open_nodes('a', evacuation=EVACUATION_S) as (
+            (node,),
+            store,
+        ):
+            heard = []
+            node.mesh.on_own_zone_changed = heard.append
+            await trio.sleep(1.5)
+            fleet = node.mesh.fleet
+            assert fleet.evacuated_zones == frozenset()
+            change_count = node.change_count
+            store.put('evacuations', 'a', {})
+            store.put('evacuations', 'z', {})
+            await trio.sleep(0.1)
+            assert fleet.evacuated_zones == {'a', 'z'}
+            assert node.change_count > change_count
+            store.delete('evacuations', 'a')
+            await trio.sleep(0.1)
+            assert fleet.evacuated_zones == {'z'}
+            assert heard == [True, False]
+
+    mock_clock.run(main)
+
+
+def test_zone_that_is_evacuated_at_the_start_is_read():
+    async def main():
+        async with test_objects.open_store() as (client, store, _):
+            put_configuration(store, '0000001f')
+            store.put('evacuations', 'a', {})
+            async with trio.open_nursery() as nursery:
+                node = Node(
+                    client, 'a', is_first_start=False, evacuation=EVACUATION_S
+                )
+                await node.mesh_store.start(nursery)
+                assert node.mesh.evacuations.is_awaited
+                await trio.sleep(0.5)
+                assert node.mesh.fleet.evacuated_zones == {'a'}
+                nursery.cancel_scope.cancel()
+
+    mock_clock.run(main)
+
+
+@pytest.mark.parametrize('fault', ['down', 'reset', 'silent', 'forgotten'])
+@pytest.mark.parametrize('is_deleted', [False, True])
+def test_change_of_evacuations_during_store_fault_is_seen(fault, is_deleted):
+    """A deletion leaves no object behind that a listing could show."""
+
+    async def main():
+        async with open_nodes('a', evacuation=EVACUATION_S) as (
+            (node,),
+            store,
+        ):
+            if is_deleted:
+                store.put('evacuations', 'z', {})
+            await trio.sleep(1.5)
+            if fault != 'forgotten':
+                setattr(store.faults, fault, True)
+            await trio.sleep(1)
+            if is_deleted:
+                store.delete('evacuations', 'z')
+            else:
+                store.put('evacuations', 'z', {})
+            if fault == 'forgotten':
+                store.forget_history()
+            else:
+                await trio.sleep(1)
+                setattr(store.faults, fault, False)
+            await trio.sleep(3.5)
+            zones = set() if is_deleted else {'z'}
+            assert node.mesh.fleet.evacuated_zones == zones
+
+    mock_clock.run(main)
+
+
+def test_node_cut_off_from_the_store_keeps_what_it_knows():
+    async def main():
+        async with open_nodes('a', evacuation=EVACUATION_S) as (
+            (node,),
+            store,
+        ):
+            store.put('evacuations', 'z', {})
+            await trio.sleep(1.5)
+            store.faults.down = True
+            # The watch that is open would still tell of it.
+            await trio.sleep(mesh_store.WATCH_TIMEOUT_S + 1)
+            store.delete('evacuations', 'z')
+            await trio.sleep(30)
+            assert node.mesh.fleet.evacuated_zones == {'z'}
+
+    mock_clock.run(main)
+
+
+def test_store_is_asked_for_evacuations_only_where_they_happen():
+    async def main():
+        async with open_nodes('a') as ((node,), store):
+            store.put('evacuations', 'z', {})
+            await trio.sleep(5)
+            assert 'evacuations' not in store.kinds_read
+            assert node.mesh.fleet.evacuated_zones == frozenset()
+
+    mock_clock.run(main)
+
+
+@pytest.mark.parametrize('with_copy_of_object', [True, False])
+def test_evacuations_are_read_again_from_an_older_copy(with_copy_of_object):
+    async def main():
+        async with open_nodes('a', evacuation=EVACUATION_S) as (
+            (node,),
+            store,
+        ):
+            if not with_copy_of_object:
+                store.take_copy()
+            store.put('evacuations', 'z', {})
+            await trio.sleep(1.5)
+            if with_copy_of_object:
+                store.take_copy()
+                store.delete('evacuations', 'z')
+                await trio.sleep(0.1)
+            store.restore()
+            await trio.sleep(mesh_store.WATCH_TIMEOUT_S + 1)
+            zones = {'z'} if with_copy_of_object else set()
+            assert node.mesh.fleet.evacuated_zones == zones
+            assert node.mesh.evacuations.state.era == 2
+
+    mock_clock.run(main)
--- a/tests/pumicestand_node/test_target_coldness.py
+++ b/tests/pumicestand_node/test_target_coldness.py
@@ -183,7 +183,7 @@
         instance='',
         method='POST',
         url=b'/o/1',
-        headers=b'',
+        headers=b'pumicestand-request-id: i%d\r\n' % number,
         remaining_ms=900,
         objective_remaining_ms=800,
         priority=1,
