--- a/packages/pumicestand-node/pumicestand_node/mesh_node.py
+++ b/packages/pumicestand-node/pumicestand_node/mesh_node.py
@@ -11,6 +11,7 @@
 from pumicestand import documents
 from pumicestand import log
 from pumicestand import node_records
+from pumicestand import targets
 from pumicestand_node import client_port
 from pumicestand_node import freshness_agent
 from pumicestand_node import listeners
@@ -93,6 +94,7 @@
             adapter.headers,
             self._clock,
             self._schedule_report,
+            find_service=self._mesh.find_service,
         )
         self._links = mesh_links.MeshLinks(
             self._mesh,
@@ -102,6 +104,7 @@
             self._rng,
         )
         self._target_calls.on_leaving = self._on_target_leaving
+        self._mesh.on_own_zone_changed = self._target_calls.set_evacuated
         self._mesh.send_call = self._links.send_call
         self._outbound_calls = outbound_calls.OutboundCalls(
             self._mesh,
@@ -284,6 +287,7 @@
                 mesh.fleet, now, self._store.is_designated_writer
             ):
                 self._store.write_rollout_status(action)
+            self._target_calls.update_coldness()
             self._links.check_links(now)
             if now - timeouts_checked_at >= TIMEOUT_CHECK_PERIOD_S:
                 timeouts_checked_at = now
@@ -302,12 +306,25 @@
     def _should_be_ready(self, now):
         """Return whether the node has a configuration and enough links."""
         mesh = self._mesh
-        if mesh.configuration is None:
+        if mesh.configuration is None or self._awaits_evacuations():
             return False
         if now - self._started_at > MAX_READINESS_DELAY_S:
             return True
         return self._links.are_selected_linked
 
+    def _awaits_evacuations(self):
+        """Return whether the node must still read the evacuations.
+
+        Without the store it learns them from other nodes, and a node that has
+        been ready stays so.
+        """
+        mesh = self._mesh
+        return (
+            not mesh.is_ready
+            and mesh.evacuations.is_awaited
+            and mesh.store_reachable
+        )
+
     async def _flush_log(self):
         while True:
             await self._decisions_pending.wait()
@@ -396,7 +413,10 @@
             return plain_http.PlainResponse(400, b'not understood\n')
         watch = self._mesh.target_watch
         before = watch.target
-        if not watch.apply(control, self._clock()):
+        is_changed = watch.apply(control, self._clock())
+        if isinstance(control, targets.Heartbeat):
+            self._target_calls.on_heartbeat(control)
+        if not is_changed:
             return plain_http.PlainResponse(200, b'{}', plain_http.JSON)
         self._on_target_changed()
         if before is None or before.state is not watch.target.state:
--- a/packages/pumicestand/pumicestand/field_reading.py
+++ b/packages/pumicestand/pumicestand/field_reading.py
@@ -16,6 +16,7 @@
 """
 
 import dataclasses
+import math
 import re
 
 _INTEGER = re.compile(r'[+-]?[0-9]+(_[0-9]+)*(\.0+)?')
@@ -88,6 +89,14 @@
     raise FieldError('not a number')
 
 
+def read_finite(value):
+    """Return a value as a float that is neither infinite nor no number."""
+    number = read_number(value)
+    if not math.isfinite(number):
+        raise FieldError('not a finite number')
+    return number
+
+
 def read_boolean(value):
     """Return a value as a boolean; it may be written in another type."""
     if type(value) is bool:
--- a/tests/pumicestand_platform/reference_models.py
+++ b/tests/pumicestand_platform/reference_models.py
@@ -110,6 +110,10 @@
 class Service(pydantic.BaseModel):
     name: str
     max_connections: int | None = None
+    cold_start_s: float = pydantic.Field(
+        default=0.0, ge=0, allow_inf_nan=False
+    )
+    cold_per_s: float = pydantic.Field(default=0.0, ge=0, allow_inf_nan=False)
 
 
 class Limits(pydantic.BaseModel):
--- a/tests/pumicestand_platform/test_boundary.py
+++ b/tests/pumicestand_platform/test_boundary.py
@@ -10,7 +10,10 @@
 NAMES = (
     'api_keys',
     'born',
+    'bounds.evacuate_s',
     'cold_left_s',
+    'cold_per_s',
+    'cold_start_s',
     'deregister',
     'duration_s',
     'heartbeat_addr',
--- a/tests/pumicestand_platform/test_readers_of_boundary.py
+++ b/tests/pumicestand_platform/test_readers_of_boundary.py
@@ -76,7 +76,12 @@
     'rate_per_s': 2.5,
     'burst': 3,
 }
-SERVICE = {'name': 's', 'max_connections': 4}
+SERVICE = {
+    'name': 's',
+    'max_connections': 4,
+    'cold_start_s': 3,
+    'cold_per_s': 6.5,
+}
 LIMITS = {
     'max_header_bytes': 1,
     'max_body_bytes': 2,
--- a/tests/pumicestand_platform/test_start_modules.py
+++ b/tests/pumicestand_platform/test_start_modules.py
@@ -20,7 +20,8 @@
 
 OWN = """
 pumicestand pumicestand.body_transfers pumicestand.call_headers
-pumicestand.decision_log
+pumicestand.coldness pumicestand.decision_log
+pumicestand.evacuations
 pumicestand.documents pumicestand.errors pumicestand.fetches
 pumicestand.field_reading pumicestand.fingerprints pumicestand.fleet
 pumicestand.freshness
