--- a/packages/pumicestand/pumicestand/hop.capnp
+++ b/packages/pumicestand/pumicestand/hop.capnp
@@ -118,6 +118,9 @@
   number @0 :UInt32;
   nodeCount @1 :UInt32;
   uses @2 :List(QuotaUse);
+  slots @3 :UInt64;
+  sentMs @4 :UInt32;
+  acknowledged @5 :UInt32;
 }
 
 struct QuotaGrant {
--- a/packages/pumicestand/pumicestand/hop.py
+++ b/packages/pumicestand/pumicestand/hop.py
@@ -81,6 +81,9 @@
 def _write_quota_request(builder, request):
     builder.number = request.number
     builder.nodeCount = request.node_count
+    builder.slots = request.slots
+    builder.sentMs = request.sent_ms
+    builder.acknowledged = request.acknowledged
     items = builder.init('uses', len(request.uses))
     for item, use in zip(items, request.uses, strict=True):
         item.organisation = use.organisation
@@ -298,6 +301,9 @@
             hop_messages.QuotaUse(item.organisation, item.used, item.wanted)
             for item in reader.uses
         ),
+        reader.slots,
+        reader.sentMs,
+        reader.acknowledged,
     )
 
 
--- a/packages/pumicestand/pumicestand/hop_messages.py
+++ b/packages/pumicestand/pumicestand/hop_messages.py
@@ -468,11 +468,20 @@
 
     :param number: rises with each request of the sender
     :param node_count: nodes of the fleet as the sender knows them
+    :param slots: bit set of the slots of organisations that are delegated to
+        the receiver; see `quota_fleet.slot_of`
+    :param sent_ms: time of sending by the sender's monotonic clock, in
+        milliseconds modulo 2**32
+    :param acknowledged: number of the latest reply that the sender has
+        received from the receiver, 0 for none
     """
 
     number: int
     node_count: int
     uses: tuple[QuotaUse, ...] = ()
+    slots: int = 0
+    sent_ms: int = 0
+    acknowledged: int = 0
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -482,7 +491,8 @@
     :param granted: calls that the node may start
     :param delay_ms: time until a token is expected, in milliseconds; 0 if one
         was granted
-    :param is_relaxed: whether calls may start without a token
+    :param is_relaxed: whether the granted calls are counted when they are
+        reported as used, and not yet
     """
 
     organisation: str
--- a/tests/pumicestand/test_hop.py
+++ b/tests/pumicestand/test_hop.py
@@ -59,7 +59,9 @@
     hop_messages.Withdraw(3),
     hop_messages.FreshnessRequest(5),
     hop_messages.FreshnessReply(5, 7, 120),
-    hop_messages.QuotaRequest(6, 91, (hop_messages.QuotaUse('north', 3, 1),)),
+    hop_messages.QuotaRequest(
+        6, 91, (hop_messages.QuotaUse('north', 3, 1),), 2**63 + 1, 2**32 - 1, 5
+    ),
     hop_messages.QuotaReply(
         6, (hop_messages.QuotaGrant('north', 2, 40, True),)
     ),
