Admit calls by the organisations' quotas at every node

A call of an organisation with a rate takes a token before it is sent to a node, and is answered 429 as not run with Retry-After when there is none. The token is returned if no target has run the call. Nodes keep links to the coordinators. Nothing is sent, linked or logged while the configuration in force has no rate.

--- a/benchmarks/quota_simulation.py
+++ b/benchmarks/quota_simulation.py
@@ -347,7 +347,7 @@
             count, (names | {node.name}) - excluded or {node.name}
         )
         node.node.set_fleet(fleet, self._local(node))
-        node.coordinator.set_node_count(count)
+        node.coordinator.set_node_count(count, self._local(node))
         self._push(self.now + VIEW_PERIOD_S, self._look, node)
         self._step(node)
 
--- a/packages/pumicestand-node/pumicestand_node/link_server.py
+++ b/packages/pumicestand-node/pumicestand_node/link_server.py
@@ -13,7 +13,8 @@
 
     ``peer_name`` is the name of that node, and ``is_cross_zone`` whether it is
     in another availability zone; empty and False until its
-    `hop_messages.Hello` has arrived. ``last_call_at`` is the time at which it
+    `hop_messages.Hello` has arrived. ``peer_incarnation`` is the number of
+    its process start, 0 until then. ``last_call_at`` is the time at which it
     last sent a call.
 
     :param frames: `frame_streams.FrameStream` of the link
@@ -35,6 +36,7 @@
         self._cancel_scopes = {}
         self._received_at = {}
         self.peer_name = ''
+        self.peer_incarnation = 0
         self.is_cross_zone = False
         self.last_call_at = float('-inf')
 
@@ -62,6 +64,7 @@
                     scope.cancel()
             case hop_messages.Hello(report):
                 self.peer_name = report.name
+                self.peer_incarnation = report.incarnation
                 self.is_cross_zone = report.zone != self._mesh.identity.zone
                 self.frames.is_cross_zone = self.is_cross_zone
                 self._on_message(self, message)
--- a/packages/pumicestand-node/pumicestand_node/mesh_links.py
+++ b/packages/pumicestand-node/pumicestand_node/mesh_links.py
@@ -59,6 +59,7 @@
         )
         self._selected_names = frozenset()
         self._selected_change_count = -1
+        self._selected_coordinators = frozenset()
         self._selected_at = float('-inf')
         self._fetch_planner = fetches.FetchPlanner(mesh.identity.zone, rng)
         self._probe_selector = link_probes.ProbeSelector()
@@ -112,6 +113,7 @@
     def add_peers(self, records):
         """Add the nodes of `node_records.NodeRecord` objects."""
         now = self._clock()
+        self._mesh.are_nodes_listed = True
         for record in records:
             if record.name != self._mesh.identity.name:
                 self._mesh.fleet.add_record(record, now)
@@ -148,14 +150,19 @@
     def _update_selection(self, now):
         """Open links to nodes newly selected and close those not used."""
         fleet = self._mesh.fleet
+        coordinators = self._mesh.quota_coordinators
         if (
             fleet.change_count == self._selected_change_count
+            and coordinators == self._selected_coordinators
             and now - self._selected_at < SELECTION_PERIOD_S
         ):
             return
         self._selected_change_count = fleet.change_count
+        self._selected_coordinators = coordinators
         self._selected_at = now
-        self._selected_names = self._selector.select(fleet.others, now)
+        self._selected_names = self._selector.select(
+            fleet.others, now, coordinators
+        )
         for name in self._selected_names:
             self._open_link(fleet.get(name), now)
         for name in self._links.keys() - self._selected_names:
@@ -240,6 +247,15 @@
                     self._record_generation(peer, generation)
             case hop_messages.Configuration():
                 self._receive_configuration(server.peer_name, message)
+            case hop_messages.QuotaRequest():
+                self._handle_quota_request(
+                    server.peer_name,
+                    server.peer_incarnation,
+                    message,
+                    server.frames.send,
+                )
+            case hop_messages.QuotaReply():
+                self._handle_quota_reply(server.peer_name, message)
 
     def _handle_message(self, peer, message):
         """Handle a message received on a link that this node opened."""
@@ -256,6 +272,25 @@
                 self._send_configuration(peer.name)
             case hop_messages.Configuration():
                 self._receive_configuration(peer.name, message)
+            case hop_messages.QuotaRequest():
+                self._handle_quota_request(
+                    peer.name,
+                    peer.report.incarnation if peer.report else 0,
+                    message,
+                    lambda reply: self.send_to(peer.name, reply),
+                )
+            case hop_messages.QuotaReply():
+                self._handle_quota_reply(peer.name, message)
+
+    def _handle_quota_request(self, name, incarnation, request, send):
+        if self._mesh.quota_agent is not None:
+            self._mesh.quota_agent.handle_request(
+                name, incarnation, request, send
+            )
+
+    def _handle_quota_reply(self, name, reply):
+        if self._mesh.quota_agent is not None:
+            self._mesh.quota_agent.handle_reply(name, reply)
 
     def _handle_relayed(self, message, is_from_other_zone):
         """Apply what is of another zone and pass it on in this zone.
@@ -337,20 +372,23 @@
             generation, self._mesh.zone_roles.is_fetcher, now
         )
         if name is not None:
-            self._send_to(
-                name, hop_messages.FetchConfiguration(generation + 1)
-            )
+            self.send_to(name, hop_messages.FetchConfiguration(generation + 1))
 
     def _send_configuration(self, name):
         mesh = self._mesh
-        self._send_to(
+        self.send_to(
             name,
             hop_messages.Configuration(
                 mesh.generation, mesh.configuration_content
             ),
         )
 
-    def _send_to(self, name, message):
+    def update_selection(self):
+        """Open the links that are needed since the coordinators changed."""
+        if self._nursery is not None:
+            self._update_selection(self._clock())
+
+    def send_to(self, name, message):
         """Send a message to a node on whichever link there is."""
         peer = self._mesh.fleet.get(name)
         if name in self._links and peer is not None and peer.is_linked:
--- a/packages/pumicestand-node/pumicestand_node/mesh_metrics.py
+++ b/packages/pumicestand-node/pumicestand_node/mesh_metrics.py
@@ -36,6 +36,19 @@
             'Bytes sent to other nodes, by kind of message',
             'By',
         )
+        if mesh.quota_agent is not None:
+            registry.export_counter(
+                'pumicestand_quota',
+                mesh.quota_agent.counts,
+                ('outcome', 'organisation'),
+                'Calls of organisations with a quota, by outcome',
+            )
+            registry.export_counter(
+                'pumicestand_quota_messages',
+                mesh.quota_agent.message_counts,
+                ('kind',),
+                'Messages about quotas that were sent, by kind',
+            )
         for name, read_value, description in (
             (
                 'pumicestand_generation',
--- a/packages/pumicestand-node/pumicestand_node/mesh_node.py
+++ b/packages/pumicestand-node/pumicestand_node/mesh_node.py
@@ -18,6 +18,7 @@
 from pumicestand_node import mesh_store
 from pumicestand_node import outbound_calls
 from pumicestand_node import plain_http
+from pumicestand_node import quota_agent
 from pumicestand_node import supervision
 from pumicestand_node import target_calls
 
@@ -102,6 +103,13 @@
         )
         self._target_calls.on_leaving = self._on_target_leaving
         self._mesh.send_call = self._links.send_call
+        self._mesh.quota_agent = self._quota_agent = quota_agent.QuotaAgent(
+            self._mesh,
+            settings.bounds,
+            self._links.send_to,
+            self._links.update_selection,
+            self._clock,
+        )
         self._outbound_calls = outbound_calls.OutboundCalls(
             self._mesh,
             adapter.headers,
@@ -150,6 +158,7 @@
         await self._store.start(nursery)
         for task in (
             self._run_controllers,
+            self._quota_agent.run,
             self._flush_log,
         ):
             nursery.start_soon(supervision.supervise, task.__name__, task)
@@ -264,6 +273,7 @@
             ):
                 self._store.write_rollout_status(action)
             self._links.check_links(now)
+            self._quota_agent.refresh(now)
             if now - timeouts_checked_at >= TIMEOUT_CHECK_PERIOD_S:
                 timeouts_checked_at = now
                 self._client_port.enforce_timeouts()
--- a/packages/pumicestand-node/pumicestand_node/mesh_state.py
+++ b/packages/pumicestand-node/pumicestand_node/mesh_state.py
@@ -20,7 +20,8 @@
     `configuration` is the `documents.InForce` in effect, or None;
     `configuration_content` is its zlib-compressed JSON. `send_call` is set
     by the node to a coroutine function (peer, call) that returns a
-    `hop_messages.Result`, or None if the link broke.
+    `hop_messages.Result`, or None if the link broke; `quota_agent` to the
+    `quota_agent.QuotaAgent`, None if quotas do not apply.
 
     :param identity: `node_records.NodeRecord` of this node, without target
     :param incarnation: number that increases with each start of the process
@@ -58,6 +59,11 @@
         self.is_ready = False
         self.store_reachable = True
         self.store_era = 0
+        self.quota_agent = None
+        # Names of the nodes that coordinate quotas, which are linked.
+        self.quota_coordinators = frozenset()
+        # Whether the nodes of the fleet were read from the store.
+        self.are_nodes_listed = False
         self.report_sequence = 0
         self.send_call = None
 
--- a/packages/pumicestand-node/pumicestand_node/outbound_call.py
+++ b/packages/pumicestand-node/pumicestand_node/outbound_call.py
@@ -36,6 +36,10 @@
     :param retry_after_s: seconds until a slot is expected, 0 if unknown
     :param last_node: name of the last node that the call was sent to
     :param node_results: node and result of each placement, for the log
+    :param organisation: `documents.Organisation` whose key the client sent,
+        None if there is none
+    :param has_quota_token: whether the call has taken a token of the
+        organisation's quota
     """
 
     head: heads.RequestHead
@@ -59,6 +63,8 @@
     retry_after_s: float = 0.0
     last_node: str = ''
     node_results: list = dataclasses.field(default_factory=list)
+    organisation: documents.Organisation | None = None
+    has_quota_token: bool = False
 
     @property
     def method(self):
--- a/packages/pumicestand-node/pumicestand_node/outbound_calls.py
+++ b/packages/pumicestand-node/pumicestand_node/outbound_calls.py
@@ -13,6 +13,7 @@
 from pumicestand import hop_messages
 from pumicestand import latencies
 from pumicestand import placing
+from pumicestand import quotas
 from pumicestand import refusals
 from pumicestand import routing
 from pumicestand_node import heads
@@ -142,8 +143,47 @@
             )
             self._log_call(call, refusal.status, refusal.code, None)
             return await self._send_refusal(request, connection, refusal)
+        refusal = await self._take_quota(call)
+        if refusal is not None:
+            self._log_call(call, refusal.status, refusal.code, None)
+            return await self._send_refusal(request, connection, refusal)
         return await self._execute(call, request, connection)
 
+    async def _take_quota(self, call):
+        """Take a token for the call; return the refusal if there is none.
+
+        A token is taken once for each attempt of a client. Retries that the
+        node sends itself use the same token, and `_return_quota` returns it
+        if no target has run the call.
+        """
+        organisation = call.organisation
+        agent = self._mesh.quota_agent
+        if (
+            agent is None
+            or organisation is None
+            or organisation.rate <= 0
+            or call.is_nested
+            or call.route.is_public
+        ):
+            return None
+        match await agent.admit(organisation, self._clock()):
+            case quotas.Refused(retry_after):
+                call.last_code = f'quota of {organisation.name}'
+                return refusals.not_run(
+                    refusals.CallCode.OVER_QUOTA,
+                    f'the quota of {organisation.name} is used up',
+                    retry_after=round(max(0.01, retry_after), 3),
+                    status=429,
+                )
+        call.has_quota_token = True
+        return None
+
+    def _return_quota(self, call):
+        """Return the token of a call that no target has run."""
+        if call.has_quota_token and not call.may_have_run:
+            call.has_quota_token = False
+            self._mesh.quota_agent.give_back(call.organisation, self._clock())
+
     async def _refuse_without_route(self, request, connection, configuration):
         """Refuse a request for which the configuration has no route."""
         head = request.head
@@ -252,6 +292,7 @@
             return await self._forward_response(
                 call, result, request, connection
             )
+        self._return_quota(call)
         refusal = outbound_call.final_refusal(call, result, self._clock())
         self._log_call(call, refusal.status, refusal.code, result)
         return await self._send_refusal(request, connection, refusal)
--- a/packages/pumicestand/pumicestand/link_selection.py
+++ b/packages/pumicestand/pumicestand/link_selection.py
@@ -41,11 +41,12 @@
         self._zone = zone
         self._weights = {}
 
-    def select(self, peers, now):
+    def select(self, peers, now, coordinators=frozenset()):
         """Return the names of the nodes to keep links to.
 
         :param peers: the `fleet.Peer`s that are known
         :param now: monotonic seconds
+        :param coordinators: names of the nodes that coordinate quotas
         """
         selected = set()
         remote = []
@@ -53,6 +54,8 @@
         for peer in peers:
             if peer.name == self._name:
                 continue
+            if peer.zone != self._zone and peer.name in coordinators:
+                selected.add(peer.name)
             if peer.zone == self._zone:
                 selected.add(peer.name)
                 if _is_serving(peer, now):
--- a/packages/pumicestand/pumicestand/quota_buckets.py
+++ b/packages/pumicestand/pumicestand/quota_buckets.py
@@ -67,16 +67,14 @@
     :param bounds: `QuotaBounds`
     :param rate: calls a second over the whole fleet
     :param burst: calls that may exceed the rate
-    :param now: monotonic seconds
     """
 
-    def __init__(self, name, bounds, rate, burst, now):
+    def __init__(self, name, bounds, rate, burst):
         self._phase = zlib.crc32(name.encode()) / 2**32
         self._bounds = bounds
         self._rate = rate
         self._burst = burst
         self._level = 0.0
-        self._updated_at = now
         self._fill = 0.0
         self._capacity = 0.0
         # None before the first `refill`.
@@ -112,7 +110,7 @@
         """The tokens that the bucket can hold, as of the last `refill`."""
         return self._capacity
 
-    def set_quota(self, rate, burst, now):
+    def set_quota(self, rate, burst):
         """Replace the quota; call `refill` before and after.
 
         A lower quota is binding at once, so calls that the former one allowed
@@ -121,17 +119,19 @@
         if rate < self._rate or burst < self._burst:
             self._level = max(0.0, self._level)
         self._rate, self._burst = rate, burst
-        self._updated_at = now
 
-    def refill(self, share, now):
+    def empty(self):
+        """Remove all tokens; a debt remains."""
+        self._level = min(0.0, self._level)
+
+    def refill(self, share, share_seconds):
         """Add the tokens since the last time.
 
         :param share: share of the fleet's nodes that have delegated
-        :param now: monotonic seconds
+        :param share_seconds: integral of the share since the last time, in
+            seconds
         """
-        elapsed_s = max(0.0, now - self._updated_at)
-        self._updated_at = now
-        fill = self._rate * share
+        tokens = self._rate * share_seconds
         bounds = self._bounds
         shared = share * (
             BURST_SHARE * self._burst
@@ -140,12 +140,12 @@
         )
         was_small = self._is_small
         self._is_small = share < SMALL_SHARE and shared < 1.0
-        self._fill = fill
+        self._fill = self._rate * share
         self._capacity = shared
         if share >= SMALL_SHARE or self._is_small:
             self._capacity += 1.0
-        self._level += fill * elapsed_s
-        self._backlog = max(0.0, self._backlog - fill * elapsed_s)
+        self._level += tokens
+        self._backlog = max(0.0, self._backlog - tokens)
         if not self._is_small:
             self._level = min(self._level, self._capacity)
         elif was_small is None:
--- a/packages/pumicestand/pumicestand/quota_coordination.py
+++ b/packages/pumicestand/pumicestand/quota_coordination.py
@@ -27,6 +27,9 @@
 # debt by no more than that.
 AHEAD_RATIO = 2
 MAX_AHEAD_SHARE = 0.5
+# Delay of calls that a coordinator can't grant anything for, so that they are
+# not asked for again at once.
+NO_QUOTA_DELAY_MS = 100
 # Time over which the shortest time on the way is taken, in seconds: clocks of
 # two VMs drift apart by some 3 ms in a minute.
 OFFSET_PERIOD_S = 60.0
@@ -107,18 +110,59 @@
         self.counted = {}
 
 
+class _Slot:
+    """The delegations of one slot.
+
+    ``seconds`` is the integral of the share of the nodes that have delegated
+    it, ``empty_seconds`` its value when there were none the last time.
+    """
+
+    __slots__ = ('_updated_at', 'count', 'empty_seconds', 'seconds', 'share')
+
+    def __init__(self):
+        self.count = 0
+        self.share = 0.0
+        self.seconds = 0.0
+        self.empty_seconds = 0.0
+        self._updated_at = 0.0
+
+    def advance(self, now):
+        """Integrate the share up to a time."""
+        if now > self._updated_at:
+            self.seconds += self.share * (now - self._updated_at)
+            self._updated_at = now
+
+    def set_count(self, count, node_count):
+        """Set the number of delegations of a number of nodes."""
+        if not self.count:
+            self.empty_seconds = self.seconds
+        self.count = count
+        self.share = min(1.0, count / node_count)
+
+
 class _Account:
     """The bucket of one organisation, and what its nodes may use of it."""
 
-    __slots__ = ('_reservations', '_reserved', 'bucket', 'slot')
+    __slots__ = ('_reservations', '_reserved', '_seconds', 'bucket', 'slot')
 
     def __init__(self, bucket, slot):
         self.bucket = bucket
         self.slot = slot
+        # The slot's share-seconds at the last refill.
+        self._seconds = 0.0
         # Node to its `_Reservation`, in the order of their expiry.
         self._reservations = {}
         self._reserved = 0
 
+    def refill(self, slot):
+        """Add the tokens that a `_Slot` has brought."""
+        if self._seconds < slot.empty_seconds:
+            # Nobody had delegated meanwhile, so others used the shares.
+            self.bucket.empty()
+            self._seconds = slot.empty_seconds
+        self.bucket.refill(slot.share, slot.seconds - self._seconds)
+        self._seconds = slot.seconds
+
     def reserve(self, name, calls, now):
         """Reserve calls that a node may start ahead."""
         self._reservations[name] = _Reservation(calls, now + RESERVATION_S)
@@ -140,6 +184,12 @@
         return self._reserved
 
 
+def _no_grant(use):
+    """Return the grant of a coordinator that has no part of a quota."""
+    delay_ms = NO_QUOTA_DELAY_MS if use.wanted else 0
+    return hop_messages.QuotaGrant(use.organisation, 0, delay_ms)
+
+
 class Coordinator:
     """Answers the requests of nodes, this node included.
 
@@ -156,9 +206,10 @@
         # (Time at which a delegation expires, node), earliest first. Entries
         # of delegations that were renewed are skipped.
         self._expiries = []
-        self._slot_counts = [0] * quota_fleet.SLOT_COUNT
+        self._slots = [_Slot() for _ in range(quota_fleet.SLOT_COUNT)]
         self._node_counts = collections.Counter()
         self._own_node_count = 1
+        self._node_count = 1
         self._cleaned_at = float('-inf')
 
     @property
@@ -180,15 +231,18 @@
             previous = self._organisations[name]
             if (previous.rate, previous.burst) == (quota.rate, quota.burst):
                 continue
-            share = self._share(account.slot)
-            account.bucket.refill(share, now)
-            account.bucket.set_quota(quota.rate, quota.burst, now)
-            account.bucket.refill(share, now)
+            slot = self._slots[account.slot]
+            slot.advance(now)
+            account.refill(slot)
+            account.bucket.set_quota(quota.rate, quota.burst)
+            account.refill(slot)
         self._organisations = organisations
 
-    def set_node_count(self, node_count):
+    def set_node_count(self, node_count, now):
         """Set the number of nodes of the fleet as this node knows it."""
+        self._expire(now)
         self._own_node_count = node_count
+        self._update_node_count(now)
 
     def handle(self, name, incarnation, request, now):
         """Return the `hop_messages.QuotaReply` to a request.
@@ -205,32 +259,32 @@
         node = self._nodes.get(name)
         if node is None or node.incarnation != incarnation:
             if node is not None:
-                self._end_delegation(node)
+                self._end_delegation(node, now)
             node = self._nodes[name] = _Node(incarnation, now)
         lateness_s = node.offset.lateness_s(request.sent_ms, now)
         if request.number <= node.last_number or lateness_s >= DELEGATION_S:
             return None
         node.last_number = request.number
-        self._delegate(name, node, request, now + DELEGATION_S - lateness_s)
+        expires_at = now + DELEGATION_S - lateness_s
+        self._delegate(name, node, request, expires_at, now)
         grants = tuple(
-            grant
-            for use in request.uses
-            if (grant := self._grant(name, node, request, use, now))
+            self._grant(name, node, request, use, now) for use in request.uses
         )
         if not request.slots:
             node.counted.clear()
         return hop_messages.QuotaReply(request.number, grants)
 
-    def _delegate(self, name, node, request, expires_at):
+    def _delegate(self, name, node, request, expires_at, now):
         """Record the shares that a node delegates until a time."""
         if node.node_count != request.node_count:
             self._count_node(node, -1)
             node.node_count = request.node_count
             self._count_node(node, 1)
+            self._update_node_count(now)
         if node.slots != request.slots:
-            self._count_slots(node.slots, -1)
+            self._count_slots(node.slots & ~request.slots, -1, now)
+            self._count_slots(request.slots & ~node.slots, 1, now)
             node.slots = request.slots
-            self._count_slots(node.slots, 1)
         if expires_at > node.expires_at:
             node.expires_at = expires_at
             heapq.heappush(self._expiries, (expires_at, name))
@@ -241,20 +295,32 @@
             if not self._node_counts[node.node_count]:
                 del self._node_counts[node.node_count]
 
-    def _count_slots(self, slots, difference):
+    def _update_node_count(self, now):
+        """Use the largest number of nodes that any node knows."""
+        node_count = max(self._own_node_count, *self._node_counts, 1)
+        if node_count == self._node_count:
+            return
+        self._node_count = node_count
+        for slot in self._slots:
+            slot.advance(now)
+            slot.set_count(slot.count, node_count)
+
+    def _count_slots(self, slots, difference, now):
         while slots:
             lowest = slots & -slots
-            self._slot_counts[lowest.bit_length() - 1] += difference
             slots ^= lowest
+            slot = self._slots[lowest.bit_length() - 1]
+            slot.advance(now)
+            slot.set_count(slot.count + difference, self._node_count)
 
     def _expire(self, now):
         """End the delegations that are no longer valid."""
         expiries = self._expiries
         while expiries and expiries[0][0] <= now:
-            _, name = heapq.heappop(expiries)
+            expired_at, name = heapq.heappop(expiries)
             node = self._nodes.get(name)
-            if node is not None and node.expires_at <= now:
-                self._end_delegation(node)
+            if node is not None and node.expires_at <= expired_at:
+                self._end_delegation(node, expired_at)
         if now >= self._cleaned_at + RETAIN_NODE_S:
             self._cleaned_at = now
             self._nodes = {
@@ -263,26 +329,20 @@
                 if node.expires_at > now - RETAIN_NODE_S
             }
 
-    def _end_delegation(self, node):
+    def _end_delegation(self, node, now):
         self._count_node(node, -1)
-        self._count_slots(node.slots, -1)
+        self._count_slots(node.slots, -1, now)
+        self._update_node_count(now)
         node.node_count = node.slots = 0
         # The node reports what was not acknowledged to its next coordinator.
         node.counted.clear()
 
-    def _share(self, slot):
-        """Return the share of the nodes that have delegated a slot."""
-        node_count = max(self._own_node_count, *self._node_counts, 1)
-        return min(1.0, self._slot_counts[slot] / node_count)
-
     def _grant(self, name, node, request, use, now):
-        """Return the `hop_messages.QuotaGrant` for one organisation.
-
-        None if it has no quota here.
-        """
+        """Return the `hop_messages.QuotaGrant` for one organisation."""
         quota = self._organisations.get(use.organisation)
         if quota is None:
-            return None
+            # The configuration in force here is another one.
+            return _no_grant(use)
         account = self._accounts.get(use.organisation)
         if account is None:
             account = self._accounts[use.organisation] = _Account(
@@ -291,19 +351,20 @@
                     self._bounds,
                     quota.rate,
                     quota.burst,
-                    now,
                 ),
                 quota_fleet.slot_of(use.organisation),
             )
         bucket = account.bucket
-        bucket.refill(self._share(account.slot), now)
+        slot = self._slots[account.slot]
+        slot.advance(now)
+        account.refill(slot)
         used = self._count_used(node, request, use)
         if used:
             bucket.take(used)
         account.release(name)
         if not request.slots >> account.slot & 1:
             # The node's share belongs to another coordinator.
-            return hop_messages.QuotaGrant(use.organisation)
+            return _no_grant(use)
         left = MAX_AHEAD_SHARE * bucket.capacity - account.reserved(now)
         ahead = min(math.floor(left), AHEAD_RATIO * (used + use.wanted))
         if bucket.is_relaxed and ahead >= max(1, use.wanted):
--- a/packages/pumicestand/pumicestand/quotas.py
+++ b/packages/pumicestand/pumicestand/quotas.py
@@ -122,6 +122,7 @@
     :param own: `quota_buckets.Bucket` in use while the share is delegated to
         nobody, None before the first such time
     :param own_until: end of the latest such time
+    :param own_at: time at which `own` was last filled
     """
 
     slot: int
@@ -137,6 +138,7 @@
     waiting: int = 0
     own: quota_buckets.Bucket | None = None
     own_until: float = 0.0
+    own_at: float = 0.0
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -206,6 +208,7 @@
         self._excluded = {}
         self._waiting = set()
         self._unreported = set()
+        self._has_new_report = False
         self._events = []
 
     @property
@@ -213,6 +216,11 @@
         """Names of the nodes that this node delegates to."""
         return tuple(s.name for s in self._sessions.values() if s.slots)
 
+    @property
+    def has_new_report(self):
+        """Whether calls are to be reported since `due` was last called."""
+        return self._has_new_report
+
     @property
     def fleet(self):
         """The `quota_fleet.QuotaFleet` in use."""
@@ -283,8 +291,8 @@
             self._free_at[slot] = free_at
             self._unassigned.add(slot)
         _, previous_s = self._excluded.get(name, (0.0, MIN_EXCLUDE_S / 2))
-        duration_s = min(MAX_EXCLUDE_S, previous_s * 2)
-        self._excluded[name] = (now + duration_s, duration_s)
+        excluded_s = min(MAX_EXCLUDE_S, previous_s * 2)
+        self._excluded[name] = (now + excluded_s, excluded_s)
         if session.slots:
             self._events.append(
                 CoordinatorLost(name, session.slots.bit_count())
@@ -336,6 +344,7 @@
             stock.started += 1
             if organisation not in self._unreported:
                 self._unreported.add(organisation)
+                self._has_new_report = True
                 stock.report_at = now + REPORT_S
             return Admitted()
         if now < stock.quiet_until:
@@ -363,13 +372,15 @@
                 self._bounds,
                 quota.rate,
                 quota.burst,
-                now,
             )
         if stock.own_until != until:
             # It has not filled since the share was last used.
             stock.own_until = until
-            stock.own.set_quota(quota.rate, quota.burst, now)
-        stock.own.refill(OWN_SHARE / self._fleet.node_count, now)
+            stock.own_at = now
+            stock.own.set_quota(quota.rate, quota.burst)
+        share = OWN_SHARE / self._fleet.node_count
+        stock.own.refill(share, share * (now - stock.own_at))
+        stock.own_at = now
         if stock.own.available < 1.0 - quota_buckets.ROUNDING:
             return False
         stock.own.take(1)
@@ -404,6 +415,7 @@
 
         :param now: monotonic seconds
         """
+        self._has_new_report = False
         for session in list(self._sessions.values()):
             since = session.unanswered_since
             if since is not None and now - since >= LOST_S:
--- a/packages/pumicestand/pumicestand/refusals.py
+++ b/packages/pumicestand/pumicestand/refusals.py
@@ -25,6 +25,7 @@
     NO_RESOURCE = 'no-resource'
     NO_TARGET = 'no-target'
     OVERLOADED = 'overloaded'
+    OVER_QUOTA = 'over-quota'
     DEADLINE_BEFORE_RUN = 'deadline-before-run'
     STOPPING = 'stopping'
     QUARANTINED = 'quarantined'
--- a/tests/pumicestand/test_link_selection.py
+++ b/tests/pumicestand/test_link_selection.py
@@ -153,3 +153,14 @@
     counts = count_targets(selected, usable)
     for service in FLEETS['large'][1]:
         assert counts[service] >= link_selection.MIN_TARGETS - 1
+
+
+def test_coordinators_of_other_zones_are_linked():
+    """Without a link, a node would use a part of its own share only."""
+    peers = make_peers(*FLEETS['large'])
+    own = peers[0]
+    remote = [p.name for p in peers if p.zone != own.zone]
+    unlinked = sorted(set(remote) - select(own, peers))[:2]
+    selector = link_selection.LinkSelector(own.name, own.zone)
+    selected = selector.select(peers, 0.0, frozenset(unlinked))
+    assert selected - select(own, peers) == set(unlinked)
