--- a/benchmarks/quota.py
+++ b/benchmarks/quota.py
@@ -66,15 +66,18 @@
 class _Split:
     """Gives each node a token bucket of its own.
 
+    Each bucket starts with a random part of a token: a node of a large fleet
+    gets one in minutes, so an empty bucket would admit nothing here.
+
     :param follows_demand: whether a share follows the node's part of the
         calls; else it is equal
     """
 
-    def __init__(self, quota, nodes, follows_demand):
+    def __init__(self, quota, nodes, follows_demand, rng):
         self._quota = quota
         self._nodes = nodes
         self._follows_demand = follows_demand
-        self._tokens = [0.0] * nodes
+        self._tokens = [rng.random() for _ in range(nodes)]
         self._updated_at = [0.0] * nodes
         self._shares = [1 / nodes] * nodes
         self._demand = collections.Counter()
@@ -107,7 +110,7 @@
     """Return the times at which calls start with a split, and arrivals."""
     quota = ORGANISATIONS[name]
     rng = random.Random(seed)
-    split = _Split(quota, nodes, follows_demand)
+    split = _Split(quota, nodes, follows_demand, rng)
     arrivals = []
     for traffic in traffic_of(name, quota.rate * load, nodes, seconds):
         at = 0.0
