--- a/tests/pumicestand_node/test_mesh_links.py
+++ b/tests/pumicestand_node/test_mesh_links.py
@@ -417,3 +417,61 @@
         assert message_types(harness.sent)[2:] == ['Load']
 
     run_test(test)
+
+
+def test_quota_request_is_answered_on_the_link_it_came_on(run_test):
+    """A coordinator in another zone may have no link to the node."""
+
+    async def test(harness):
+        server = harness.link_servers[0]
+        server.peer_name, server.peer_incarnation = 'n1', 7
+        server.frames.send = server.frames.sent.append
+        handled = []
+
+        class FakeAgent:
+            def handle_request(self, name, incarnation, request, send):
+                handled.append((name, incarnation))
+                send(hop_messages.QuotaReply(request.number))
+
+            def handle_reply(self, name, reply):
+                handled.append((name, reply))
+
+        request, reply = (
+            hop_messages.QuotaRequest(5, 2),
+            hop_messages.QuotaReply(6),
+        )
+        # A node without quotas ignores it.
+        harness.links._handle_opener_message(server, request)
+        harness.mesh.quota_agent = FakeAgent()
+        harness.links._handle_opener_message(server, request)
+        harness.links._handle_opener_message(server, reply)
+        assert handled == [('n1', 7), ('n1', reply)]
+        assert hop_messages.QuotaReply(5) in server.frames.sent
+
+    run_test(test)
+
+
+def test_new_coordinator_is_linked_without_waiting_for_the_period(
+    run_test, monkeypatch
+):
+    async def refuse(host, port):
+        raise OSError('refused')
+
+    monkeypatch.setattr(links.trio, 'open_tcp_stream', refuse)
+
+    async def test(harness):
+        report = mesh_fakes.make_report('far', zone='b', target=None)
+        others = [
+            mesh_fakes.make_report(f'b{number}', zone='b')
+            for number in range(12)
+        ]
+        now = trio.current_time()
+        for item in (report, *others):
+            harness.mesh.fleet.apply_relayed_report(item, now)
+        harness.links.update_selection()
+        assert 'far' not in harness.links._selected_names
+        harness.mesh.quota_coordinators = frozenset({'far'})
+        harness.links.update_selection()
+        assert 'far' in harness.links._selected_names
+
+    run_test(test)
--- a/tests/pumicestand_node/test_quota_agent.py
+++ b/tests/pumicestand_node/test_quota_agent.py
@@ -6,6 +6,7 @@
 from pumicestand import hop
 from pumicestand import hop_messages
 from pumicestand import quotas
+from pumicestand_node import mesh_metrics
 from pumicestand_node import mesh_node
 from pumicestand_node import mesh_settings
 from pumicestand_node import quota_agent
@@ -339,3 +340,21 @@
         assert status == 200
 
     run_calls(test, test_mesh_calls.NOT_RUN_RESPONSE)
+
+
+def test_operators_see_admitted_and_refused_calls_by_organisation():
+    async def test(harness):
+        for _ in range(3):
+            await harness.send_request()
+        node_metrics = mesh_metrics.MeshMetrics(
+            harness.mesh, harness.outbound, harness.targets, trio.current_time
+        )
+        lines = [
+            line
+            for line in node_metrics.text().decode().splitlines()
+            if line.startswith('pumicestand_quota_total')
+        ]
+        assert any('"refused"' in line for line in lines)
+        assert all('organisation="north"' in line for line in lines)
+
+    run_calls(test)
