--- a/benchmarks/quota_simulation.py
+++ b/benchmarks/quota_simulation.py
@@ -180,7 +180,7 @@
         self.clock_offset = simulation.rng.uniform(0, 1e6)
         self.notice_s = simulation.rng.uniform(0, MAX_NOTICE_S)
         self.incarnation = 1
-        self.changed_at = 0.0
+        self.generation = 0
         self.joined_at = simulation.now
         self.is_dead = False
         self.paused_until = -math.inf
@@ -212,6 +212,7 @@
         self.rng = random.Random(seed)
         self.bounds = quota_buckets.QuotaBounds()
         self.now = 0.0
+        self._generation = 0
         self.organisations = dict(scenario.organisations)
         self._observer = quota_fleet.QuotaFleetObserver('none')
         self._views = {}
@@ -284,21 +285,28 @@
             case Death():
                 self._nodes[fault.node % len(self._nodes)].is_dead = True
             case Change():
+                self._generation += 1
                 for node in self._nodes:
                     delay_s = self.rng.uniform(0, MAX_CHANGE_S)
-                    self._push(self.now + delay_s, self._change, node, fault)
+                    self._push(
+                        self.now + delay_s,
+                        self._change,
+                        node,
+                        fault,
+                        self._generation,
+                    )
                 # Nodes that start later have it at once.
                 self.organisations[fault.organisation] = organisation(
                     fault.organisation, fault.rate, fault.burst
                 )
 
-    def _change(self, node, fault):
-        if self._is_held_up(node, self._change, node, fault):
+    def _change(self, node, fault, generation):
+        if self._is_held_up(node, self._change, node, fault, generation):
             return
-        if fault.at < node.changed_at:
-            # A later generation has replaced this one.
+        if generation < node.generation:
+            # A later configuration has replaced this one.
             return
-        node.changed_at = fault.at
+        node.generation = generation
         node.organisations = {
             **node.organisations,
             fault.organisation: organisation(
