--- a/packages/pumicestand-node/pumicestand_node/mesh_links.py
+++ b/packages/pumicestand-node/pumicestand_node/mesh_links.py
@@ -63,6 +63,7 @@
         )
         self._selected_names = frozenset()
         self._selected_change_count = -1
+        self._selected_coordinators = frozenset()
         self._selected_at = float('-inf')
         self._fetch_planner = fetches.FetchPlanner(mesh.identity.zone, rng)
         self._probe_selector = link_probes.ProbeSelector()
@@ -117,6 +118,7 @@
     def add_peers(self, records):
         """Add the nodes of `node_records.NodeRecord` objects."""
         now = self._clock()
+        self._mesh.are_nodes_listed = True
         for record in records:
             if record.name != self._mesh.identity.name:
                 self._mesh.fleet.add_record(record, now)
@@ -153,15 +155,18 @@
     def _update_selection(self, now):
         """Open links to nodes newly selected and close those not used."""
         fleet = self._mesh.fleet
+        coordinators = self._mesh.quota_coordinators
         if (
             fleet.change_count == self._selected_change_count
+            and coordinators == self._selected_coordinators
             and now - self._selected_at < SELECTION_PERIOD_S
         ):
             return
         self._selected_change_count = fleet.change_count
+        self._selected_coordinators = coordinators
         self._selected_at = now
         self._selected_names = self._selector.select(
-            fleet.others, now, fleet.evacuated_zones
+            fleet.others, now, fleet.evacuated_zones, coordinators
         )
         for name in self._selected_names:
             self._open_link(fleet.get(name), now)
@@ -252,6 +257,15 @@
                 hop_messages.FreshnessRequest() | hop_messages.FreshnessReply()
             ):
                 self._receive_freshness(message, server.frames.send)
+            case hop_messages.QuotaRequest():
+                self._handle_quota_request(
+                    server.peer_name,
+                    server.peer_incarnation,
+                    message,
+                    server.frames.send,
+                )
+            case hop_messages.QuotaReply():
+                self._handle_quota_reply(server.peer_name, message)
 
     def _handle_message(self, peer, message):
         """Handle a message received on a link that this node opened."""
@@ -274,12 +288,31 @@
                 self._receive_freshness(
                     message, functools.partial(self.send_to, peer.name)
                 )
+            case hop_messages.QuotaRequest():
+                self._handle_quota_request(
+                    peer.name,
+                    peer.report.incarnation if peer.report else 0,
+                    message,
+                    lambda reply: self.send_to(peer.name, reply),
+                )
+            case hop_messages.QuotaReply():
+                self._handle_quota_reply(peer.name, message)
 
     def _receive_freshness(self, message, send):
         """Pass on a message about proofs, where keys need them."""
         if self.on_freshness is not None:
             self.on_freshness(message, send)
 
+    def _handle_quota_request(self, name, incarnation, request, send):
+        if self._mesh.quota_agent is not None:
+            self._mesh.quota_agent.handle_request(
+                name, incarnation, request, send
+            )
+
+    def _handle_quota_reply(self, name, reply):
+        if self._mesh.quota_agent is not None:
+            self._mesh.quota_agent.handle_reply(name, reply)
+
     def _handle_relayed(self, message, is_from_other_zone):
         """Apply what is of another zone and pass it on in this zone.
 
@@ -375,6 +408,11 @@
             ),
         )
 
+    def update_selection(self):
+        """Open the links that are needed since the coordinators changed."""
+        if self._nursery is not None:
+            self._update_selection(self._clock())
+
     def send_to(self, name, message):
         """Send a message to a node on whichever link there is.
 
--- a/packages/pumicestand/pumicestand/link_selection.py
+++ b/packages/pumicestand/pumicestand/link_selection.py
@@ -44,12 +44,19 @@
         self._zone = zone
         self._weights = {}
 
-    def select(self, peers, now, evacuated_zones=frozenset()):
+    def select(
+        self,
+        peers,
+        now,
+        evacuated_zones=frozenset(),
+        coordinators=frozenset(),
+    ):
         """Return the names of the nodes to keep links to.
 
         :param peers: the `fleet.Peer`s that are known
         :param now: monotonic seconds
         :param evacuated_zones: availability zones whose targets get no calls
+        :param coordinators: names of the nodes that coordinate quotas
         """
         min_targets = MIN_TARGETS
         if self._zone in evacuated_zones:
@@ -60,6 +67,8 @@
         for peer in peers:
             if peer.name == self._name:
                 continue
+            if peer.zone != self._zone and peer.name in coordinators:
+                selected.add(peer.name)
             if peer.zone == self._zone:
                 selected.add(peer.name)
                 if _is_serving(peer, now, evacuated_zones):
--- a/tests/pumicestand/test_link_selection.py
+++ b/tests/pumicestand/test_link_selection.py
@@ -192,3 +192,14 @@
         peer.zone for peer in peers if peer.name in selected
     )
     assert by_zone['z1'] >= link_selection.CONTACTS_PER_ZONE
+
+
+def test_coordinators_of_other_zones_are_linked():
+    """Without a link, a node would use a part of its own share only."""
+    peers = make_peers(*FLEETS['large'])
+    own = peers[0]
+    remote = [p.name for p in peers if p.zone != own.zone]
+    unlinked = sorted(set(remote) - select(own, peers))[:2]
+    selector = link_selection.LinkSelector(own.name, own.zone)
+    selected = selector.select(peers, 0.0, coordinators=frozenset(unlinked))
+    assert selected - select(own, peers) == set(unlinked)
--- a/tests/pumicestand_platform/test_start_modules.py
+++ b/tests/pumicestand_platform/test_start_modules.py
@@ -29,7 +29,9 @@
 pumicestand.latencies pumicestand.link_meter pumicestand.link_probes
 pumicestand.link_selection pumicestand.log pumicestand.node_records
 pumicestand.organisations
-pumicestand.placing pumicestand.ranking pumicestand.rate_limits
+pumicestand.placing pumicestand.quota_buckets
+pumicestand.quota_coordination pumicestand.quota_fleet pumicestand.quotas
+pumicestand.ranking pumicestand.rate_limits
 pumicestand.refusals pumicestand.regressions pumicestand.reporting
 pumicestand.response_buffers pumicestand.retry_quota pumicestand.rollouts
 pumicestand.routing pumicestand.store_calls pumicestand.stored_objects
@@ -45,7 +47,8 @@
 pumicestand_node.mesh_node pumicestand_node.mesh_settings
 pumicestand_node.mesh_state pumicestand_node.mesh_store
 pumicestand_node.outbound_call pumicestand_node.outbound_calls
-pumicestand_node.plain_http pumicestand_node.socket_io
+pumicestand_node.plain_http pumicestand_node.quota_agent
+pumicestand_node.socket_io
 pumicestand_node.supervision pumicestand_node.target_calls
 pumicestand_node.target_exchange pumicestand_node.target_responses
 pumicestand_platform pumicestand_platform.configuration
