Add a player of hard loads

The decisions on placement and queues were measured only with processes, which is too slow and too noisy to compare changes. The player runs the real selection, queues and retry quota on a simulated clock, with nested calls that hold their caller's slot, and compares them with two simple policies.

--- /dev/null
+++ b/benchmarks/load_player/__init__.py
@@ -0,0 +1,1 @@
+"""Parts of the load player, see `benchmarks.load_play`."""
--- /dev/null
+++ b/benchmarks/load_player/policies.py
@@ -0,0 +1,86 @@
+"""The policies that the load player compares."""
+
+import dataclasses
+
+from pumicestand import placing
+from pumicestand import target_queue
+
+# Length of the fixed queue as a multiple of the target's slots.
+FIXED_QUEUE_RATIO = 2
+
+
+class RandomSelector:
+    """Chooses peers at random.
+
+    The parameters are those of `placing.PeerSelector`.
+    """
+
+    def __init__(self, rng, own_name, zone):
+        self._rng = rng
+
+    def choose(self, candidates, excluded, now, requirements):
+        """Return a random peer that was not tried, None if there is none."""
+        untried = [p for p in candidates if p.name not in excluded]
+        return self._rng.choice(untried) if untried else None
+
+
+class LeastInFlightSelector:
+    """Chooses the peer with the fewest calls of this node in flight.
+
+    The parameters are those of `placing.PeerSelector`.
+    """
+
+    def __init__(self, rng, own_name, zone):
+        self._rng = rng
+
+    def choose(self, candidates, excluded, now, requirements):
+        """Return a peer that was not tried, None if there is none."""
+        untried = [p for p in candidates if p.name not in excluded]
+        return min(
+            untried,
+            key=lambda peer: (peer.in_flight, self._rng.random()),
+            default=None,
+        )
+
+
+class FifoQueue(target_queue.TargetQueue):
+    """A first-in, first-out queue that refuses no call before its deadline."""
+
+    def _sort_key(self, ticket, now):
+        return (ticket.number,)
+
+    def _latest_finish(self, ticket):
+        return ticket.deadline
+
+    def expected_wait_s(self, now, ticket):
+        """Return 0, so that no call is refused because of its wait."""
+        return 0.0
+
+
+class FixedQueue(FifoQueue):
+    """A first-in, first-out queue of fixed length."""
+
+    def expected_wait_s(self, now, ticket):
+        """Return 0, or infinity if the queue is full."""
+        is_full = self.queued >= FIXED_QUEUE_RATIO * self.slots
+        return float('inf') if is_full else 0.0
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Policy:
+    """How nodes place calls and queue them.
+
+    :param selector: class with the interface of `placing.PeerSelector`
+    :param queue: class with the interface of `target_queue.TargetQueue`
+    """
+
+    name: str
+    selector: type
+    queue: type
+
+
+POLICIES = (
+    Policy('current', placing.PeerSelector, target_queue.TargetQueue),
+    Policy('random, fifo', RandomSelector, FifoQueue),
+    Policy('least in flight, fixed queue', LeastInFlightSelector, FixedQueue),
+)
--- /dev/null
+++ b/tests/benchmarks/test_load_play.py
@@ -0,0 +1,111 @@
+"""Tests that the load player accounts for every call and all slot time."""
+
+import json
+
+import pydantic
+import pytest
+
+from benchmarks import load_play
+from benchmarks.load_player import deployments
+from benchmarks.load_player import play
+from benchmarks.load_player import policies
+
+DEPLOYMENT = {
+    'name': 'small',
+    'zones': 2,
+    'slots': 2,
+    'services': [
+        {'name': 'front', 'targets': 4},
+        {'name': 'back', 'targets': 2},
+    ],
+    'kinds': [
+        {
+            'name': 'front',
+            'service': 'front',
+            'rate': 50,
+            'work_ms': 80,
+            'objective_ms': 400,
+            'deadline_ms': 1200,
+            'value': 1,
+            'late_value': 0.3,
+            'nested': {'kind': 'back', 'count': 2},
+        },
+        {
+            'name': 'back',
+            'service': 'back',
+            'work_ms': 20,
+            'objective_ms': 130,
+            'deadline_ms': 430,
+        },
+    ],
+}
+
+
+def play_day(policy=policies.POLICIES[0], rate_factor=1.0, **changes):
+    deployment = deployments.Deployment.model_validate(
+        {**DEPLOYMENT, **changes}
+    )
+    day = play.Day(deployment, policy, 6.0, rate_factor, 1)
+    return day, day.run()
+
+
+@pytest.mark.parametrize('policy', policies.POLICIES, ids=lambda p: p.name)
+@pytest.mark.parametrize('rate_factor', [0.5, 3.0])
+def test_each_call_has_one_outcome(policy, rate_factor):
+    """Guards against calls that vanish or are counted twice."""
+    day, _ = play_day(policy, rate_factor)
+    total = day.figures.total()
+    outcomes = total.in_objective + total.late + total.refused + total.failed
+    assert total.asked == outcomes > 100
+
+
+def test_calm_load_is_served_in_time():
+    """Guards against delays or refusals that the player itself adds."""
+    _, result = play_day(rate_factor=0.3)
+    assert result['total']['in_objective'] > 0.97
+
+
+def test_slot_time_is_complete():
+    """Guards against slot time that is counted twice or not at all."""
+    _, result = play_day(rate_factor=2.0)
+    for shares in result['slot_time'].values():
+        parts = [shares[k] for k in ('useful', 'wasted', 'held', 'idle')]
+        assert sum(parts) == pytest.approx(1.0, abs=0.001)
+    assert result['slot_time']['front']['held'] > 0
+
+
+def test_days_with_the_same_seed_are_equal():
+    """Guards against a comparison of policies on different days."""
+    assert play_day()[1] == play_day()[1]
+
+
+def test_crashed_targets_lose_their_runs_and_come_back():
+    """Guards against runs or slots that survive a crash."""
+    day, result = play_day(crashes={'per_target_s': 3.0, 'down_s': 0.5})
+    total = day.figures.total()
+    assert total.failed > 0
+    assert total.in_objective > 0.3 * total.asked
+
+
+def test_file_that_names_an_unknown_kind_is_rejected():
+    """Guards against a misspelt name that silently drops nested calls."""
+    with pytest.raises(pydantic.ValidationError, match='no kind other'):
+        deployments.Deployment.model_validate(
+            {
+                **DEPLOYMENT,
+                'kinds': [
+                    {**DEPLOYMENT['kinds'][0], 'nested': {'kind': 'other'}}
+                ],
+            }
+        )
+
+
+def test_all_deployment_files_are_played(capsys):
+    """Guards against files that the reader no longer accepts."""
+    for name in ('a', 'b'):
+        load_play.main(
+            [f'benchmarks/loads/{name}.yaml', '--seconds', '1']
+            + ['--policy', 'current']
+        )
+        printed = json.loads(capsys.readouterr().out)
+        assert printed['policies'][0]['total']['asked'] > 500
