Probe for a free slot before a call waits

Cause: reported loads are up to 2 s old while calls take 30 to 300 ms, so calls waited at busy targets while others of the service had free slots, and nested calls that waited held their callers' slots.

Change: a call with a small body is sent to up to three nodes that start it at once or answer 'busy', with their load, and only then to one where it may wait. Call gets the field is_probe (probe @20 on the wire); a node that does not know it queues the call as before.

--- a/benchmarks/load_play.py
+++ b/benchmarks/load_play.py
@@ -2,7 +2,8 @@
 
 The real placement, queues and quota of retries run on a simulated clock;
 targets, links, clients and the delays between nodes are simulated. The same
-day is played under each policy. Usage:
+day is played under each policy; 'no probes' is the current one without
+`pumicestand.probing`. Usage:
 
     python -m benchmarks.load_play FILE [--seconds N] [--rate N] [--seed N]
 """
--- a/benchmarks/load_player/nodes.py
+++ b/benchmarks/load_player/nodes.py
@@ -10,6 +10,7 @@
 from pumicestand import fleet
 from pumicestand import hop_messages
 from pumicestand import placing
+from pumicestand import probing
 from pumicestand import reporting
 from pumicestand import retry_quota
 from pumicestand_node import outbound_call
@@ -156,7 +157,7 @@
             kilobytes=(size + outbound_calls.CALL_OVERHEAD_BYTES) / 1000,
         )
 
-    def _choose_peer(self, call):
+    def _choose_peer(self, call, is_probe=False):
         serving = [
             peer
             for peer in self._peers_by_service[call.kind.service]
@@ -164,7 +165,9 @@
         ]
         return self._selector.choose(
             serving,
-            call.tried_nodes,
+            call.tried_nodes | call.busy_nodes
+            if is_probe
+            else call.tried_nodes,
             self._events.now,
             self._requirements(call),
         )
@@ -172,7 +175,13 @@
     def _send(self, call):
         """Send a call to a node, see `OutboundCalls._send_to_node`."""
         now = self._events.now
-        peer = self._choose_peer(call)
+        is_probe = self._day.policy.has_probes and probing.is_probe(
+            call.probes, call.kind.request_bytes
+        )
+        peer = self._choose_peer(call, is_probe)
+        if peer is None and is_probe:
+            is_probe = False
+            peer = self._choose_peer(call)
         if peer is None:
             is_failed = call.may_have_run or call.has_failed
             self._answer(
@@ -209,6 +218,7 @@
             call.deadline - now,
             call.objective_at - now,
             averages.work_ms if averages else 0.0,
+            is_probe,
             reply,
         )
         self._network.send(
@@ -233,6 +243,12 @@
         if result.outcome is not Outcome.NOT_HANDED_ON:
             call.sends += 1
         peer.update_load(result.load, self._events.now)
+        if result.code == probing.BUSY_CODE:
+            call.probes += 1
+            call.busy_nodes.add(peer.name)
+            call.tried_nodes.discard(peer.name)
+            self._send(call)
+            return
         self._go_on(call, result)
 
     def _go_on(self, call, result):
@@ -261,7 +277,8 @@
                     result.code in outbound_calls.OVERLOADED_CODES
                 )
                 if (
-                    call.placements < outbound_calls.MAX_PLACEMENTS
+                    call.placements - call.probes
+                    < outbound_calls.MAX_PLACEMENTS
                     and call.overloaded_placements
                     < outbound_calls.MAX_OVERLOADED_PLACEMENTS
                 ):
--- a/benchmarks/load_player/played.py
+++ b/benchmarks/load_player/played.py
@@ -61,6 +61,8 @@
     tried_nodes: set = dataclasses.field(default_factory=set)
     placements: int = 0
     overloaded_placements: int = 0
+    probes: int = 0
+    busy_nodes: set = dataclasses.field(default_factory=set)
     sends: int = 0
     may_have_run: bool = False
     has_failed: bool = False
@@ -77,6 +79,7 @@
 class Placement:
     """A call as it is sent to the node beside a target.
 
+    :param is_probe: see `pumicestand.probing`
     :param reply: called with the `Result`
     """
 
@@ -84,6 +87,7 @@
     remaining_s: float
     objective_remaining_s: float
     expected_ms: float
+    is_probe: bool
     reply: object
 
 
--- a/benchmarks/load_player/policies.py
+++ b/benchmarks/load_player/policies.py
@@ -72,15 +72,18 @@
 
     :param selector: class with the interface of `placing.PeerSelector`
     :param queue: class with the interface of `target_queue.TargetQueue`
+    :param has_probes: whether calls are sent as probes first
     """
 
     name: str
     selector: type
     queue: type
+    has_probes: bool = False
 
 
 POLICIES = (
-    Policy('current', placing.PeerSelector, target_queue.TargetQueue),
+    Policy('current', placing.PeerSelector, target_queue.TargetQueue, True),
+    Policy('no probes', placing.PeerSelector, target_queue.TargetQueue),
     Policy('random, fifo', RandomSelector, FifoQueue),
     Policy('least in flight, fixed queue', LeastInFlightSelector, FixedQueue),
 )
--- a/benchmarks/load_player/targets.py
+++ b/benchmarks/load_player/targets.py
@@ -9,6 +9,7 @@
 
 from benchmarks.load_player import played
 from pumicestand import hop_messages
+from pumicestand import probing
 from pumicestand import target_queue
 from pumicestand_node import target_calls
 
@@ -82,6 +83,8 @@
         call = placement.call
         ticket = self._make_ticket(placement, now)
         match self._queue.offer(ticket, now):
+            case target_queue.Refuse() if placement.is_probe:
+                self._refuse(placement, probing.BUSY_CODE)
             case target_queue.Refuse(retry_after_s):
                 self._refuse(placement, 'overloaded', retry_after_s)
             case target_queue.Start():
@@ -99,6 +102,7 @@
             deadline=now + placement.remaining_s,
             objective_at=now + placement.objective_remaining_s,
             route=call.kind.name,
+            is_probe=placement.is_probe,
         )
 
     def _watch_waiting(self, ticket, call):
--- a/packages/pumicestand-node/pumicestand_node/outbound_call.py
+++ b/packages/pumicestand-node/pumicestand_node/outbound_call.py
@@ -27,6 +27,8 @@
     :param header_lines: header lines for the target, as bytes
     :param placements: number of nodes that the call was sent to
     :param overloaded_placements: how many of them had no room for it in time
+    :param probes: how many of them did not start it at once, see `probing`
+    :param busy_nodes: names of the nodes that answered these probes
     :param sends: how often the call may have been sent to a target
     :param may_have_run: whether a target may have run the call
     :param failure_response: result with a target's failure response, after
@@ -51,6 +53,8 @@
     header_lines: bytes
     placements: int = 0
     overloaded_placements: int = 0
+    probes: int = 0
+    busy_nodes: set = dataclasses.field(default_factory=set)
     sends: int = 0
     may_have_run: bool = False
     failure_response: hop_messages.Result | None = None
--- a/packages/pumicestand-node/pumicestand_node/outbound_calls.py
+++ b/packages/pumicestand-node/pumicestand_node/outbound_calls.py
@@ -13,6 +13,7 @@
 from pumicestand import hop_messages
 from pumicestand import latencies
 from pumicestand import placing
+from pumicestand import probing
 from pumicestand import refusals
 from pumicestand import routing
 from pumicestand_node import heads
@@ -20,8 +21,9 @@
 
 Outcome = hop_messages.Outcome
 
-# Nodes that a call is sent to at most while none of them hands it on to its
-# target. Each costs one exchange between nodes and none with a target.
+# Nodes that a call is sent to at most, besides probes, while none of them
+# hands it on to its target. Each costs one exchange between nodes and none
+# with a target.
 MAX_PLACEMENTS = 4
 # Of these, nodes that refuse the call since they have no room in time. The
 # first ones asked have the most room as far as is known; where two have none,
@@ -273,6 +275,9 @@
                     # It has run, whatever becomes of the next attempt.
                     call.may_have_run = True
                     call.failure_response = result
+                case Outcome.NOT_HANDED_ON if result.code == probing.BUSY_CODE:
+                    self._record_busy(call)
+                    continue
                 case Outcome.NOT_HANDED_ON:
                     call.last_code = result.code
                     if result.retry_after_ms:
@@ -287,7 +292,8 @@
                         or call.overloaded_placements
                         >= MAX_OVERLOADED_PLACEMENTS
                     )
-                    if call.placements < MAX_PLACEMENTS and not is_final:
+                    placements = call.placements - call.probes
+                    if placements < MAX_PLACEMENTS and not is_final:
                         continue
                     return result
                 case Outcome.NOT_RUN:
@@ -319,7 +325,14 @@
             call.service, mesh.fleet.known_count, now
         )
 
-    def _choose_peer(self, call, now):
+    def _record_busy(self, call):
+        """Count a probe; the node may still get the call to wait there."""
+        call.last_code = probing.BUSY_CODE
+        call.probes += 1
+        call.busy_nodes.add(call.last_node)
+        call.tried_nodes.discard(call.last_node)
+
+    def _choose_peer(self, call, now, is_probe=False):
         """Return the peer to send the call to, or None if there is none."""
         mesh = self._mesh
         peers = mesh.rollouts.select_peers(
@@ -330,7 +343,9 @@
         )
         return mesh.peer_selector.choose(
             peers,
-            call.tried_nodes,
+            call.tried_nodes | call.busy_nodes
+            if is_probe
+            else call.tried_nodes,
             now,
             placing.CallRequirements(
                 work_ms=self._mean_work_ms.get(call.route.name, 0.0),
@@ -364,7 +379,11 @@
         ):
             call.last_code = outbound_call.QUARANTINED
             return None
-        peer = self._choose_peer(call, now)
+        is_probe = probing.is_probe(call.probes, len(call.body))
+        peer = self._choose_peer(call, now, is_probe)
+        if peer is None and is_probe:
+            is_probe = False
+            peer = self._choose_peer(call, now)
         if peer is None:
             call.last_code = call.last_code or 'no-target'
             return None
@@ -393,6 +412,7 @@
             is_client_retry=call.is_client_retry,
             body=call.body,
             expected_ms=self._mean_work_ms.get(call.route.name, 0.0),
+            is_probe=is_probe,
         )
         peer.in_flight += 1
         peer.sent_since_load += 1
--- a/packages/pumicestand-node/pumicestand_node/target_calls.py
+++ b/packages/pumicestand-node/pumicestand_node/target_calls.py
@@ -13,6 +13,7 @@
 
 from pumicestand import fingerprints
 from pumicestand import hop_messages
+from pumicestand import probing
 from pumicestand import rate_limits
 from pumicestand import refusals
 from pumicestand import target_queue
@@ -200,8 +201,13 @@
             deadline=now + call.remaining_ms / 1000,
             objective_at=now + call.objective_remaining_ms / 1000,
             route=call.route,
+            is_probe=call.is_probe,
         )
         match self._queue.offer(ticket, now):
+            case target_queue.Refuse() if call.is_probe:
+                return self._make_result(
+                    call, Outcome.NOT_HANDED_ON, probing.BUSY_CODE
+                )
             case target_queue.Refuse(retry_after_s):
                 return self._make_result(
                     call, Outcome.NOT_HANDED_ON, 'overloaded', retry_after_s
--- a/packages/pumicestand/pumicestand/hop.capnp
+++ b/packages/pumicestand/pumicestand/hop.capnp
@@ -168,6 +168,7 @@
   rest @17 :UInt32;
   expectedMs @18 :Float32;
   organisation @19 :Text;
+  probe @20 :Bool;
 }
 
 struct Part {
--- a/packages/pumicestand/pumicestand/hop.py
+++ b/packages/pumicestand/pumicestand/hop.py
@@ -119,6 +119,7 @@
     builder.rest = call.remaining_bytes
     builder.expectedMs = call.expected_ms
     builder.organisation = call.organisation
+    builder.probe = call.is_probe
 
 
 def _write_result(builder, result):
@@ -335,6 +336,7 @@
         remaining_bytes=reader.rest,
         expected_ms=reader.expectedMs,
         organisation=reader.organisation,
+        is_probe=reader.probe,
     )
 
 
--- a/packages/pumicestand/pumicestand/hop_messages.py
+++ b/packages/pumicestand/pumicestand/hop_messages.py
@@ -315,6 +315,8 @@
         from the sender's experience with all targets; 0 if it has none
     :param organisation: organisation whose key the client sent, empty for
         none
+    :param is_probe: whether to refuse the call rather than let it wait, see
+        `probing`
     """
 
     id: int
@@ -337,6 +339,7 @@
     remaining_bytes: int = 0
     expected_ms: float = 0.0
     organisation: str = ''
+    is_probe: bool = False
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/packages/pumicestand/pumicestand/target_queue.py
+++ b/packages/pumicestand/pumicestand/target_queue.py
@@ -53,6 +53,7 @@
     :param objective_at: the latest time at which its response meets the
         latency objective
     :param route: name of the route
+    :param is_probe: whether it is refused rather than waits, see `probing`
     :param number: order of arrival, set by the queue
     :param started_at: set by the queue when the call starts
     """
@@ -63,6 +64,7 @@
     deadline: float
     objective_at: float
     route: str = ''
+    is_probe: bool = False
     number: int = 0
     started_at: float | None = None
 
@@ -277,6 +279,8 @@
 
         :returns: `Start`, `Wait` or `Refuse`
         """
+        if ticket.is_probe and not self._has_room_now(now):
+            return Refuse(0.0)
         ticket.number = next(self._numbers)
         self._demand.record_arrival(
             ticket.priority_key, self.route_work_s(ticket.route), now
@@ -298,6 +302,14 @@
         self._waiting.append(ticket)
         return Wait()
 
+    def _has_room_now(self, now):
+        """Whether a new call need not wait."""
+        return (
+            self._running < self._slots
+            and not self._waiting
+            and self._limiter.wait_s(0, now) <= 0
+        )
+
     def _sort_key(self, ticket, now):
         """Return the sort key of waiting tickets; the lowest goes first.
 
--- a/tests/benchmarks/test_load_play.py
+++ b/tests/benchmarks/test_load_play.py
@@ -109,3 +109,12 @@
         )
         printed = json.loads(capsys.readouterr().out)
         assert printed['policies'][0]['total']['asked'] > 500
+
+
+def test_probes_serve_more_calls_in_time_under_high_load():
+    """Guards against waits at busy targets while others are free."""
+    by_name = {policy.name: policy for policy in policies.POLICIES}
+    _, with_probes = play_day(by_name['current'], 1.3)
+    _, without = play_day(by_name['no probes'], 1.3)
+    missed = 1 - with_probes['total']['in_objective']
+    assert missed < 0.5 * (1 - without['total']['in_objective'])
--- a/tests/pumicestand/test_target_queue.py
+++ b/tests/pumicestand/test_target_queue.py
@@ -226,3 +226,24 @@
         assert queue.usable_slots == slots
     queue.set_slots(0)
     assert queue.usable_slots == 0
+
+
+def test_probe_starts_at_once_or_is_refused():
+    """Guards against probes that wait, or that count as demand."""
+    queue = make_queue(slots=1)
+    assert offer(queue, is_probe=True)[1] == target_queue.Start()
+    reference, _ = offer(queue, priority=2)
+    wait_s = queue.expected_wait_s(10.0, reference)
+    for _ in range(20):
+        _, decision = offer(queue, is_probe=True, is_nested=True)
+        assert decision == target_queue.Refuse(0.0)
+    assert queue.expected_wait_s(10.0, reference) == wait_s
+    assert queue.queued == 1
+
+
+def test_probe_does_not_start_above_the_rate_limit():
+    """Guards against probes that wait for the rate of a limited target."""
+    queue = make_queue(slots=4)
+    queue.set_rate_limit(10.0, 10.0)
+    assert offer(queue, is_probe=True)[1] == target_queue.Refuse(0.0)
+    assert offer(queue, now=10.11, is_probe=True)[1] == target_queue.Start()
--- a/tests/pumicestand_node/test_placements.py
+++ b/tests/pumicestand_node/test_placements.py
@@ -10,7 +10,7 @@
 Outcome = hop_messages.Outcome
 
 
-def run_with_refusals(test, codes, retry_after_ms=120):
+def run_with_refusals(test, codes, retry_after_ms=120, nodes=6):
     """Run a test with six nodes that refuse a call, one code after another.
 
     :param test: coroutine function of the harness and the list of the names
@@ -22,6 +22,7 @@
 
         async def send_call(peer, call):
             asked.append(peer.name)
+            harness.probes.append(call.is_probe)
             code = codes[min(len(asked), len(codes)) - 1]
             if not code:
                 return hop_messages.Result(
@@ -40,7 +41,8 @@
             )
 
         harness.mesh.send_call = send_call
-        for number in range(6):
+        harness.probes = []
+        for number in range(nodes):
             report = mesh_fakes.make_report(f'n{number}')
             harness.mesh.fleet.apply_report(report, 0.0)
             harness.mesh.fleet.get(report.name).is_linked = True
@@ -76,3 +78,52 @@
         assert (status, len(asked)) == (200, 4)
 
     run_with_refusals(test, [code, code, 'overloaded', ''])
+
+
+def test_call_waits_at_a_node_only_after_its_probes_found_no_slot():
+    """Guards against calls that wait while other targets have free slots."""
+
+    async def test(harness, asked):
+        status, _ = await harness.send_request('/o/1', 'POST')
+        assert status == 200
+        assert harness.probes == [True, True, True, False]
+        assert len(set(asked[:3])) == 3
+
+    run_with_refusals(test, ['busy', 'busy', 'busy', ''])
+
+
+def test_probes_do_not_count_as_nodes_without_room():
+    """Guards against refusing a call that no node was asked to queue."""
+
+    async def test(harness, asked):
+        status, _ = await harness.send_request('/o/1', 'POST')
+        assert (status, len(asked)) == (503, 5)
+        assert harness.probes == [True, True, True, False, False]
+
+    run_with_refusals(test, ['busy', 'busy', 'busy', 'overloaded'])
+
+
+def test_call_waits_at_the_only_node_although_it_is_busy():
+    """Guards against refusing calls where a service has one target."""
+
+    async def test(harness, asked):
+        status, _ = await harness.send_request('/o/1', 'POST')
+        assert (status, asked) == (200, ['own', 'own'])
+        assert harness.probes == [True, False]
+
+    run_with_refusals(test, ['busy', ''], nodes=0)
+
+
+def test_large_body_is_not_sent_as_a_probe():
+    """Guards against a body that crosses slow links several times."""
+
+    async def test(harness, asked):
+        stream = await harness.open_client()
+        head = test_mesh_calls.make_request(
+            '/o/1', 'PUT', extra=b'content-length: 60000\r\n'
+        )
+        await stream.send_all(head + b'x' * 60_000)
+        assert b' 200 ' in await stream.receive_some(65_536)
+        assert harness.probes == [False]
+
+    run_with_refusals(test, [''])
