Let organisations above their share of a target's time wait

Cause: a call's place in the queue did not depend on its organisation, so one organisation that sends several times its usual calls took the others' room.

--- a/benchmarks/load_player/targets.py
+++ b/benchmarks/load_player/targets.py
@@ -103,6 +103,7 @@
             objective_at=now + placement.objective_remaining_s,
             route=call.kind.name,
             is_probe=placement.is_probe,
+            organisation=call.organisation,
         )
 
     def _watch_waiting(self, ticket, call):
--- a/packages/pumicestand-node/pumicestand_node/target_calls.py
+++ b/packages/pumicestand-node/pumicestand_node/target_calls.py
@@ -202,6 +202,7 @@
             objective_at=now + call.objective_remaining_ms / 1000,
             route=call.route,
             is_probe=call.is_probe,
+            organisation=call.organisation,
         )
         match self._queue.offer(ticket, now):
             case target_queue.Refuse() if call.is_probe:
--- a/packages/pumicestand/pumicestand/target_queue.py
+++ b/packages/pumicestand/pumicestand/target_queue.py
@@ -16,6 +16,7 @@
 import itertools
 import math
 
+from pumicestand import fair_shares
 from pumicestand import rate_limits
 
 # Weight of one observation in the moving averages of work.
@@ -54,6 +55,8 @@
         latency objective
     :param route: name of the route
     :param is_probe: whether it is refused rather than waits, see `probing`
+    :param organisation: organisation that the call belongs to, empty for
+        none
     :param number: order of arrival, set by the queue
     :param started_at: set by the queue when the call starts
     """
@@ -65,6 +68,7 @@
     objective_at: float
     route: str = ''
     is_probe: bool = False
+    organisation: str = ''
     number: int = 0
     started_at: float | None = None
 
@@ -169,6 +173,7 @@
         self._mean_work_s = INITIAL_WORK_S
         self._route_work_s = {}
         self._demand = _Demand()
+        self._shares = fair_shares.FairShares()
         self._limiter = rate_limits.RateLimiter()
 
     @property
@@ -314,12 +319,15 @@
         """Return the sort key of waiting tickets; the lowest goes first.
 
         Within a priority, calls that can still meet their objective go before
-        those that cannot, and retries of clients go before first attempts.
+        those that cannot, then calls of organisations within their share
+        before those of others, and then retries of clients before first
+        attempts.
         """
         is_late = self._is_late(ticket, now)
         return (
             *ticket.priority_key,
             is_late,
+            self._shares.is_above_share(ticket.organisation),
             not ticket.is_client_retry,
             ticket.number,
         )
@@ -348,6 +356,9 @@
 
     def _start(self, ticket, now):
         ticket.started_at = now
+        self._shares.record_start(
+            ticket.organisation, self.route_work_s(ticket.route), now
+        )
         self._running += 1
 
     def cancel(self, ticket):
