--- a/packages/pumicestand/pumicestand/probing.py
+++ b/packages/pumicestand/pumicestand/probing.py
@@ -13,8 +13,9 @@
 
 # Result code of a node that does not start a probe at once.
 BUSY_CODE = 'busy'
-# Probes of a call at most. Where nine slots in ten are in use, a quarter of
-# the calls finds a free one with the first three at targets of three slots.
+# Probes of a call at most. At random targets of three slots, nine in ten of
+# which are in use, one probe finds a free slot in 0.27 of all cases, three
+# probes in 0.61.
 MAX_PROBES = 3
 # Largest body that is sent as a probe: it takes 4 ms on a link of 10 Mbit/s.
 MAX_PROBE_BYTES = 5000
