--- a/packages/pumicestand-node/pumicestand_node/outbound_calls.py
+++ b/packages/pumicestand-node/pumicestand_node/outbound_calls.py
@@ -13,6 +13,7 @@
 from pumicestand import hop_messages
 from pumicestand import latencies
 from pumicestand import placing
+from pumicestand import probing
 from pumicestand import quotas
 from pumicestand import refusals
 from pumicestand import routing
@@ -22,8 +23,9 @@
 
 Outcome = hop_messages.Outcome
 
-# Nodes that a call is sent to at most while none of them hands it on to its
-# target. Each costs one exchange between nodes and none with a target.
+# Nodes that a call is sent to at most, besides probes, while none of them
+# hands it on to its target. Each costs one exchange between nodes and none
+# with a target.
 MAX_PLACEMENTS = 4
 # Of these, nodes that refuse the call since they have no room in time. The
 # first ones asked have the most room as far as is known; where two have none,
@@ -370,6 +372,9 @@
                     # It has run, whatever becomes of the next attempt.
                     call.may_have_run = True
                     call.failure_response = result
+                case Outcome.NOT_HANDED_ON if result.code == probing.BUSY_CODE:
+                    self._record_busy(call)
+                    continue
                 case Outcome.NOT_HANDED_ON:
                     call.last_code = result.code
                     if result.retry_after_ms:
@@ -384,8 +389,9 @@
                         or call.overloaded_placements
                         >= MAX_OVERLOADED_PLACEMENTS
                     )
+                    placements = call.placements - call.probes
                     if (
-                        call.placements < MAX_PLACEMENTS
+                        placements < MAX_PLACEMENTS
                         and not is_final
                         and self._clock() < call.deadline - MIN_PLACEMENT_S
                     ):
@@ -420,6 +426,13 @@
             call.service, mesh.fleet.known_count, now
         )
 
+    def _record_busy(self, call):
+        """Count a probe; the node may still get the call to wait there."""
+        call.last_code = probing.BUSY_CODE
+        call.probes += 1
+        call.busy_nodes.add(call.last_node)
+        call.tried_nodes.discard(call.last_node)
+
     def _choose_peer(self, call, now):
         """Return the peer to send the call to, or None if there is none."""
         mesh = self._mesh
@@ -471,6 +484,11 @@
         if peer is None:
             call.last_code = call.last_code or 'no-target'
             return None
+        # A node that is known to be busy is chosen again if waiting there
+        # costs less than to ask another one.
+        is_probe = peer.name not in call.busy_nodes and probing.is_probe(
+            call.probes, len(call.body)
+        )
         call.tried_nodes.add(peer.name)
         call.placements += 1
         call.last_node = peer.name
@@ -497,6 +515,7 @@
             body=call.body,
             expected_ms=self._mean_work_ms.get(call.route.name, 0.0),
             organisation=call.organisation_name,
+            is_probe=is_probe,
         )
         peer.in_flight += 1
         peer.sent_since_load += 1
--- a/packages/pumicestand-node/pumicestand_node/target_calls.py
+++ b/packages/pumicestand-node/pumicestand_node/target_calls.py
@@ -14,6 +14,7 @@
 from pumicestand import fingerprints
 from pumicestand import hop_messages
 from pumicestand import log
+from pumicestand import probing
 from pumicestand import rate_limits
 from pumicestand import refusals
 from pumicestand import target_queue
@@ -283,6 +284,10 @@
             return self._make_result(call, Outcome.NOT_HANDED_ON, code)
         ticket = _make_ticket(call, now)
         match self._queue.offer(ticket, now):
+            case target_queue.Refuse() if call.is_probe:
+                return self._make_result(
+                    call, Outcome.NOT_HANDED_ON, probing.BUSY_CODE
+                )
             case target_queue.Refuse(retry_after_s):
                 return self._make_result(
                     call, Outcome.NOT_HANDED_ON, 'overloaded', retry_after_s
@@ -679,4 +684,6 @@
         deadline=now + call.remaining_ms / 1000,
         objective_at=now + call.objective_remaining_ms / 1000,
         route=call.route,
+        is_probe=call.is_probe,
+        organisation=call.organisation,
     )
--- a/packages/pumicestand/pumicestand/hop.capnp
+++ b/packages/pumicestand/pumicestand/hop.capnp
@@ -174,6 +174,7 @@
   expectedMs @18 :Float32;
   organisation @19 :Text;
   holdsBody @20 :Bool;
+  probe @21 :Bool;
 }
 
 struct Part {
--- a/packages/pumicestand/pumicestand/hop.py
+++ b/packages/pumicestand/pumicestand/hop.py
@@ -125,6 +125,7 @@
     builder.expectedMs = call.expected_ms
     builder.organisation = call.organisation
     builder.holdsBody = call.holds_body
+    builder.probe = call.is_probe
 
 
 def _write_result(builder, result):
@@ -348,6 +349,7 @@
         expected_ms=reader.expectedMs,
         organisation=reader.organisation,
         holds_body=reader.holdsBody,
+        is_probe=reader.probe,
     )
 
 
--- a/packages/pumicestand/pumicestand/hop_messages.py
+++ b/packages/pumicestand/pumicestand/hop_messages.py
@@ -320,6 +320,8 @@
         none
     :param holds_body: whether the sender keeps the body until it is asked for
         it with `SendBody`
+    :param is_probe: whether to refuse the call rather than let it wait, see
+        `probing`
     """
 
     id: int
@@ -343,6 +345,7 @@
     expected_ms: float = 0.0
     organisation: str = ''
     holds_body: bool = False
+    is_probe: bool = False
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/packages/pumicestand/pumicestand/target_queue.py
+++ b/packages/pumicestand/pumicestand/target_queue.py
@@ -16,6 +16,7 @@
 import itertools
 import math
 
+from pumicestand import fair_shares
 from pumicestand import rate_limits
 
 # Weight of one observation in the moving averages of work.
@@ -53,6 +54,9 @@
     :param objective_at: the latest time at which its response meets the
         latency objective
     :param route: name of the route
+    :param is_probe: whether it is refused rather than waits, see `probing`
+    :param organisation: organisation that the call belongs to, empty for
+        none
     :param number: order of arrival, set by the queue
     :param started_at: set by the queue when the call starts
     """
@@ -63,6 +67,8 @@
     deadline: float
     objective_at: float
     route: str = ''
+    is_probe: bool = False
+    organisation: str = ''
     number: int = 0
     started_at: float | None = None
 
@@ -168,6 +174,7 @@
         self._route_work_s = {}
         self._demand = _Demand()
         self._limiter = rate_limits.StartLimiter()
+        self._shares = fair_shares.FairShares()
 
     @property
     def slots(self):
@@ -293,6 +300,8 @@
 
         :returns: `Start`, `Wait` or `Refuse`
         """
+        if ticket.is_probe and not self._has_room_now(now):
+            return Refuse(0.0)
         ticket.number = next(self._numbers)
         self._demand.record_arrival(
             ticket.priority_key, self.route_work_s(ticket.route), now
@@ -330,16 +339,27 @@
             return None
         return Refuse(self._retry_after(wait_s))
 
+    def _has_room_now(self, now):
+        """Whether a new call need not wait."""
+        return (
+            self._running < self._slots
+            and not self._waiting
+            and self._limiter.wait_s(0, now) <= 0
+        )
+
     def _sort_key(self, ticket, now):
         """Return the sort key of waiting tickets; the lowest goes first.
 
         Within a priority, calls that can still meet their objective go before
-        those that cannot, and retries of clients go before first attempts.
+        those that cannot, then calls of organisations within their share
+        before those of others, and then retries of clients before first
+        attempts.
         """
         is_late = self._is_late(ticket, now)
         return (
             *ticket.priority_key,
             is_late,
+            self._shares.is_above_share(ticket.organisation),
             not ticket.is_client_retry,
             ticket.number,
         )
@@ -372,6 +392,9 @@
 
     def _start(self, ticket, now):
         ticket.started_at = now
+        self._shares.record_start(
+            ticket.organisation, self.route_work_s(ticket.route), now
+        )
         self._running += 1
 
     def cancel(self, ticket):
--- a/tests/pumicestand_platform/test_start_modules.py
+++ b/tests/pumicestand_platform/test_start_modules.py
@@ -21,7 +21,7 @@
 OWN = """
 pumicestand pumicestand.body_transfers pumicestand.call_headers
 pumicestand.coldness pumicestand.decision_log
-pumicestand.evacuations
+pumicestand.evacuations pumicestand.fair_shares
 pumicestand.documents pumicestand.errors pumicestand.fetches
 pumicestand.field_reading pumicestand.fingerprints pumicestand.fleet
 pumicestand.freshness
@@ -29,7 +29,8 @@
 pumicestand.latencies pumicestand.link_meter pumicestand.link_probes
 pumicestand.link_selection pumicestand.log pumicestand.node_records
 pumicestand.organisations
-pumicestand.placing pumicestand.quota_buckets
+pumicestand.placing pumicestand.probing
+pumicestand.quota_buckets
 pumicestand.quota_coordination pumicestand.quota_fleet pumicestand.quotas
 pumicestand.ranking pumicestand.rate_limits
 pumicestand.refusals pumicestand.regressions pumicestand.reporting
