--- a/packages/pumicestand-node/pumicestand_node/mesh_metrics.py
+++ b/packages/pumicestand-node/pumicestand_node/mesh_metrics.py
@@ -123,6 +123,11 @@
                 lambda: mesh.link_meter.utilisation(clock()),
                 "Fraction of the VM's network link in use",
             ),
+            (
+                'pumicestand_bodies_waiting',
+                lambda: mesh.body_transfers.waiting,
+                'Large bodies that this node has not asked for yet',
+            ),
             (
                 'pumicestand_requests_refused_for_crashes',
                 mesh.suspects.refused_count,
