Turn targets cold in the soak

With the part 'cold', targets bear few calls for a time after a restart and from drawn moments, and crash under more. The soak reports such a crash.

--- a/Makefile
+++ b/Makefile
@@ -6,6 +6,8 @@
 	packages/pumicestandctl packages/pumicestand-standins
 SOURCES = packages platform benchmarks soak tests
 SEEDS ?= 50
+# Parts that the soak plays, but not in the regression seeds.
+PARTS = cold
 # Seeds that had findings once; docs/operations/soak.md tells their causes.
 REGRESSION_SEEDS = 8 741 88019 90101
 
@@ -43,7 +45,7 @@
 	for seed in $(REGRESSION_SEEDS); do \
 		$(BIN)/python -m soak --seed $$seed || exit 1; \
 	done
-	$(BIN)/python -m soak --seeds $(SEEDS)
+	$(BIN)/python -m soak --seeds $(SEEDS) --parts $(PARTS)
 
 # Writes the lock file anew from what the workspace needs now.
 lock:
--- a/packages/pumicestand-standins/pumicestand_standins/mesh_target.py
+++ b/packages/pumicestand-standins/pumicestand_standins/mesh_target.py
@@ -1,10 +1,11 @@
 """A stand-in for a target on the operators' platform.
 
 It sends heartbeats to the node of its VM, serves calls, makes nested calls,
-drains, advertises a rate limit, and fails on demand. Its ledger records
-every call that it ran.
+drains, advertises a rate limit, turns cold, and fails on demand. Its ledger
+records every call that it ran.
 """
 
+import collections
 import dataclasses
 import hashlib
 import json
@@ -19,6 +20,11 @@
 ACKNOWLEDGEMENT_TIMEOUT_S = 1.0
 SERVER_STAMP_HEADER = ('Pumicestand-Server-Stamp', 'stand-in')
 LEAVING_HEADER = ('Server-Leaving', '1')
+# A cold target crashes when it gets more calls in one second than this
+# multiple of its cold rate and this many more.
+COLD_RATIO, COLD_EXTRA = 1.5, 8
+COLD_WINDOW_S = 1.0
+RESTART_DELAY_S = 1.0
 ENDLESS_CHUNK = b'8000\r\n' + b'x' * 0x8000 + b'\r\n'
 
 
@@ -67,6 +73,21 @@
     until: float
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class ColdCrash:
+    """A crash of a cold target that got too many calls.
+
+    :param at: time in seconds of trio's clock
+    :param calls: calls that it got in the `COLD_WINDOW_S` before
+    :param is_after_start: whether it was cold since its start
+    """
+
+    instance: str
+    at: float
+    calls: int
+    is_after_start: bool
+
+
 @dataclasses.dataclass(slots=True)
 class Behaviour:
     """How the target responds to calls.
@@ -77,6 +98,8 @@
     :param fails: every n-th call runs and fails with status 500; 0 for none
     :param endless: every n-th response has an endless body; 0 for none
     :param limit: rate limit in calls a second, None for none
+    :param cold_rate: calls a second that it bears while cold; 0 for any number
+    :param cold_start_s: seconds for which it is cold after a restart
     """
 
     work_s: float = 0.02
@@ -85,6 +108,8 @@
     fails: int = 0
     endless: int = 0
     limit: float | None = None
+    cold_rate: float = 0.0
+    cold_start_s: float = 0.0
 
 
 class MeshTarget:
@@ -129,12 +154,19 @@
         self._state = 'ready'
         self._says_leaving = False
         self._active_limits = []
+        self._cold_until = 0.0
+        # Time from which the calls of a cold target are counted.
+        self._cold_counted_from = float('inf')
+        self._cold_since_start = False
+        self._cold_arrivals = collections.deque()
         self._server = None
+        self._nursery = None
         self._heartbeat_scope = None
         self.behaviour = Behaviour()
         self.ledger = []
         self.departures = []
         self.limit_periods = []
+        self.cold_crashes = []
 
     @property
     def name(self):
@@ -152,8 +184,19 @@
         return self._server is not None
 
     async def start(self, nursery):
-        """Start a new instance that serves in a nursery."""
+        """Start a new instance that serves in a nursery.
+
+        Any start but the first is one during traffic: the instance is cold
+        for `Behaviour.cold_start_s`.
+        """
+        self._nursery = nursery
         self._start_count += 1
+        self._cold_arrivals.clear()
+        self._cold_since_start = self._start_count > 1
+        self._cold_counted_from = now = trio.current_time()
+        self._cold_until = now
+        if self._cold_since_start:
+            self._cold_until += self.behaviour.cold_start_s
         self._sequence = 0
         self._started_ms = int(time.time() * 1000)
         self._state = 'ready'
@@ -220,6 +263,50 @@
                 LimitPeriod(instance, rate, since, trio.current_time())
             )
 
+    async def turn_cold(self, duration_s):
+        """Turn cold for a time; heartbeats tell so, the first one at once.
+
+        The calls are counted from the first heartbeat that the node has
+        acknowledged: before that, it can't know.
+
+        :param duration_s: seconds
+        """
+        now = trio.current_time()
+        if now >= self._cold_until:
+            self._cold_since_start = False
+            self._cold_counted_from = float('inf')
+            self._cold_arrivals.clear()
+        self._cold_until = max(self._cold_until, now + duration_s)
+        await self._notify_node('heartbeat')
+
+    def _bears_call(self):
+        """Count a call that has arrived; return whether it can be borne."""
+        now = trio.current_time()
+        rate = self.behaviour.cold_rate
+        if not rate or not self._cold_counted_from <= now < self._cold_until:
+            return True
+        arrivals = self._cold_arrivals
+        arrivals.append(now)
+        while arrivals[0] <= now - COLD_WINDOW_S:
+            arrivals.popleft()
+        if len(arrivals) <= COLD_RATIO * rate + COLD_EXTRA:
+            return True
+        self.cold_crashes.append(
+            ColdCrash(
+                self.instance, now, len(arrivals), self._cold_since_start
+            )
+        )
+        arrivals.clear()
+        self._cold_counted_from = float('inf')
+        self._nursery.start_soon(self._crash_and_restart)
+        return False
+
+    async def _crash_and_restart(self):
+        await self.crash()
+        await trio.sleep(RESTART_DELAY_S)
+        if not self.is_running:
+            await self.start(self._nursery)
+
     def _condition_headers(self):
         """Return the headers that tell of a limit or the departure."""
         headers = []
@@ -248,6 +335,8 @@
         """
         self._sequence += 1
         host, port = self._announced_address
+        cold_until = self._cold_until
+        cold_left_s = max(0, cold_until - trio.current_time())
         body = {
             'address': f'{host}:{port}',
             'born': self._started_ms,
@@ -260,7 +349,7 @@
             'status': {
                 'state': self._state,
                 'sequence': self._sequence,
-                'cold_left_s': 0,
+                'cold_left_s': cold_left_s,
             },
         }
         connection = http_client.Connection(self._control_address)
@@ -273,13 +362,20 @@
                 json.dumps(body).encode(),
             )
         await connection.close()
-        return response is not None and response.status == 200
+        is_acknowledged = response is not None and response.status == 200
+        if is_acknowledged and cold_left_s and cold_until == self._cold_until:
+            self._cold_counted_from = min(
+                self._cold_counted_from, trio.current_time()
+            )
+        return is_acknowledged
 
     async def _handle(self, request):
         request_id = request.headers.get('pumicestand-request-id', '')
         expected = request.headers.get('pumicestand-expect-instance')
         if expected not in (None, self.instance):
             return _not_run_response(421, request_id)
+        if not self._bears_call():
+            return http_server.RawResponse()
         if self._in_flight >= self._slots:
             return _not_run_response(503, request_id)
         run = Run(request_id, self.instance, trio.current_time())
--- a/soak/__main__.py
+++ b/soak/__main__.py
@@ -8,6 +8,7 @@
 
 from soak import pictures
 from soak import play
+from soak import records
 
 
 def main(arguments=None):
@@ -19,6 +20,14 @@
     parser.add_argument('--seconds', type=float, default=25.0)
     parser.add_argument('--logs', help='existing folder for all logs')
     parser.add_argument('--picture', help='path of a PNG of the last seed')
+    parser.add_argument(
+        '--parts',
+        nargs='*',
+        default=(),
+        type=records.Part,
+        metavar='PART',
+        help=f'play these parts too: {", ".join(records.Part)}',
+    )
     options = parser.parse_args(arguments)
     # On SIGTERM the soak still ends the processes that it started.
     signal.signal(signal.SIGTERM, lambda *_: sys.exit(1))
@@ -31,6 +40,7 @@
             options.seconds,
             True,
             options.logs,
+            options.parts,
         )
         print(verdict.to_json(), flush=True)
         has_failed = has_failed or bool(verdict.findings)
--- a/soak/checks.py
+++ b/soak/checks.py
@@ -43,6 +43,7 @@
             *check_departures(record),
             *check_apply_times(record),
             *check_limits(record),
+            *check_cold_crashes(record),
         ]
     return findings
 
@@ -196,6 +197,17 @@
                 break
 
 
+def check_cold_crashes(record):
+    """Yield findings for cold targets that crashed under their calls."""
+    for crash in record.cold_crashes:
+        cause = 'since its start' if crash.is_after_start else 'at run time'
+        yield records.Finding(
+            'cold targets get no more calls than they bear',
+            f'{crash.instance}, cold {cause}, got {crash.calls} calls in '
+            f'the second before {crash.at:.2f}',
+        )
+
+
 def check_regressions(record):
     """Yield findings for nodes that went back to an older configuration."""
     newest_generations = {}
--- a/soak/clusters.py
+++ b/soak/clusters.py
@@ -11,6 +11,7 @@
 from pumicestand_standins import mesh_target
 from pumicestand_standins import objects
 from soak import proxies
+from soak import records
 
 ROOT = pathlib.Path(__file__).parents[1]
 ZONES = ('zone-a', 'zone-b')
@@ -21,6 +22,9 @@
 GRACE_S = 6.0
 # A busy machine may need longer than the grace period to show the exit.
 EXIT_MARGIN_S = 2.0
+# Calls a second that a cold target bears, about a quarter of what it gets, and
+# the time for which it is cold after a restart.
+COLD_RATE, COLD_START_S = 6.0, 3.0
 READY_PERIOD_S = 0.2
 OUTBOUND_PORT, READY_PORT, CONTROL_PORT = 8304, 8302, 8306
 # Bound by a soak while it uses its loopback network.
@@ -49,11 +53,13 @@
 """
 
 
-def make_configuration(generation):
+def make_configuration(generation, parts=()):
     """Return the operators' configuration of a generation.
 
     Each generation has a route of its own, so that a request shows which
     generation is in force at a node.
+
+    :param parts: the `records.Part`s to play
     """
     routes = [
         ('again', '/r/', 'idempotent', 'shop', 2),
@@ -62,7 +68,13 @@
         ('inner', '/i/', 'idempotent', 'till', 2),
         ('own', f'/g{generation}/', 'idempotent', 'till', 2),
     ]
-    return objects.make_configuration(generation, routes, SERVICES, HOST_NAME)
+    spec = objects.make_configuration(generation, routes, SERVICES, HOST_NAME)
+    if records.Part.COLD in parts:
+        spec['services'] = {
+            'columns': ['name', 'cold_start_s', 'cold_per_s'],
+            'rows': [[name, COLD_START_S, COLD_RATE] for name in SERVICES],
+        }
+    return spec
 
 
 class NodeUnderTest:
@@ -72,9 +84,10 @@
     :param network_number: second octet of all addresses, see
         `LoopbackNetwork`
     :param folder: path for settings and logs
+    :param parts: the `records.Part`s to play
     """
 
-    def __init__(self, index, network_number, folder):
+    def __init__(self, index, network_number, folder, parts=()):
         self.name = f'node-{index}'
         self.ip = f'127.{network_number}.0.{index + 10}'
         self.start_count = 0
@@ -96,6 +109,9 @@
             (self.ip, OUTBOUND_PORT),
             '/i/' if self._service == 'shop' else None,
         )
+        if records.Part.COLD in parts:
+            self.target.behaviour.cold_rate = COLD_RATE
+            self.target.behaviour.cold_start_s = COLD_START_S
 
     @property
     def outbound_address(self):
@@ -231,9 +247,11 @@
 
     :param node_count: number of nodes
     :param folder: path for settings and logs
+    :param parts: the `records.Part`s to play
     """
 
-    def __init__(self, node_count, folder):
+    def __init__(self, node_count, folder, parts=()):
+        self._parts = parts
         self._network = LoopbackNetwork()
         self._network.start()
         network_number = self._network.number
@@ -242,7 +260,7 @@
             f'127.{network_number}.0.2', STORE_PORT, self.store.handle
         )
         self.nodes = [
-            NodeUnderTest(index, network_number, folder)
+            NodeUnderTest(index, network_number, folder, parts)
             for index in range(node_count)
         ]
         self.generation = 0
@@ -250,7 +268,8 @@
     def accept_next_configuration(self):
         """Store the next configuration; return its generation."""
         self.generation += 1
-        self.store.put('config', 'main', make_configuration(self.generation))
+        configuration = make_configuration(self.generation, self._parts)
+        self.store.put('config', 'main', configuration)
         return self.generation
 
     async def start(self, nursery):
--- a/soak/faults.py
+++ b/soak/faults.py
@@ -17,6 +17,9 @@
 # checked.
 LATER_MEAN_GAP_S = 3.0
 LATER_MAX_DURATION_S = 12.0
+# Mean time between the starts, and shortest and longest duration, of the fault
+# of each part.
+PART_TIMES_S = {records.Part.COLD: (2.0, 2.0, 6.0)}
 # Rate limit of a target in calls a second, about a fifth of what it gets.
 TARGET_LIMIT = 5.0
 # How long a target continues to serve after it has announced its departure.
@@ -44,11 +47,12 @@
     node_index: int
 
 
-def draw_whole_schedule(rng, seed, seconds, node_count):
+def draw_whole_schedule(rng, seed, seconds, node_count, parts=()):
     """Return the `ScheduledFault`s of a soak, in the order of their time.
 
     :param rng: a `random.Random` initialised with the seed
     :param seconds: duration of the soak
+    :param parts: the `records.Part`s to play
     """
     first = draw_schedule(rng, seconds, node_count)
     later = draw_schedule(
@@ -59,6 +63,17 @@
         LATER_MEAN_GAP_S,
         LATER_MAX_DURATION_S,
     )
+    for part in parts:
+        mean_gap_s, min_duration_s, max_duration_s = PART_TIMES_S[part]
+        later += draw_schedule(
+            random.Random(f'{part} {seed}'),
+            seconds,
+            node_count,
+            (records.PART_FAULTS[part],),
+            mean_gap_s,
+            max_duration_s,
+            min_duration_s,
+        )
     return sorted(first + later, key=lambda entry: entry.offset_s)
 
 
@@ -69,6 +84,7 @@
     kinds=records.FIRST_FAULTS,
     mean_gap_s=MEAN_GAP_S,
     max_duration_s=MAX_DURATION_S,
+    min_duration_s=MIN_DURATION_S,
 ):
     """Return `ScheduledFault`s of some kinds, in the order of their time.
 
@@ -81,7 +97,7 @@
         offset_s += rng.expovariate(1 / mean_gap_s)
         if offset_s > seconds - FAULT_FREE_S:
             return schedule
-        duration_s = rng.uniform(MIN_DURATION_S, max_duration_s)
+        duration_s = rng.uniform(min_duration_s, max_duration_s)
         duration_s = min(duration_s, seconds - FAULT_FREE_S - offset_s)
         fault = rng.choice(kinds)
         schedule.append(
@@ -218,6 +234,9 @@
                 await self._restart_target(target)
             case Fault.TARGET_LIMITS:
                 await target.advertise_limit(TARGET_LIMIT, entry.duration_s)
+            case Fault.TARGET_COLD if target.is_running:
+                await target.turn_cold(entry.duration_s)
+                await trio.sleep(entry.duration_s)
             case Fault.TARGET_SILENT:
                 proxy.faults.is_stalled = True
                 await trio.sleep(min(2.0, entry.duration_s))
--- a/soak/play.py
+++ b/soak/play.py
@@ -55,7 +55,9 @@
         return json.dumps(dataclasses.asdict(self))
 
 
-async def run_soak(seed, node_count, seconds, checks_timing=True, logs=None):
+async def run_soak(
+    seed, node_count, seconds, checks_timing=True, logs=None, parts=()
+):
     """Run a soak; return (`Verdict`, `records.Record`, start time).
 
     The start time is in seconds of trio's clock.
@@ -64,13 +66,16 @@
     :param seconds: duration without the start of the nodes
     :param checks_timing: see `checks.check`
     :param logs: folder in which the nodes' logs are kept, None to delete them
+    :param parts: the `records.Part`s to play
     """
     rng = random.Random(seed)
-    schedule = faults.draw_whole_schedule(rng, seed, seconds, node_count)
+    schedule = faults.draw_whole_schedule(
+        rng, seed, seconds, node_count, parts
+    )
     record = records.Record()
     with tempfile.TemporaryDirectory(prefix='soak-') as temporary_folder:
         cluster = clusters.Cluster(
-            node_count, pathlib.Path(logs or temporary_folder)
+            node_count, pathlib.Path(logs or temporary_folder), parts
         )
         try:
             async with trio.open_nursery() as nursery:
@@ -86,6 +91,7 @@
     for node in cluster.nodes:
         record.runs += node.target.ledger
         record.departures += node.target.departures
+        record.cold_crashes += node.target.cold_crashes
         record.limits += [(node.name, p) for p in node.target.limit_periods]
     findings = [*injector_findings, *checks.check(record, checks_timing)]
     if checks_timing:
--- a/soak/records.py
+++ b/soak/records.py
@@ -71,6 +71,7 @@
     nothing more pass the open connections to the store, while new ones work.
     `TARGET_LIMITS` has a target advertise a rate limit, `TARGET_WARNS` is a
     departure that only responses tell, `TARGET_ENDLESS` is endless bodies.
+    With `TARGET_COLD` a target turns cold and bears only a few calls.
     """
 
     KILL = 'kill'
@@ -97,6 +98,7 @@
     TARGET_LIMITS = 'target-limits'
     TARGET_WARNS = 'target-warns'
     TARGET_ENDLESS = 'target-endless'
+    TARGET_COLD = 'target-cold'
 
 
 PLANNED_FAULTS = frozenset((Fault.STOP, Fault.HANGUP))
@@ -110,7 +112,22 @@
     Fault.TARGET_WARNS,
     Fault.TARGET_ENDLESS,
 )
-FIRST_FAULTS = tuple(f for f in Fault if f not in LATER_FAULTS)
+
+
+class Part(enum.StrEnum):
+    """Parts of the system that a soak plays only on request.
+
+    They change the configuration or the settings of the nodes.
+    """
+
+    COLD = 'cold'
+
+
+# The fault of each part; those of one part are drawn apart from all others.
+PART_FAULTS = {Part.COLD: Fault.TARGET_COLD}
+FIRST_FAULTS = tuple(
+    f for f in Fault if f not in (*LATER_FAULTS, *PART_FAULTS.values())
+)
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -144,6 +161,7 @@
     :param runs: the `mesh_target.Run`s of all targets
     :param departures: the `mesh_target.Departure`s of all targets
     :param limits: (name of the node, `mesh_target.LimitPeriod`) of all targets
+    :param cold_crashes: the `mesh_target.ColdCrash`es of all targets
     """
 
     calls: list = dataclasses.field(default_factory=list)
@@ -153,3 +171,4 @@
     runs: list = dataclasses.field(default_factory=list)
     departures: list = dataclasses.field(default_factory=list)
     limits: list = dataclasses.field(default_factory=list)
+    cold_crashes: list = dataclasses.field(default_factory=list)
--- a/tests/pumicestand_standins/test_mesh_target.py
+++ b/tests/pumicestand_standins/test_mesh_target.py
@@ -189,3 +189,58 @@
         await other.close()
 
     run_with_target(test)
+
+
+async def crash_under_calls(target, connection):
+    """Send calls until the target has crashed; return how many it bore."""
+    count = 0
+    while not target.cold_crashes:
+        await send_request(connection, f'x{count}')
+        count += 1
+    return count - 1
+
+
+def test_target_crashes_when_cold_under_too_many_calls():
+    async def test(target, node, connection):
+        target.behaviour.cold_rate = 100.0
+        for number in range(200):
+            await send_request(connection, f'w{number}')
+        assert target.cold_crashes == []
+        target.behaviour.cold_rate = 4.0
+        await target.turn_cold(60.0)
+        cold_left_s = node.requests[-1][1]['status']['cold_left_s']
+        assert 50.0 < cold_left_s <= 60.0
+        assert await crash_under_calls(target, connection) >= 14
+        assert len(target.ledger) >= 214
+        assert not target.cold_crashes[0].is_after_start
+
+    run_with_target(test)
+
+
+def test_calls_before_the_node_acknowledged_the_coldness_do_not_count():
+    async def test(target, node, connection):
+        node.acknowledges = False
+        target.behaviour.cold_rate = 1.0
+        await target.turn_cold(60.0)
+        for number in range(50):
+            await send_request(connection, f'w{number}')
+        assert target.cold_crashes == []
+
+    run_with_target(test)
+
+
+def test_restarted_target_is_cold_before_its_first_heartbeat():
+    async def test(target, node, connection):
+        node.acknowledges = False
+        target.behaviour.cold_rate = 4.0
+        target.behaviour.cold_start_s = 60.0
+        await target.crash()
+        async with trio.open_nursery() as nursery:
+            await target.start(nursery)
+            await crash_under_calls(target, connection)
+            (crash,) = target.cold_crashes
+            assert crash.is_after_start
+            assert (crash.instance, crash.calls) == ('t-2', 15)
+            nursery.cancel_scope.cancel()
+
+    run_with_target(test)
--- a/tests/soak/test_checks.py
+++ b/tests/soak/test_checks.py
@@ -147,3 +147,11 @@
     assert broken_promises(
         make_limited_record(60, 0.2, disruptions=[slow])
     ) == [promise]
+
+
+def test_crash_of_cold_target_is_found():
+    crash = mesh_target.ColdCrash('t-1', 12.0, 18, False)
+    record = records.Record(cold_crashes=[crash])
+    assert broken_promises(record) == [
+        'cold targets get no more calls than they bear'
+    ]
--- a/tests/soak/test_faults.py
+++ b/tests/soak/test_faults.py
@@ -10,9 +10,9 @@
 from soak import records
 
 
-def draw_schedule(seed, seconds=25.0, node_count=6):
+def draw_schedule(seed, seconds=25.0, node_count=6, parts=()):
     return faults.draw_whole_schedule(
-        random.Random(seed), seed, seconds, node_count
+        random.Random(seed), seed, seconds, node_count, parts
     )
 
 
@@ -23,14 +23,16 @@
 
 @pytest.mark.parametrize('seed', range(20))
 def test_end_of_soak_is_free_of_faults(seed):
-    for entry in draw_schedule(seed):
+    for entry in draw_schedule(seed, parts=tuple(records.Part)):
         assert entry.offset_s + entry.duration_s <= 25.0 - faults.FAULT_FREE_S
         assert 0 <= entry.node_index < 6
 
 
 def test_fifty_seeds_draw_every_fault():
     drawn = {
-        entry.fault for seed in range(50) for entry in draw_schedule(seed)
+        entry.fault
+        for seed in range(50)
+        for entry in draw_schedule(seed, parts=tuple(records.Part))
     }
     assert drawn == set(records.Fault)
 
@@ -124,3 +126,11 @@
     kept = [e for e in whole if e.fault in records.FIRST_FAULTS]
     assert kept == first
     assert len(whole) > len(first)
+
+
+@pytest.mark.parametrize('part', records.Part)
+def test_part_leaves_the_other_faults_of_a_seed_as_they_were(part):
+    whole = draw_schedule(7, parts=(part,))
+    fault = records.PART_FAULTS[part]
+    assert [e for e in whole if e.fault is not fault] == draw_schedule(7)
+    assert any(entry.fault is fault for entry in whole)
