Evacuate zones in the soak

With the part 'evacuation', an operator evacuates a zone for some seconds. The soak reports calls that reach the zone's targets after 5 s in which their node was running and could reach the store.

--- a/soak/checks.py
+++ b/soak/checks.py
@@ -10,6 +10,11 @@
 DRAIN_LIMIT_S = 2.0
 # A new configuration is in force everywhere after this time.
 APPLY_LIMIT_S = 2.0
+# An evacuated zone gets no calls after this time, not counting the times in
+# which a node was stopped or the store out of its reach, and as long after
+# them as nodes may take to connect again.
+EVACUATE_LIMIT_S = 5.0
+RECONNECT_S = 1.0
 # From this time after a target has advertised a rate limit, it gets in each
 # window this multiple of it and a few calls more at most.
 LIMIT_SETTLING_S = 3.0
@@ -44,6 +49,7 @@
             *check_apply_times(record),
             *check_limits(record),
             *check_cold_crashes(record),
+            *check_evacuations(record),
         ]
     return findings
 
@@ -156,7 +162,7 @@
             continue
         if not _is_disrupted(
             record, probe.node, probe.sent_at - APPLY_LIMIT_S - RECOVERY_S,
-            probe.sent_at, records.TARGET_FAULTS,
+            probe.sent_at, records.TARGET_FAULTS | records.ORDERS,
         ):  # fmt: skip
             yield records.Finding(
                 'a configuration is in force in time',
@@ -186,7 +192,7 @@
                 node,
                 period.since,
                 end,
-                records.STORE_FAULTS | records.TARGET_FAULTS,
+                records.STORE_FAULTS | records.TARGET_FAULTS | records.ORDERS,
             ):
                 yield records.Finding(
                     'targets get no more calls than their limit',
@@ -208,6 +214,25 @@
         )
 
 
+def check_evacuations(record):
+    """Yield findings for calls that reached an evacuated zone too late."""
+    for evacuation in record.evacuations:
+        for run in record.runs:
+            node = evacuation.nodes.get(run.instance.rpartition('-')[0])
+            since = evacuation.written_at
+            if node is None or not since < run.at < evacuation.deleted_at:
+                continue
+            elapsed = _undisturbed_s(record, node, since, run.at)
+            if elapsed > EVACUATE_LIMIT_S:
+                yield records.Finding(
+                    'an evacuated zone gets no calls',
+                    f'{run.request_id} reached {run.instance} in '
+                    f'{evacuation.zone} at {run.at:.2f}, '
+                    f'{run.at - since:.2f} s after the order, {elapsed:.2f} '
+                    f's without disruptions of {node}',
+                )
+
+
 def check_regressions(record):
     """Yield findings for nodes that went back to an older configuration."""
     newest_generations = {}
@@ -229,6 +254,22 @@
             )
 
 
+def _undisturbed_s(record, node, since, until):
+    """Return the time in which a node was running and reached the store.
+
+    :param since: start of the period, in seconds of trio's clock
+    :param until: end of the period
+    :returns: seconds
+    """
+    faults = records.UNREACHABLE_STORE_FAULTS | records.PROCESS_FAULTS
+    elapsed = 0.0
+    for disruption in sorted(record.disruptions, key=lambda d: d.since):
+        if disruption.fault in faults and disruption.node in ('', node):
+            elapsed += max(0.0, min(disruption.since, until) - since)
+            since = max(since, disruption.until + RECONNECT_S)
+    return elapsed + max(0.0, until - since)
+
+
 def _is_disrupted(record, node, since, until, ignored_faults=frozenset()):
     """Return whether a fault affected a node in a period of time.
 
--- a/soak/clusters.py
+++ b/soak/clusters.py
@@ -51,6 +51,10 @@
 bootstrap={{bootstrap}}
 note={{note}}
 """
+# Settings that a part adds.
+PART_SETTINGS = {
+    records.Part.EVACUATION: 'bounds.evacuate_s=5\n',
+}
 
 
 def make_configuration(generation, parts=()):
@@ -93,7 +97,8 @@
         self.start_count = 0
         self.process = None
         self._folder = folder
-        self._zone = ZONES[index % len(ZONES)]
+        self._parts = parts
+        self.zone = ZONES[index % len(ZONES)]
         self._service = SERVICES[index // len(ZONES) % len(SERVICES)]
         store = (f'127.{network_number}.0.2', STORE_PORT)
         self.store_proxy = proxies.Proxy((self.ip, STORE_PROXY_PORT), store)
@@ -126,11 +131,12 @@
         text = SETTINGS_TEMPLATE.format(
             name=self.name,
             ip=self.ip,
-            zone=self._zone,
+            zone=self.zone,
             service=self._service,
             note=note,
             bootstrap='true' if self.start_count == 0 else 'false',
         )
+        text += ''.join(PART_SETTINGS.get(part, '') for part in self._parts)
         path = self._folder / f'{self.name}.conf'
         path.write_text(text, encoding='utf-8')
         return path
--- a/soak/faults.py
+++ b/soak/faults.py
@@ -19,7 +19,10 @@
 LATER_MAX_DURATION_S = 12.0
 # Mean time between the starts, and shortest and longest duration, of the fault
 # of each part.
-PART_TIMES_S = {records.Part.COLD: (2.0, 2.0, 6.0)}
+PART_TIMES_S = {
+    records.Part.COLD: (2.0, 2.0, 6.0),
+    records.Part.EVACUATION: (5.0, 8.0, 12.0),
+}
 # Rate limit of a target in calls a second, about a fifth of what it gets.
 TARGET_LIMIT = 5.0
 # How long a target continues to serve after it has announced its departure.
@@ -119,7 +122,7 @@
         self._cluster = cluster
         self._record = record
         self._nursery = nursery
-        self._busy_nodes = set()
+        self._busy_names = set()
         self.findings = []
 
     async def run(self, schedule):
@@ -135,20 +138,26 @@
 
     async def _inject_and_record(self, entry):
         node = self._cluster.nodes[entry.node_index]
-        affects_process = entry.fault in (Fault.KILL, Fault.PAUSE, Fault.STOP)
-        # Such a fault is skipped while another one affects the same process.
-        if affects_process and node.name in self._busy_nodes:
+        busy_name = None
+        if entry.fault in records.PROCESS_FAULTS:
+            busy_name = node.name
+        elif entry.fault in records.ORDERS:
+            busy_name = entry.fault
+        # A fault of a process is skipped while another one affects the same
+        # process, and an order while one of its kind is in force.
+        if busy_name in self._busy_names:
             return
         since = trio.current_time()
-        if affects_process:
-            self._busy_nodes.add(node.name)
+        if busy_name is not None:
+            self._busy_names.add(busy_name)
         try:
             await self._inject(entry, node)
         finally:
-            if affects_process:
-                self._busy_nodes.discard(node.name)
-        hits_all_nodes = entry.fault in records.STORE_FAULTS
-        hits_all_nodes = hits_all_nodes and entry.fault is not Fault.STORE_CUT
+            self._busy_names.discard(busy_name)
+        hits_all_nodes = entry.fault in records.ORDERS or (
+            entry.fault in records.STORE_FAULTS
+            and entry.fault is not Fault.STORE_CUT
+        )
         self._record.disruptions.append(
             records.Disruption(
                 entry.fault,
@@ -161,6 +170,8 @@
     async def _inject(self, entry, node):
         if entry.fault in records.STORE_FAULTS:
             await self._inject_store_fault(entry, node)
+        elif entry.fault is Fault.ZONE_EVACUATED:
+            await self._evacuate(node.zone, entry.duration_s)
         elif entry.fault in records.TARGET_FAULTS:
             await self._inject_target_fault(entry, node)
         else:
@@ -259,6 +270,24 @@
                 await trio.sleep(entry.duration_s)
                 setattr(target.behaviour, name, 0)
 
+    async def _evacuate(self, zone, duration_s):
+        """Evacuate a zone for a time."""
+        store = self._cluster.store
+        store.put('evacuations', zone, {})
+        written_at = trio.current_time()
+        await trio.sleep(duration_s)
+        deleted_at = trio.current_time()
+        store.delete('evacuations', zone)
+        nodes = [n for n in self._cluster.nodes if n.zone == zone]
+        self._record.evacuations.append(
+            records.Evacuation(
+                zone,
+                written_at,
+                deleted_at,
+                {n.target.name: n.name for n in nodes},
+            )
+        )
+
     async def _restart_target(self, target):
         if not target.is_running:
             await target.start(self._nursery)
--- a/soak/records.py
+++ b/soak/records.py
@@ -71,7 +71,8 @@
     nothing more pass the open connections to the store, while new ones work.
     `TARGET_LIMITS` has a target advertise a rate limit, `TARGET_WARNS` is a
     departure that only responses tell, `TARGET_ENDLESS` is endless bodies.
-    With `TARGET_COLD` a target turns cold and bears only a few calls.
+    With `TARGET_COLD` a target turns cold and bears only a few calls. During
+    `ZONE_EVACUATED` nothing may be sent to the targets of a zone.
     """
 
     KILL = 'kill'
@@ -99,11 +100,25 @@
     TARGET_WARNS = 'target-warns'
     TARGET_ENDLESS = 'target-endless'
     TARGET_COLD = 'target-cold'
+    ZONE_EVACUATED = 'zone-evacuated'
 
 
-PLANNED_FAULTS = frozenset((Fault.STOP, Fault.HANGUP))
+PROCESS_FAULTS = frozenset((Fault.KILL, Fault.PAUSE, Fault.STOP))
+# Orders of the operators, which excuse nothing.
+ORDERS = frozenset((Fault.ZONE_EVACUATED,))
+PLANNED_FAULTS = frozenset((Fault.STOP, Fault.HANGUP)) | ORDERS
 STORE_FAULTS = frozenset(f for f in Fault if f.value.startswith('store-'))
 TARGET_FAULTS = frozenset(f for f in Fault if f.value.startswith('target-'))
+# Faults in which the store can't be reached by all nodes, or by one.
+UNREACHABLE_STORE_FAULTS = frozenset(
+    (
+        Fault.STORE_DOWN,
+        Fault.STORE_BUSY,
+        Fault.STORE_RESET,
+        Fault.STORE_SILENT,
+        Fault.STORE_CUT,
+    )
+)
 # Faults that are drawn apart from the others, so that a seed of an earlier
 # version still draws the same of those.
 LATER_FAULTS = (
@@ -121,10 +136,14 @@
     """
 
     COLD = 'cold'
+    EVACUATION = 'evacuation'
 
 
 # The fault of each part; those of one part are drawn apart from all others.
-PART_FAULTS = {Part.COLD: Fault.TARGET_COLD}
+PART_FAULTS = {
+    Part.COLD: Fault.TARGET_COLD,
+    Part.EVACUATION: Fault.ZONE_EVACUATED,
+}
 FIRST_FAULTS = tuple(
     f for f in Fault if f not in (*LATER_FAULTS, *PART_FAULTS.values())
 )
@@ -146,6 +165,22 @@
     until: float
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class Evacuation:
+    """A period during which nothing may be sent to a zone's targets.
+
+    :param written_at: time when the store had accepted the object
+    :param deleted_at: time before its deletion
+    :param nodes: name of the node of each target in the zone, by the
+        target's name
+    """
+
+    zone: str
+    written_at: float
+    deleted_at: float
+    nodes: dict
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class Finding:
     """A violation of a promise of the system."""
@@ -172,3 +207,4 @@
     departures: list = dataclasses.field(default_factory=list)
     limits: list = dataclasses.field(default_factory=list)
     cold_crashes: list = dataclasses.field(default_factory=list)
+    evacuations: list = dataclasses.field(default_factory=list)
--- a/tests/soak/test_checks.py
+++ b/tests/soak/test_checks.py
@@ -155,3 +155,60 @@
     assert broken_promises(record) == [
         'cold targets get no more calls than they bear'
     ]
+
+
+def make_evacuated_record(run_at, *disruptions):
+    """Return the record of a run in a zone evacuated from 10 to 20 s."""
+    evacuation = records.Evacuation('zone-a', 10.0, 20.0, {'t': 'n'})
+    return records.Record(
+        runs=[make_run(at=run_at)],
+        evacuations=[evacuation],
+        disruptions=list(disruptions),
+    )
+
+
+def test_late_call_in_evacuated_zone_is_found():
+    promise = 'an evacuated zone gets no calls'
+    assert broken_promises(make_evacuated_record(14.9)) == []
+    assert broken_promises(make_evacuated_record(15.1)) == [promise]
+    assert broken_promises(make_evacuated_record(20.1)) == []
+    record = make_evacuated_record(15.1)
+    record.runs = [make_run(instance='u-1', at=15.1)]
+    assert broken_promises(record) == []
+
+
+@pytest.mark.parametrize(
+    ('fault', 'node'),
+    [(Fault.STORE_CUT, 'n'), (Fault.PAUSE, 'n'), (Fault.STORE_DOWN, '')],
+)
+def test_disruption_extends_the_time_to_evacuate(fault, node):
+    promise = 'an evacuated zone gets no calls'
+    cut = make_disruption(fault, node, since=11.0, until=12.0)
+    overlapping = make_disruption(fault, node, since=11.5, until=12.0)
+    for disruptions in ((cut,), (cut, overlapping)):
+        record = make_evacuated_record(16.9, *disruptions)
+        assert broken_promises(record) == []
+        record = make_evacuated_record(17.1, *disruptions)
+        assert broken_promises(record) == [promise]
+
+
+def test_other_disruptions_do_not_extend_the_time_to_evacuate():
+    promise = 'an evacuated zone gets no calls'
+    for fault, node in (
+        (Fault.STORE_CUT, 'other'),
+        (Fault.STORE_SLOW, ''),
+        (Fault.ZONE_EVACUATED, ''),
+        (Fault.TARGET_CRASH, 'n'),
+    ):
+        disruption = make_disruption(fault, node, since=10.0, until=16.0)
+        record = make_evacuated_record(15.5, disruption)
+        assert broken_promises(record) == [promise]
+
+
+def test_evacuation_excuses_no_cut():
+    cut = make_call(status=0)
+    evacuated = make_disruption(Fault.ZONE_EVACUATED, '')
+    record = records.Record(
+        calls=[cut], runs=[make_run()], disruptions=[evacuated]
+    )
+    assert broken_promises(record) == ['only unplanned faults cut calls']
