Withdraw keys in the soak

With the part 'keys', clients send keys of organisations, and operators withdraw keys while a third of the nodes can't reach the store. The soak reports runs of calls whose key was withdrawn 5 s before, keys at targets, and wrong names of organisations.

--- a/packages/pumicestand-standins/pumicestand_standins/mesh_target.py
+++ b/packages/pumicestand-standins/pumicestand_standins/mesh_target.py
@@ -39,11 +39,15 @@
 
     :param instance: the instance of the target that ran it
     :param at: start, in seconds of trio's clock, which all stand-ins share
+    :param organisation: the organisation that the request named, or empty
+    :param has_key: whether the request had a key
     """
 
     request_id: str
     instance: str
     at: float
+    organisation: str = ''
+    has_key: bool = False
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -378,7 +382,13 @@
             return http_server.RawResponse()
         if self._in_flight >= self._slots:
             return _not_run_response(503, request_id)
-        run = Run(request_id, self.instance, trio.current_time())
+        run = Run(
+            request_id,
+            self.instance,
+            trio.current_time(),
+            request.headers.get('pumicestand-tenant-id', ''),
+            'x-api-key' in request.headers,
+        )
         self.ledger.append(run)
         self._in_flight += 1
         try:
--- a/soak/checks.py
+++ b/soak/checks.py
@@ -15,6 +15,8 @@
 # them as nodes may take to connect again.
 EVACUATE_LIMIT_S = 5.0
 RECONNECT_S = 1.0
+# A key that a configuration has withdrawn is refused after this time.
+REVOKE_LIMIT_S = 5.0
 # From this time after a target has advertised a rate limit, it gets in each
 # window this multiple of it and a few calls more at most.
 LIMIT_SETTLING_S = 3.0
@@ -42,6 +44,8 @@
         *check_responses(record),
         *check_interruptions(record),
         *check_regressions(record),
+        *check_withdrawals(record),
+        *check_organisations(record),
     ]
     if checks_timing:
         findings += [
@@ -233,6 +237,47 @@
                 )
 
 
+def check_withdrawals(record):
+    """Yield findings for calls that ran though their key was withdrawn.
+
+    The time of sending counts, which a loaded machine can only delay, so no
+    fault is an excuse.
+    """
+    withdrawn_at = {w.key: w.at for w in record.withdrawals}
+    for run in record.runs:
+        call = record.keyed_calls.get(run.request_id)
+        if call is None or call.key not in withdrawn_at:
+            continue
+        age_s = call.sent_at - withdrawn_at[call.key]
+        if age_s > REVOKE_LIMIT_S:
+            yield records.Finding(
+                'calls with a withdrawn key do not run',
+                f'{run.request_id} ran at {run.instance}, sent {age_s:.2f} s '
+                'after its key was withdrawn',
+            )
+
+
+def check_organisations(record):
+    """Yield findings for runs with a key or a wrong organisation.
+
+    Nested calls and those on public routes belong to no organisation.
+    """
+    for run in record.runs:
+        call = record.keyed_calls.get(run.request_id)
+        organisation = call.organisation if call else ''
+        if run.has_key:
+            yield records.Finding(
+                'targets never see a key',
+                f'{run.request_id} reached {run.instance} with a key',
+            )
+        if run.organisation != organisation:
+            yield records.Finding(
+                "targets see the call's organisation",
+                f'{run.request_id} reached {run.instance} with the '
+                f'organisation {run.organisation!r}, not {organisation!r}',
+            )
+
+
 def check_regressions(record):
     """Yield findings for nodes that went back to an older configuration."""
     newest_generations = {}
--- a/soak/clusters.py
+++ b/soak/clusters.py
@@ -54,16 +54,19 @@
 # Settings that a part adds.
 PART_SETTINGS = {
     records.Part.EVACUATION: 'bounds.evacuate_s=5\n',
+    records.Part.KEYS: 'bounds.strict_revoke=true\nbounds.revoke_s=5\n',
 }
 
 
-def make_configuration(generation, parts=()):
+def make_configuration(generation, parts=(), tenants=()):
     """Return the operators' configuration of a generation.
 
     Each generation has a route of its own, so that a request shows which
-    generation is in force at a node.
+    generation is in force at a node. Where there are organisations, these
+    routes are public.
 
     :param parts: the `records.Part`s to play
+    :param tenants: (name, list of keys, priority) of each organisation
     """
     routes = [
         ('again', '/r/', 'idempotent', 'shop', 2),
@@ -72,7 +75,13 @@
         ('inner', '/i/', 'idempotent', 'till', 2),
         ('own', f'/g{generation}/', 'idempotent', 'till', 2),
     ]
-    spec = objects.make_configuration(generation, routes, SERVICES, HOST_NAME)
+    spec = objects.make_configuration(
+        generation, routes, SERVICES, HOST_NAME, tenants
+    )
+    if tenants:
+        spec['routes']['columns'].append('public')
+        for row in spec['routes']['rows']:
+            row.append(row[0] == 'own')
     if records.Part.COLD in parts:
         spec['services'] = {
             'columns': ['name', 'cold_start_s', 'cold_per_s'],
@@ -254,10 +263,13 @@
     :param node_count: number of nodes
     :param folder: path for settings and logs
     :param parts: the `records.Part`s to play
+    :param key_ring: the `key_rings.KeyRing` of the organisations, None if
+        there are none
     """
 
-    def __init__(self, node_count, folder, parts=()):
+    def __init__(self, node_count, folder, parts=(), key_ring=None):
         self._parts = parts
+        self.key_ring = key_ring
         self._network = LoopbackNetwork()
         self._network.start()
         network_number = self._network.number
@@ -274,7 +286,11 @@
     def accept_next_configuration(self):
         """Store the next configuration; return its generation."""
         self.generation += 1
-        configuration = make_configuration(self.generation, self._parts)
+        configuration = make_configuration(
+            self.generation,
+            self._parts,
+            self.key_ring.rows() if self.key_ring else (),
+        )
         self.store.put('config', 'main', configuration)
         return self.generation
 
--- a/soak/faults.py
+++ b/soak/faults.py
@@ -1,5 +1,6 @@
 """Draws the faults of a soak from its seed and injects them."""
 
+import contextlib
 import dataclasses
 import random
 import signal
@@ -22,6 +23,7 @@
 PART_TIMES_S = {
     records.Part.COLD: (2.0, 2.0, 6.0),
     records.Part.EVACUATION: (5.0, 8.0, 12.0),
+    records.Part.KEYS: (4.0, 7.0, 9.0),
 }
 # Rate limit of a target in calls a second, about a fifth of what it gets.
 TARGET_LIMIT = 5.0
@@ -172,6 +174,8 @@
             await self._inject_store_fault(entry, node)
         elif entry.fault is Fault.ZONE_EVACUATED:
             await self._evacuate(node.zone, entry.duration_s)
+        elif entry.fault is Fault.KEY_WITHDRAWN:
+            await self._withdraw_key(entry)
         elif entry.fault in records.TARGET_FAULTS:
             await self._inject_target_fault(entry, node)
         else:
@@ -211,10 +215,8 @@
             case Fault.STORE_FORGETS:
                 self._cluster.store.forget_history()
             case Fault.STORE_CUT:
-                node.store_proxy.faults.is_stalled = True
-                await trio.sleep(entry.duration_s)
-                node.store_proxy.faults.is_stalled = False
-                node.store_proxy.reset()
+                with _cut_from_store([node]):
+                    await trio.sleep(entry.duration_s)
             case Fault.STORE_SILENCED:
                 for other in self._cluster.nodes:
                     other.store_proxy.silence()
@@ -288,6 +290,39 @@
             )
         )
 
+    async def _withdraw_key(self, entry):
+        """Withdraw a key while a third of the nodes can't reach the store."""
+        nodes = self._cluster.nodes
+        cut_nodes = [
+            nodes[(entry.node_index + offset) % len(nodes)]
+            for offset in range(max(1, len(nodes) // 3))
+        ]
+        with _cut_from_store(cut_nodes):
+            key = self._cluster.key_ring.withdraw()
+            generation = self._cluster.accept_next_configuration()
+            at = trio.current_time()
+            self._record.changes.append(records.Change(generation, at))
+            self._record.withdrawals.append(records.Withdrawal(key, at))
+            await trio.sleep(entry.duration_s)
+        now = trio.current_time()
+        self._record.disruptions += [
+            records.Disruption(Fault.STORE_CUT, node.name, at, now)
+            for node in cut_nodes
+        ]
+
     async def _restart_target(self, target):
         if not target.is_running:
             await target.start(self._nursery)
+
+
+@contextlib.contextmanager
+def _cut_from_store(nodes):
+    """Stall the connections of nodes to the store."""
+    for node in nodes:
+        node.store_proxy.faults.is_stalled = True
+    try:
+        yield
+    finally:
+        for node in nodes:
+            node.store_proxy.faults.is_stalled = False
+            node.store_proxy.reset()
--- a/soak/records.py
+++ b/soak/records.py
@@ -72,7 +72,9 @@
     `TARGET_LIMITS` has a target advertise a rate limit, `TARGET_WARNS` is a
     departure that only responses tell, `TARGET_ENDLESS` is endless bodies.
     With `TARGET_COLD` a target turns cold and bears only a few calls. During
-    `ZONE_EVACUATED` nothing may be sent to the targets of a zone.
+    `ZONE_EVACUATED` nothing may be sent to the targets of a zone, and with
+    `KEY_WITHDRAWN` a key becomes invalid while a third of the nodes can't
+    reach the store.
     """
 
     KILL = 'kill'
@@ -101,11 +103,12 @@
     TARGET_ENDLESS = 'target-endless'
     TARGET_COLD = 'target-cold'
     ZONE_EVACUATED = 'zone-evacuated'
+    KEY_WITHDRAWN = 'key-withdrawn'
 
 
 PROCESS_FAULTS = frozenset((Fault.KILL, Fault.PAUSE, Fault.STOP))
 # Orders of the operators, which excuse nothing.
-ORDERS = frozenset((Fault.ZONE_EVACUATED,))
+ORDERS = frozenset((Fault.ZONE_EVACUATED, Fault.KEY_WITHDRAWN))
 PLANNED_FAULTS = frozenset((Fault.STOP, Fault.HANGUP)) | ORDERS
 STORE_FAULTS = frozenset(f for f in Fault if f.value.startswith('store-'))
 TARGET_FAULTS = frozenset(f for f in Fault if f.value.startswith('target-'))
@@ -137,12 +140,14 @@
 
     COLD = 'cold'
     EVACUATION = 'evacuation'
+    KEYS = 'keys'
 
 
 # The fault of each part; those of one part are drawn apart from all others.
 PART_FAULTS = {
     Part.COLD: Fault.TARGET_COLD,
     Part.EVACUATION: Fault.ZONE_EVACUATED,
+    Part.KEYS: Fault.KEY_WITHDRAWN,
 }
 FIRST_FAULTS = tuple(
     f for f in Fault if f not in (*LATER_FAULTS, *PART_FAULTS.values())
@@ -181,6 +186,29 @@
     nodes: dict
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class KeyedCall:
+    """A call that was sent with a key.
+
+    :param organisation: name of the organisation that holds or held the key
+    """
+
+    key: str
+    organisation: str
+    sent_at: float
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Withdrawal:
+    """A key that a configuration has withdrawn.
+
+    :param at: time when the store had accepted the configuration
+    """
+
+    key: str
+    at: float
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class Finding:
     """A violation of a promise of the system."""
@@ -197,6 +225,7 @@
     :param departures: the `mesh_target.Departure`s of all targets
     :param limits: (name of the node, `mesh_target.LimitPeriod`) of all targets
     :param cold_crashes: the `mesh_target.ColdCrash`es of all targets
+    :param keyed_calls: the `KeyedCall` of each request id with a key
     """
 
     calls: list = dataclasses.field(default_factory=list)
@@ -208,3 +237,5 @@
     limits: list = dataclasses.field(default_factory=list)
     cold_crashes: list = dataclasses.field(default_factory=list)
     evacuations: list = dataclasses.field(default_factory=list)
+    keyed_calls: dict = dataclasses.field(default_factory=dict)
+    withdrawals: list = dataclasses.field(default_factory=list)
--- a/tests/pumicestand_standins/test_mesh_target.py
+++ b/tests/pumicestand_standins/test_mesh_target.py
@@ -79,6 +79,18 @@
     run_with_target(test)
 
 
+def test_run_tells_key_and_organisation_of_its_request():
+    async def test(target, node, connection):
+        await send_request(connection)
+        headers = {'X-Api-Key': 'k', 'Pumicestand-Tenant-Id': 'acme'}
+        await send_request(connection, 'y', **headers)
+        first, second = target.ledger
+        assert (first.organisation, first.has_key) == ('', False)
+        assert (second.organisation, second.has_key) == ('acme', True)
+
+    run_with_target(test)
+
+
 def test_request_for_other_instance_is_not_run():
     async def test(target, node, connection):
         headers = {'pumicestand-expect-instance': 'other'}
--- a/tests/soak/test_checks.py
+++ b/tests/soak/test_checks.py
@@ -212,3 +212,37 @@
         calls=[cut], runs=[make_run()], disruptions=[evacuated]
     )
     assert broken_promises(record) == ['only unplanned faults cut calls']
+
+
+def make_keyed_record(sent_at, organisation='acme', **run_fields):
+    """Return the record of a run whose key was withdrawn at 10 s."""
+    run = mesh_target.Run('a1', 't-1', 20.0, organisation, **run_fields)
+    return records.Record(
+        runs=[run],
+        keyed_calls={'a1': records.KeyedCall('secret', 'acme', sent_at)},
+        withdrawals=[records.Withdrawal('secret', 10.0)],
+        disruptions=[make_disruption(Fault.STORE_CUT, until=30.0)],
+    )
+
+
+def test_run_of_call_with_withdrawn_key_is_found():
+    promise = 'calls with a withdrawn key do not run'
+    assert broken_promises(make_keyed_record(14.9)) == []
+    assert broken_promises(make_keyed_record(15.1)) == [promise]
+    record = make_keyed_record(15.1)
+    record.withdrawals = [records.Withdrawal('other', 10.0)]
+    assert broken_promises(record) == []
+
+
+def test_key_at_target_is_found():
+    record = make_keyed_record(10.0, has_key=True)
+    assert broken_promises(record) == ['targets never see a key']
+
+
+def test_wrong_organisation_at_target_is_found():
+    promise = "targets see the call's organisation"
+    for name in ('', 'forged'):
+        record = make_keyed_record(10.0, organisation=name)
+        assert broken_promises(record) == [promise]
+    nested = mesh_target.Run('a1.1', 't-1', 20.0, 'acme')
+    assert broken_promises(records.Record(runs=[nested])) == [promise]
--- a/tests/soak/test_play.py
+++ b/tests/soak/test_play.py
@@ -7,6 +7,7 @@
 import trio
 
 from soak import play
+from soak import records
 
 
 def test_short_soak_has_no_findings():
@@ -14,3 +15,10 @@
     assert verdict.findings == ()
     assert len(record.calls) > 50
     assert record.disruptions
+
+
+def test_short_soak_of_the_parts_has_no_findings():
+    parts = tuple(records.Part)
+    verdict, record, _ = trio.run(play.run_soak, 1, 3, 8.0, False, None, parts)
+    assert verdict.findings == ()
+    assert any(run.organisation for run in record.runs)
