Pause a node while a key is withdrawn in the soak

Nodes that can't reach the store learn of a withdrawal from linked nodes. A paused node has to refuse the calls that it reads when it resumes, so each node also gets calls with the withdrawn key on new connections.

--- a/soak/faults.py
+++ b/soak/faults.py
@@ -291,7 +291,11 @@
         )
 
     async def _withdraw_key(self, entry):
-        """Withdraw a key while a third of the nodes can't reach the store."""
+        """Withdraw a key while a third of the nodes can't reach the store.
+
+        One of them is paused, unless a fault affects its process already: the
+        others learn of the withdrawal from linked nodes.
+        """
         nodes = self._cluster.nodes
         cut_nodes = [
             nodes[(entry.node_index + offset) % len(nodes)]
@@ -303,7 +307,10 @@
             at = trio.current_time()
             self._record.changes.append(records.Change(generation, at))
             self._record.withdrawals.append(records.Withdrawal(key, at))
-            await trio.sleep(entry.duration_s)
+            pause = dataclasses.replace(entry, fault=Fault.PAUSE)
+            async with trio.open_nursery() as nursery:
+                nursery.start_soon(self._inject_and_record, pause)
+                await trio.sleep(entry.duration_s)
         now = trio.current_time()
         self._record.disruptions += [
             records.Disruption(Fault.STORE_CUT, node.name, at, now)
--- a/soak/key_rings.py
+++ b/soak/key_rings.py
@@ -34,6 +34,11 @@
         self._count += 1
         return Credential(organisation, f'passing-{self._count}')
 
+    @property
+    def last_withdrawn(self):
+        """The `Credential` that was withdrawn last, None if none was."""
+        return self._withdrawn[-1] if self._withdrawn else None
+
     def rows(self):
         """Return (name, keys, priority) of each organisation."""
         valid = self._lasting + self._passing
--- a/soak/play.py
+++ b/soak/play.py
@@ -2,6 +2,7 @@
 
 import collections
 import dataclasses
+import itertools
 import json
 import pathlib
 import random
@@ -23,6 +24,8 @@
 UPLOAD_BYTES = 200_000
 CHANGE_PERIOD_S = 2.5
 PROBE_PERIOD_S = 0.3
+# Time between two calls with a withdrawn key, each to another node.
+WITHDRAWN_PERIOD_S = 0.05
 # Share of the calls within the final window that must succeed.
 MIN_SERVED_SHARE = 0.9
 FINAL_WINDOW_S = 1.5
@@ -159,6 +162,8 @@
                     client_rng,
                     cluster.key_ring,
                 )
+        if cluster.key_ring is not None:
+            nursery.start_soon(_send_withdrawn_keys, cluster, record, nursery)
         nursery.start_soon(_change_configuration, cluster, record, seconds)
         injector = faults.FaultInjector(cluster, record, nursery)
         end = trio.current_time() + seconds
@@ -202,6 +207,31 @@
         )
 
 
+async def _send_withdrawn_keys(cluster, record, nursery):
+    """Send calls with the key withdrawn last, without waiting for responses.
+
+    The other clients wait for the response of a paused node, so that they
+    send it nothing that it has to refuse once it resumes.
+    """
+    for number in itertools.count():
+        await trio.sleep(WITHDRAWN_PERIOD_S)
+        credential = cluster.key_ring.last_withdrawn
+        if credential is None:
+            continue
+        node = cluster.nodes[number % len(cluster.nodes)]
+        request_id = f'w{number}-{node.name}'
+        record.keyed_calls[request_id] = records.KeyedCall(
+            credential.key, credential.organisation, trio.current_time()
+        )
+        nursery.start_soon(_send_one_call, node, request_id, credential)
+
+
+async def _send_one_call(node, request_id, credential):
+    connection = http_client.Connection(node.outbound_address)
+    await connection.call('GET', '/r/x', _headers(request_id, credential))
+    await connection.close()
+
+
 def _headers(request_id, credential):
     headers = {
         'host': clusters.HOST_NAME,
--- a/tests/soak/test_key_rings.py
+++ b/tests/soak/test_key_rings.py
@@ -11,7 +11,9 @@
     ring = key_rings.KeyRing(1)
     before = valid_keys(ring)
     assert {ring.choose().key for _ in range(200)} == before
+    assert ring.last_withdrawn is None
     withdrawn = ring.withdraw()
+    assert ring.last_withdrawn.key == withdrawn
     assert before - valid_keys(ring) == {withdrawn}
     sent = [ring.choose().key for _ in range(1000)]
     assert set(sent) == valid_keys(ring) | {withdrawn}
