--- a/soak/checks.py
+++ b/soak/checks.py
@@ -10,6 +10,16 @@
 DRAIN_LIMIT_S = 2.0
 # A new configuration is in force everywhere after this time.
 APPLY_LIMIT_S = 2.0
+# An evacuated zone gets no calls after this time.
+EVACUATE_LIMIT_S = 5.0
+# A node was neither stopped nor cut off for long if it was running and could
+# reach the store for this time, not counting the time to connect again after
+# each disruption. If all of `EVACUATE_LIMIT_S` had to be free of them, hardly
+# any evacuation of a soak could be checked.
+REACH_S = 2.0
+RECONNECT_S = 1.0
+# A key that a configuration has withdrawn is refused after this time.
+REVOKE_LIMIT_S = 5.0
 # From this time after a target has advertised a rate limit, it gets in each
 # window this multiple of it and a few calls more at most.
 LIMIT_SETTLING_S = 3.0
@@ -37,12 +47,16 @@
         *check_responses(record),
         *check_interruptions(record),
         *check_regressions(record),
+        *check_withdrawals(record),
+        *check_organisations(record),
     ]
     if checks_timing:
         findings += [
             *check_departures(record),
             *check_apply_times(record),
             *check_limits(record),
+            *check_cold_crashes(record),
+            *check_evacuations(record),
         ]
     return findings
 
@@ -155,7 +169,7 @@
             continue
         if not _is_disrupted(
             record, probe.node, probe.sent_at - APPLY_LIMIT_S - RECOVERY_S,
-            probe.sent_at, records.TARGET_FAULTS,
+            probe.sent_at, records.TARGET_FAULTS | records.ORDERS,
         ):  # fmt: skip
             yield records.Finding(
                 'a configuration is in force in time',
@@ -185,7 +199,7 @@
                 node,
                 period.since,
                 end,
-                records.STORE_FAULTS | records.TARGET_FAULTS,
+                records.STORE_FAULTS | records.TARGET_FAULTS | records.ORDERS,
             ):
                 yield records.Finding(
                     'targets get no more calls than their limit',
@@ -196,6 +210,78 @@
                 break
 
 
+def check_cold_crashes(record):
+    """Yield findings for cold targets that crashed under their calls."""
+    for crash in record.cold_crashes:
+        cause = 'since its start' if crash.is_after_start else 'at run time'
+        yield records.Finding(
+            'cold targets get no more calls than they bear',
+            f'{crash.instance}, cold {cause}, got {crash.calls} calls in '
+            f'the second before {crash.at:.2f}',
+        )
+
+
+def check_evacuations(record):
+    """Yield findings for calls that reached an evacuated zone too late."""
+    for evacuation in record.evacuations:
+        for run in record.runs:
+            node = evacuation.nodes.get(run.instance.rpartition('-')[0])
+            since = evacuation.written_at
+            earliest = since + EVACUATE_LIMIT_S
+            if node is None or not earliest < run.at < evacuation.deleted_at:
+                continue
+            elapsed = _undisturbed_s(record, node, since, run.at)
+            if elapsed > REACH_S:
+                yield records.Finding(
+                    'an evacuated zone gets no calls',
+                    f'{run.request_id} reached {run.instance} in '
+                    f'{evacuation.zone} at {run.at:.2f}, '
+                    f'{run.at - since:.2f} s after the order, {elapsed:.2f} '
+                    f's without disruptions of {node}',
+                )
+
+
+def check_withdrawals(record):
+    """Yield findings for calls that ran though their key was withdrawn.
+
+    The time of sending counts, which a loaded machine can only delay, so no
+    fault is an excuse.
+    """
+    withdrawn_at = {w.key: w.at for w in record.withdrawals}
+    for run in record.runs:
+        call = record.keyed_calls.get(run.request_id)
+        if call is None or call.key not in withdrawn_at:
+            continue
+        age_s = call.sent_at - withdrawn_at[call.key]
+        if age_s > REVOKE_LIMIT_S:
+            yield records.Finding(
+                'calls with a withdrawn key do not run',
+                f'{run.request_id} ran at {run.instance}, sent {age_s:.2f} s '
+                'after its key was withdrawn',
+            )
+
+
+def check_organisations(record):
+    """Yield findings for runs with a key or a wrong organisation.
+
+    Nested calls and those on public routes belong to no organisation.
+    """
+    for run in record.runs:
+        call = record.keyed_calls.get(run.request_id)
+        organisation = call.organisation if call else ''
+        if run.has_key:
+            yield records.Finding(
+                'targets never see a key',
+                f'{run.request_id} reached {run.instance} with a key',
+            )
+        if run.organisation != organisation:
+            yield records.Finding(
+                "targets see the call's organisation",
+                f'{run.request_id} reached {run.instance} with the '
+                f'organisation {run.organisation!r}, not {organisation!r}',
+            )
+
+
 def check_regressions(record):
     """Yield findings for nodes that went back to an older configuration."""
     newest_generations = {}
@@ -217,6 +303,22 @@
             )
 
 
+def _undisturbed_s(record, node, since, until):
+    """Return the time in which a node was running and reached the store.
+
+    :param since: start of the period, in seconds of trio's clock
+    :param until: end of the period
+    :returns: seconds
+    """
+    faults = records.UNREACHABLE_STORE_FAULTS | records.PROCESS_FAULTS
+    elapsed = 0.0
+    for disruption in sorted(record.disruptions, key=lambda d: d.since):
+        if disruption.fault in faults and disruption.node in ('', node):
+            elapsed += max(0.0, min(disruption.since, until) - since)
+            since = max(since, disruption.until + RECONNECT_S)
+    return elapsed + max(0.0, until - since)
+
+
 def _is_disrupted(record, node, since, until, ignored_faults=frozenset()):
     """Return whether a fault affected a node in a period of time.
 
--- a/soak/clusters.py
+++ b/soak/clusters.py
@@ -11,6 +11,7 @@
 from pumicestand_standins import mesh_target
 from pumicestand_standins import objects
 from soak import proxies
+from soak import records
 
 ROOT = pathlib.Path(__file__).parents[1]
 ZONES = ('zone-a', 'zone-b')
@@ -21,6 +22,9 @@
 GRACE_S = 6.0
 # A busy machine may need longer than the grace period to show the exit.
 EXIT_MARGIN_S = 2.0
+# Calls a second that a cold target bears, about a quarter of what it gets, and
+# the time for which it is cold after a restart.
+COLD_RATE, COLD_START_S = 6.0, 3.0
 READY_PERIOD_S = 0.2
 OUTBOUND_PORT, READY_PORT, CONTROL_PORT = 8304, 8302, 8306
 # Bound by a soak while it uses its loopback network.
@@ -47,13 +51,22 @@
 bootstrap={{bootstrap}}
 note={{note}}
 """
+# Settings that a part adds.
+PART_SETTINGS = {
+    records.Part.EVACUATION: 'bounds.evacuate_s=5\n',
+    records.Part.KEYS: 'bounds.strict_revoke=true\nbounds.revoke_s=5\n',
+}
 
 
-def make_configuration(generation):
+def make_configuration(generation, parts=(), tenants=()):
     """Return the operators' configuration of a generation.
 
     Each generation has a route of its own, so that a request shows which
-    generation is in force at a node.
+    generation is in force at a node. Where there are organisations, these
+    routes are public.
+
+    :param parts: the `records.Part`s to play
+    :param tenants: (name, list of keys, priority) of each organisation
     """
     routes = [
         ('again', '/r/', 'idempotent', 'shop', 2),
@@ -62,7 +75,19 @@
         ('inner', '/i/', 'idempotent', 'till', 2),
         ('own', f'/g{generation}/', 'idempotent', 'till', 2),
     ]
-    return objects.make_configuration(generation, routes, SERVICES, HOST_NAME)
+    spec = objects.make_configuration(
+        generation, routes, SERVICES, HOST_NAME, tenants
+    )
+    if tenants:
+        spec['routes']['columns'].append('public')
+        for row in spec['routes']['rows']:
+            row.append(row[0] == 'own')
+    if records.Part.COLD in parts:
+        spec['services'] = {
+            'columns': ['name', 'cold_start_s', 'cold_per_s'],
+            'rows': [[name, COLD_START_S, COLD_RATE] for name in SERVICES],
+        }
+    return spec
 
 
 class NodeUnderTest:
@@ -72,15 +97,17 @@
     :param network_number: second octet of all addresses, see
         `LoopbackNetwork`
     :param folder: path for settings and logs
+    :param parts: the `records.Part`s to play
     """
 
-    def __init__(self, index, network_number, folder):
+    def __init__(self, index, network_number, folder, parts=()):
         self.name = f'node-{index}'
         self.ip = f'127.{network_number}.0.{index + 10}'
         self.start_count = 0
         self.process = None
         self._folder = folder
-        self._zone = ZONES[index % len(ZONES)]
+        self._parts = parts
+        self.zone = ZONES[index % len(ZONES)]
         self._service = SERVICES[index // len(ZONES) % len(SERVICES)]
         store = (f'127.{network_number}.0.2', STORE_PORT)
         self.store_proxy = proxies.Proxy((self.ip, STORE_PROXY_PORT), store)
@@ -96,6 +123,9 @@
             (self.ip, OUTBOUND_PORT),
             '/i/' if self._service == 'shop' else None,
         )
+        if records.Part.COLD in parts:
+            self.target.behaviour.cold_rate = COLD_RATE
+            self.target.behaviour.cold_start_s = COLD_START_S
 
     @property
     def outbound_address(self):
@@ -110,11 +140,12 @@
         text = SETTINGS_TEMPLATE.format(
             name=self.name,
             ip=self.ip,
-            zone=self._zone,
+            zone=self.zone,
             service=self._service,
             note=note,
             bootstrap='true' if self.start_count == 0 else 'false',
         )
+        text += ''.join(PART_SETTINGS.get(part, '') for part in self._parts)
         path = self._folder / f'{self.name}.conf'
         path.write_text(text, encoding='utf-8')
         return path
@@ -231,9 +262,14 @@
 
     :param node_count: number of nodes
     :param folder: path for settings and logs
+    :param parts: the `records.Part`s to play
+    :param key_ring: the `key_rings.KeyRing` of the organisations, None if
+        there are none
     """
 
-    def __init__(self, node_count, folder):
+    def __init__(self, node_count, folder, parts=(), key_ring=None):
+        self._parts = parts
+        self.key_ring = key_ring
         self._network = LoopbackNetwork()
         self._network.start()
         network_number = self._network.number
@@ -242,7 +278,7 @@
             f'127.{network_number}.0.2', STORE_PORT, self.store.handle
         )
         self.nodes = [
-            NodeUnderTest(index, network_number, folder)
+            NodeUnderTest(index, network_number, folder, parts)
             for index in range(node_count)
         ]
         self.generation = 0
@@ -250,7 +286,12 @@
     def accept_next_configuration(self):
         """Store the next configuration; return its generation."""
         self.generation += 1
-        self.store.put('config', 'main', make_configuration(self.generation))
+        configuration = make_configuration(
+            self.generation,
+            self._parts,
+            self.key_ring.rows() if self.key_ring else (),
+        )
+        self.store.put('config', 'main', configuration)
         return self.generation
 
     async def start(self, nursery):
--- a/soak/faults.py
+++ b/soak/faults.py
@@ -1,5 +1,6 @@
 """Draws the faults of a soak from its seed and injects them."""
 
+import contextlib
 import dataclasses
 import random
 import signal
@@ -17,6 +18,13 @@
 # checked.
 LATER_MEAN_GAP_S = 3.0
 LATER_MAX_DURATION_S = 12.0
+# Mean time between the starts, and shortest and longest duration, of the fault
+# of each part.
+PART_TIMES_S = {
+    records.Part.COLD: (2.0, 2.0, 6.0),
+    records.Part.EVACUATION: (5.0, 8.0, 12.0),
+    records.Part.KEYS: (4.0, 7.0, 9.0),
+}
 # Rate limit of a target in calls a second, about a fifth of what it gets.
 TARGET_LIMIT = 5.0
 # How long a target continues to serve after it has announced its departure.
@@ -44,11 +52,12 @@
     node_index: int
 
 
-def draw_whole_schedule(rng, seed, seconds, node_count):
+def draw_whole_schedule(rng, seed, seconds, node_count, parts=()):
     """Return the `ScheduledFault`s of a soak, in the order of their time.
 
     :param rng: a `random.Random` initialised with the seed
     :param seconds: duration of the soak
+    :param parts: the `records.Part`s to play
     """
     first = draw_schedule(rng, seconds, node_count)
     later = draw_schedule(
@@ -59,6 +68,17 @@
         LATER_MEAN_GAP_S,
         LATER_MAX_DURATION_S,
     )
+    for part in parts:
+        mean_gap_s, min_duration_s, max_duration_s = PART_TIMES_S[part]
+        later += draw_schedule(
+            random.Random(f'{part} {seed}'),
+            seconds,
+            node_count,
+            (records.PART_FAULTS[part],),
+            mean_gap_s,
+            max_duration_s,
+            min_duration_s,
+        )
     return sorted(first + later, key=lambda entry: entry.offset_s)
 
 
@@ -69,6 +89,7 @@
     kinds=records.FIRST_FAULTS,
     mean_gap_s=MEAN_GAP_S,
     max_duration_s=MAX_DURATION_S,
+    min_duration_s=MIN_DURATION_S,
 ):
     """Return `ScheduledFault`s of some kinds, in the order of their time.
 
@@ -81,7 +102,7 @@
         offset_s += rng.expovariate(1 / mean_gap_s)
         if offset_s > seconds - FAULT_FREE_S:
             return schedule
-        duration_s = rng.uniform(MIN_DURATION_S, max_duration_s)
+        duration_s = rng.uniform(min_duration_s, max_duration_s)
         duration_s = min(duration_s, seconds - FAULT_FREE_S - offset_s)
         fault = rng.choice(kinds)
         schedule.append(
@@ -103,7 +124,7 @@
         self._cluster = cluster
         self._record = record
         self._nursery = nursery
-        self._busy_nodes = set()
+        self._busy_names = set()
         self.findings = []
 
     async def run(self, schedule):
@@ -119,20 +140,26 @@
 
     async def _inject_and_record(self, entry):
         node = self._cluster.nodes[entry.node_index]
-        affects_process = entry.fault in (Fault.KILL, Fault.PAUSE, Fault.STOP)
-        # Such a fault is skipped while another one affects the same process.
-        if affects_process and node.name in self._busy_nodes:
+        busy_name = None
+        if entry.fault in records.PROCESS_FAULTS:
+            busy_name = node.name
+        elif entry.fault in records.ORDERS:
+            busy_name = entry.fault
+        # A fault of a process is skipped while another one affects the same
+        # process, and an order while one of its kind is in force.
+        if busy_name in self._busy_names:
             return
         since = trio.current_time()
-        if affects_process:
-            self._busy_nodes.add(node.name)
+        if busy_name is not None:
+            self._busy_names.add(busy_name)
         try:
             await self._inject(entry, node)
         finally:
-            if affects_process:
-                self._busy_nodes.discard(node.name)
-        hits_all_nodes = entry.fault in records.STORE_FAULTS
-        hits_all_nodes = hits_all_nodes and entry.fault is not Fault.STORE_CUT
+            self._busy_names.discard(busy_name)
+        hits_all_nodes = entry.fault in records.ORDERS or (
+            entry.fault in records.STORE_FAULTS
+            and entry.fault is not Fault.STORE_CUT
+        )
         self._record.disruptions.append(
             records.Disruption(
                 entry.fault,
@@ -145,6 +172,10 @@
     async def _inject(self, entry, node):
         if entry.fault in records.STORE_FAULTS:
             await self._inject_store_fault(entry, node)
+        elif entry.fault is Fault.ZONE_EVACUATED:
+            await self._evacuate(node.zone, entry.duration_s)
+        elif entry.fault is Fault.KEY_WITHDRAWN:
+            await self._withdraw_key(entry)
         elif entry.fault in records.TARGET_FAULTS:
             await self._inject_target_fault(entry, node)
         else:
@@ -184,10 +215,8 @@
             case Fault.STORE_FORGETS:
                 self._cluster.store.forget_history()
             case Fault.STORE_CUT:
-                node.store_proxy.faults.is_stalled = True
-                await trio.sleep(entry.duration_s)
-                node.store_proxy.faults.is_stalled = False
-                node.store_proxy.reset()
+                with _cut_from_store([node]):
+                    await trio.sleep(entry.duration_s)
             case Fault.STORE_SILENCED:
                 for other in self._cluster.nodes:
                     other.store_proxy.silence()
@@ -218,6 +247,9 @@
                 await self._restart_target(target)
             case Fault.TARGET_LIMITS:
                 await target.advertise_limit(TARGET_LIMIT, entry.duration_s)
+            case Fault.TARGET_COLD if target.is_running:
+                await target.turn_cold(entry.duration_s)
+                await trio.sleep(entry.duration_s)
             case Fault.TARGET_SILENT:
                 proxy.faults.is_stalled = True
                 await trio.sleep(min(2.0, entry.duration_s))
@@ -240,6 +272,64 @@
                 await trio.sleep(entry.duration_s)
                 setattr(target.behaviour, name, 0)
 
+    async def _evacuate(self, zone, duration_s):
+        """Evacuate a zone for a time."""
+        store = self._cluster.store
+        store.put('evacuations', zone, {})
+        written_at = trio.current_time()
+        await trio.sleep(duration_s)
+        deleted_at = trio.current_time()
+        store.delete('evacuations', zone)
+        nodes = [n for n in self._cluster.nodes if n.zone == zone]
+        self._record.evacuations.append(
+            records.Evacuation(
+                zone,
+                written_at,
+                deleted_at,
+                {n.target.name: n.name for n in nodes},
+            )
+        )
+
+    async def _withdraw_key(self, entry):
+        """Withdraw a key while a third of the nodes can't reach the store.
+
+        One of them is paused, unless a fault affects its process already: the
+        others learn of the withdrawal from linked nodes.
+        """
+        nodes = self._cluster.nodes
+        cut_nodes = [
+            nodes[(entry.node_index + offset) % len(nodes)]
+            for offset in range(max(1, len(nodes) // 3))
+        ]
+        with _cut_from_store(cut_nodes):
+            key = self._cluster.key_ring.withdraw()
+            generation = self._cluster.accept_next_configuration()
+            at = trio.current_time()
+            self._record.changes.append(records.Change(generation, at))
+            self._record.withdrawals.append(records.Withdrawal(key, at))
+            pause = dataclasses.replace(entry, fault=Fault.PAUSE)
+            async with trio.open_nursery() as nursery:
+                nursery.start_soon(self._inject_and_record, pause)
+                await trio.sleep(entry.duration_s)
+        now = trio.current_time()
+        self._record.disruptions += [
+            records.Disruption(Fault.STORE_CUT, node.name, at, now)
+            for node in cut_nodes
+        ]
+
     async def _restart_target(self, target):
         if not target.is_running:
             await target.start(self._nursery)
+
+
+@contextlib.contextmanager
+def _cut_from_store(nodes):
+    """Stall the connections of nodes to the store."""
+    for node in nodes:
+        node.store_proxy.faults.is_stalled = True
+    try:
+        yield
+    finally:
+        for node in nodes:
+            node.store_proxy.faults.is_stalled = False
+            node.store_proxy.reset()
--- a/soak/play.py
+++ b/soak/play.py
@@ -2,6 +2,7 @@
 
 import collections
 import dataclasses
+import itertools
 import json
 import pathlib
 import random
@@ -14,6 +15,7 @@
 from soak import checks
 from soak import clusters
 from soak import faults
+from soak import key_rings
 from soak import records
 
 CLIENTS_PER_NODE = 2
@@ -22,6 +24,8 @@
 UPLOAD_BYTES = 200_000
 CHANGE_PERIOD_S = 2.5
 PROBE_PERIOD_S = 0.3
+# Time between two calls with a withdrawn key, each to another node.
+WITHDRAWN_PERIOD_S = 0.05
 # Share of the calls within the final window that must succeed.
 MIN_SERVED_SHARE = 0.9
 FINAL_WINDOW_S = 1.5
@@ -55,7 +59,9 @@
         return json.dumps(dataclasses.asdict(self))
 
 
-async def run_soak(seed, node_count, seconds, checks_timing=True, logs=None):
+async def run_soak(
+    seed, node_count, seconds, checks_timing=True, logs=None, parts=()
+):
     """Run a soak; return (`Verdict`, `records.Record`, start time).
 
     The start time is in seconds of trio's clock.
@@ -64,13 +70,19 @@
     :param seconds: duration without the start of the nodes
     :param checks_timing: see `checks.check`
     :param logs: folder in which the nodes' logs are kept, None to delete them
+    :param parts: the `records.Part`s to play
     """
     rng = random.Random(seed)
-    schedule = faults.draw_whole_schedule(rng, seed, seconds, node_count)
+    schedule = faults.draw_whole_schedule(
+        rng, seed, seconds, node_count, parts
+    )
     record = records.Record()
     with tempfile.TemporaryDirectory(prefix='soak-') as temporary_folder:
         cluster = clusters.Cluster(
-            node_count, pathlib.Path(logs or temporary_folder)
+            node_count,
+            pathlib.Path(logs or temporary_folder),
+            parts,
+            key_rings.KeyRing(seed) if records.Part.KEYS in parts else None,
         )
         try:
             async with trio.open_nursery() as nursery:
@@ -86,6 +98,7 @@
     for node in cluster.nodes:
         record.runs += node.target.ledger
         record.departures += node.target.departures
+        record.cold_crashes += node.target.cold_crashes
         record.limits += [(node.name, p) for p in node.target.limit_periods]
     findings = [*injector_findings, *checks.check(record, checks_timing)]
     if checks_timing:
@@ -110,8 +123,17 @@
 
     :param end: end of the soak, in seconds of trio's clock
     """
+    withdrawn_keys = {w.key for w in record.withdrawals}
+    refused_ids = {
+        request_id
+        for request_id, call in record.keyed_calls.items()
+        if call.key in withdrawn_keys
+    }
     final_calls = [
-        call for call in record.calls if call.sent_at > end - FINAL_WINDOW_S
+        call
+        for call in record.calls
+        if call.sent_at > end - FINAL_WINDOW_S
+        and call.request_id not in refused_ids
     ]
     served = sum(call.status == 200 for call in final_calls)
     if final_calls and served >= MIN_SERVED_SHARE * len(final_calls):
@@ -133,8 +155,15 @@
                 client_rng = random.Random(rng.random())
                 client_name = f'{node.name}x{number}'
                 nursery.start_soon(
-                    _send_calls, node, client_name, record, client_rng
+                    _send_calls,
+                    node,
+                    client_name,
+                    record,
+                    client_rng,
+                    cluster.key_ring,
                 )
+        if cluster.key_ring is not None:
+            nursery.start_soon(_send_withdrawn_keys, cluster, record, nursery)
         nursery.start_soon(_change_configuration, cluster, record, seconds)
         injector = faults.FaultInjector(cluster, record, nursery)
         end = trio.current_time() + seconds
@@ -163,7 +192,12 @@
         sent_at = trio.current_time()
         connection = http_client.Connection(node.outbound_address)
         response = await connection.call(
-            'GET', f'/g{generation}/x', _headers(f'p{number}-{node.name}')
+            'GET',
+            f'/g{generation}/x',
+            _headers(
+                f'p{number}-{node.name}',
+                cluster.key_ring and cluster.key_ring.choose(),
+            ),
         )
         await connection.close()
         record.probes.append(
@@ -173,15 +207,48 @@
         )
 
 
-def _headers(request_id):
-    return {
+async def _send_withdrawn_keys(cluster, record, nursery):
+    """Send calls with the key withdrawn last, without waiting for responses.
+
+    The other clients wait for the response of a paused node, so that they
+    send it nothing that it has to refuse once it resumes.
+    """
+    for number in itertools.count():
+        await trio.sleep(WITHDRAWN_PERIOD_S)
+        credential = cluster.key_ring.last_withdrawn
+        if credential is None:
+            continue
+        node = cluster.nodes[number % len(cluster.nodes)]
+        request_id = f'w{number}-{node.name}'
+        record.keyed_calls[request_id] = records.KeyedCall(
+            credential.key, credential.organisation, trio.current_time()
+        )
+        nursery.start_soon(_send_one_call, node, request_id, credential)
+
+
+async def _send_one_call(node, request_id, credential):
+    connection = http_client.Connection(node.outbound_address)
+    await connection.call('GET', '/r/x', _headers(request_id, credential))
+    await connection.close()
+
+
+def _headers(request_id, credential):
+    headers = {
         'host': clusters.HOST_NAME,
         'pumicestand-request-id': request_id,
         'pumicestand-deadline-ms': str(DEADLINE_MS),
     }
+    if credential is None:
+        return headers
+    return {
+        **headers,
+        'x-api-key': credential.key,
+        # The node must not forward the organisation that a client names.
+        'pumicestand-tenant-id': 'forged',
+    }
 
 
-async def _send_calls(node, client_name, record, rng):
+async def _send_calls(node, client_name, record, rng, key_ring):
     """Send calls one after the other, on one connection if possible.
 
     Calls are spaced by random times with the mean `MEAN_THINK_TIME_S`.
@@ -197,8 +264,13 @@
         )[0]
         body = b'u' * UPLOAD_BYTES if kind is records.CallKind.UPLOAD else b''
         sent_at = trio.current_time()
+        credential = key_ring and key_ring.choose()
+        if credential is not None:
+            record.keyed_calls[request_id] = records.KeyedCall(
+                credential.key, credential.organisation, sent_at
+            )
         response = await connection.call(
-            method, path + 'x', _headers(request_id), body
+            method, path + 'x', _headers(request_id, credential), body
         )
         if not response.was_connected:
             await trio.sleep(MEAN_THINK_TIME_S)
--- a/soak/records.py
+++ b/soak/records.py
@@ -71,6 +71,10 @@
     nothing more pass the open connections to the store, while new ones work.
     `TARGET_LIMITS` has a target advertise a rate limit, `TARGET_WARNS` is a
     departure that only responses tell, `TARGET_ENDLESS` is endless bodies.
+    With `TARGET_COLD` a target turns cold and bears only a few calls. During
+    `ZONE_EVACUATED` nothing may be sent to the targets of a zone, and with
+    `KEY_WITHDRAWN` a key becomes invalid while a third of the nodes can't
+    reach the store.
     """
 
     KILL = 'kill'
@@ -97,11 +101,27 @@
     TARGET_LIMITS = 'target-limits'
     TARGET_WARNS = 'target-warns'
     TARGET_ENDLESS = 'target-endless'
+    TARGET_COLD = 'target-cold'
+    ZONE_EVACUATED = 'zone-evacuated'
+    KEY_WITHDRAWN = 'key-withdrawn'
 
 
-PLANNED_FAULTS = frozenset((Fault.STOP, Fault.HANGUP))
+PROCESS_FAULTS = frozenset((Fault.KILL, Fault.PAUSE, Fault.STOP))
+# Orders of the operators, which excuse nothing.
+ORDERS = frozenset((Fault.ZONE_EVACUATED, Fault.KEY_WITHDRAWN))
+PLANNED_FAULTS = frozenset((Fault.STOP, Fault.HANGUP)) | ORDERS
 STORE_FAULTS = frozenset(f for f in Fault if f.value.startswith('store-'))
 TARGET_FAULTS = frozenset(f for f in Fault if f.value.startswith('target-'))
+# Faults in which the store can't be reached by all nodes, or by one.
+UNREACHABLE_STORE_FAULTS = frozenset(
+    (
+        Fault.STORE_DOWN,
+        Fault.STORE_BUSY,
+        Fault.STORE_RESET,
+        Fault.STORE_SILENT,
+        Fault.STORE_CUT,
+    )
+)
 # Faults that are drawn apart from the others, so that a seed of an earlier
 # version still draws the same of those.
 LATER_FAULTS = (
@@ -110,7 +130,28 @@
     Fault.TARGET_WARNS,
     Fault.TARGET_ENDLESS,
 )
-FIRST_FAULTS = tuple(f for f in Fault if f not in LATER_FAULTS)
+
+
+class Part(enum.StrEnum):
+    """Parts of the system that a soak plays only on request.
+
+    They change the configuration or the settings of the nodes.
+    """
+
+    COLD = 'cold'
+    EVACUATION = 'evacuation'
+    KEYS = 'keys'
+
+
+# The fault of each part; those of one part are drawn apart from all others.
+PART_FAULTS = {
+    Part.COLD: Fault.TARGET_COLD,
+    Part.EVACUATION: Fault.ZONE_EVACUATED,
+    Part.KEYS: Fault.KEY_WITHDRAWN,
+}
+FIRST_FAULTS = tuple(
+    f for f in Fault if f not in (*LATER_FAULTS, *PART_FAULTS.values())
+)
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -129,6 +170,45 @@
     until: float
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class Evacuation:
+    """A period during which nothing may be sent to a zone's targets.
+
+    :param written_at: time when the store had accepted the object
+    :param deleted_at: time before its deletion
+    :param nodes: name of the node of each target in the zone, by the
+        target's name
+    """
+
+    zone: str
+    written_at: float
+    deleted_at: float
+    nodes: dict
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class KeyedCall:
+    """A call that was sent with a key.
+
+    :param organisation: name of the organisation that holds or held the key
+    """
+
+    key: str
+    organisation: str
+    sent_at: float
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Withdrawal:
+    """A key that a configuration has withdrawn.
+
+    :param at: time when the store had accepted the configuration
+    """
+
+    key: str
+    at: float
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class Finding:
     """A violation of a promise of the system."""
@@ -144,6 +224,8 @@
     :param runs: the `mesh_target.Run`s of all targets
     :param departures: the `mesh_target.Departure`s of all targets
     :param limits: (name of the node, `mesh_target.LimitPeriod`) of all targets
+    :param cold_crashes: the `mesh_target.ColdCrash`es of all targets
+    :param keyed_calls: the `KeyedCall` of each request id with a key
     """
 
     calls: list = dataclasses.field(default_factory=list)
@@ -153,3 +235,7 @@
     runs: list = dataclasses.field(default_factory=list)
     departures: list = dataclasses.field(default_factory=list)
     limits: list = dataclasses.field(default_factory=list)
+    cold_crashes: list = dataclasses.field(default_factory=list)
+    evacuations: list = dataclasses.field(default_factory=list)
+    keyed_calls: dict = dataclasses.field(default_factory=dict)
+    withdrawals: list = dataclasses.field(default_factory=list)
--- a/tests/soak/test_checks.py
+++ b/tests/soak/test_checks.py
@@ -147,3 +147,104 @@
     assert broken_promises(
         make_limited_record(60, 0.2, disruptions=[slow])
     ) == [promise]
+
+
+def test_crash_of_cold_target_is_found():
+    crash = mesh_target.ColdCrash('t-1', 12.0, 18, False)
+    record = records.Record(cold_crashes=[crash])
+    assert broken_promises(record) == [
+        'cold targets get no more calls than they bear'
+    ]
+
+
+def make_evacuated_record(run_at, *disruptions):
+    """Return the record of a run in a zone evacuated from 10 to 20 s."""
+    evacuation = records.Evacuation('zone-a', 10.0, 20.0, {'t': 'n'})
+    return records.Record(
+        runs=[make_run(at=run_at)],
+        evacuations=[evacuation],
+        disruptions=list(disruptions),
+    )
+
+
+def test_late_call_in_evacuated_zone_is_found():
+    promise = 'an evacuated zone gets no calls'
+    assert broken_promises(make_evacuated_record(14.9)) == []
+    assert broken_promises(make_evacuated_record(15.1)) == [promise]
+    assert broken_promises(make_evacuated_record(20.1)) == []
+    record = make_evacuated_record(15.1)
+    record.runs = [make_run(instance='u-1', at=15.1)]
+    assert broken_promises(record) == []
+
+
+@pytest.mark.parametrize(
+    ('fault', 'node'),
+    [(Fault.STORE_CUT, 'n'), (Fault.PAUSE, 'n'), (Fault.STORE_DOWN, '')],
+)
+def test_disruption_excuses_calls_in_evacuated_zone(fault, node):
+    promise = 'an evacuated zone gets no calls'
+    cut = make_disruption(fault, node, since=11.0, until=15.0)
+    overlapping = make_disruption(fault, node, since=11.5, until=14.0)
+    for disruptions in ((cut,), (cut, overlapping)):
+        record = make_evacuated_record(16.9, *disruptions)
+        assert broken_promises(record) == []
+        record = make_evacuated_record(17.1, *disruptions)
+        assert broken_promises(record) == [promise]
+    earlier = make_disruption(fault, node, since=6.0, until=11.0)
+    assert broken_promises(make_evacuated_record(15.1, earlier)) == [promise]
+
+
+def test_other_disruptions_do_not_excuse_calls_in_evacuated_zone():
+    promise = 'an evacuated zone gets no calls'
+    for fault, node in (
+        (Fault.STORE_CUT, 'other'),
+        (Fault.STORE_SLOW, ''),
+        (Fault.ZONE_EVACUATED, ''),
+        (Fault.TARGET_CRASH, 'n'),
+    ):
+        disruption = make_disruption(fault, node, since=10.0, until=16.0)
+        record = make_evacuated_record(15.5, disruption)
+        assert broken_promises(record) == [promise]
+
+
+def test_evacuation_excuses_no_cut():
+    cut = make_call(status=0)
+    evacuated = make_disruption(Fault.ZONE_EVACUATED, '')
+    record = records.Record(
+        calls=[cut], runs=[make_run()], disruptions=[evacuated]
+    )
+    assert broken_promises(record) == ['only unplanned faults cut calls']
+
+
+def make_keyed_record(sent_at, organisation='acme', **run_fields):
+    """Return the record of a run whose key was withdrawn at 10 s."""
+    run = mesh_target.Run('a1', 't-1', 20.0, organisation, **run_fields)
+    return records.Record(
+        runs=[run],
+        keyed_calls={'a1': records.KeyedCall('secret', 'acme', sent_at)},
+        withdrawals=[records.Withdrawal('secret', 10.0)],
+        disruptions=[make_disruption(Fault.STORE_CUT, until=30.0)],
+    )
+
+
+def test_run_of_call_with_withdrawn_key_is_found():
+    promise = 'calls with a withdrawn key do not run'
+    assert broken_promises(make_keyed_record(14.9)) == []
+    assert broken_promises(make_keyed_record(15.1)) == [promise]
+    record = make_keyed_record(15.1)
+    record.withdrawals = [records.Withdrawal('other', 10.0)]
+    assert broken_promises(record) == []
+
+
+def test_key_at_target_is_found():
+    record = make_keyed_record(10.0, has_key=True)
+    assert broken_promises(record) == ['targets never see a key']
+
+
+def test_wrong_organisation_at_target_is_found():
+    promise = "targets see the call's organisation"
+    for name in ('', 'forged'):
+        record = make_keyed_record(10.0, organisation=name)
+        assert broken_promises(record) == [promise]
+    nested = mesh_target.Run('a1.1', 't-1', 20.0, 'acme')
+    assert broken_promises(records.Record(runs=[nested])) == [promise]
