Read the configuration for a proof as soon as a node has started

Change: a node without any proof yet reads at once, while it asks. The tests that took all actions of a first plan for requests now name the read.

--- a/packages/pumicestand/pumicestand/freshness.py
+++ b/packages/pumicestand/pumicestand/freshness.py
@@ -205,9 +205,7 @@
         is_fresh = self.is_fresh(now)
         if not is_fresh and not self._is_recovering:
             self._ask_at = now
-            self._retry_read_at = now + (
-                ANSWER_WAIT_S + ANSWER_WAIT_SPREAD_S * self._rng.random()
-            )
+            self._retry_read_at = now + self._answer_wait_s()
         self._is_recovering = not is_fresh
         actions = []
         times = [now + MAX_WAIT_S]
@@ -228,6 +226,16 @@
         self._planned_at = now + wait
         return Plan(tuple(actions), wait)
 
+    def _answer_wait_s(self):
+        """Return how long to wait for proofs of others before a read.
+
+        A node that has just started reads at once: when all nodes start
+        together, there is nobody to ask.
+        """
+        if self._moment == float('-inf'):
+            return 0.0
+        return ANSWER_WAIT_S + ANSWER_WAIT_SPREAD_S * self._rng.random()
+
     def _due_at(self):
         """Return the time at which to ask, in monotonic seconds."""
         old_at = self._moment + OLD_RATIO * self._revocation
--- a/tests/pumicestand/test_freshness.py
+++ b/tests/pumicestand/test_freshness.py
@@ -287,7 +287,7 @@
     node = freshness.Freshness(REVOCATION_S, random.Random(1))
     node.set_generation(3, 1)
     plan = node.plan(False, freshness.Sources(watchers=('w',)), 10.0)
-    (ask,) = plan.actions
+    ask, _ = plan.actions
     assert ask.name == 'w'
     reply = hop_messages.FreshnessReply(ask.number, 3, 600)
     assert node.record_reply(reply)
@@ -295,10 +295,18 @@
     assert not node.is_fresh(14.0)
 
 
+def test_started_node_reads_without_waiting_for_answers():
+    """After the loss of all nodes, there is nobody to ask for a proof."""
+    node = freshness.Freshness(REVOCATION_S, random.Random(1))
+    node.set_generation(3, 1)
+    _, read = node.plan(False, freshness.Sources(('w',)), 10.0).actions
+    assert read == freshness.ReadStore(10.0, 3)
+
+
 def test_answer_is_used_once_and_only_if_asked_for():
     node = freshness.Freshness(REVOCATION_S, random.Random(1))
     node.set_generation(3, 1)
-    (ask,) = node.plan(False, freshness.Sources(('w',)), 10.0).actions
+    ask, _ = node.plan(False, freshness.Sources(('w',)), 10.0).actions
     assert not node.record_reply(
         hop_messages.FreshnessReply(ask.number + 1, 3, 0)
     )
@@ -310,7 +318,7 @@
 def test_older_proof_does_not_replace_a_newer_one():
     node = freshness.Freshness(REVOCATION_S, random.Random(1))
     node.set_generation(3, 1)
-    first, second = node.plan(
+    first, second, _ = node.plan(
         False, freshness.Sources(('w',), ('n',)), 10.0
     ).actions
     assert node.record_reply(
@@ -469,7 +477,7 @@
     node = freshness.Freshness(REVOCATION_S, random.Random(1))
     node.set_generation(3, 1)
     sources = freshness.Sources(('w',), ('n',))
-    first, second = node.plan(False, sources, 10.0).actions
+    first, second, _ = node.plan(False, sources, 10.0).actions
     # The other node has not heard of the configuration here.
     older = hop_messages.FreshnessReply(first.number, 2, 0)
     assert not node.record_reply(older)
