Refuse waiting calls as soon as they can't be in time

Retries of clients and nested calls were kept until their deadline although calls that had overtaken them left no time, and were refused after they had been held the longest. The queue now judges all waiting calls again, in one pass, whenever it is dispatched. Retries that can't meet their objective any more go after all calls in time, whatever the priority, and the calls in time that are expected to arrive count as ahead of them.

--- a/benchmarks/load_player/figures.py
+++ b/benchmarks/load_player/figures.py
@@ -12,6 +12,8 @@
     :param refused: told that the call has not run, in the last attempt
     :param failed: answered with a failure or with an unknown outcome
     :param attempts: first attempts and retries of clients
+    :param held_s: seconds from the last attempts that were refused to their
+        refusals
     :param possible_value: value if all had been in their objective
     """
 
@@ -21,6 +23,7 @@
     refused: int = 0
     failed: int = 0
     attempts: int = 0
+    held_s: float = 0.0
     value: float = 0.0
     possible_value: float = 0.0
 
@@ -42,6 +45,7 @@
             'refused': _share(self.refused, self.asked),
             'failed': _share(self.failed, self.asked),
             'attempts': _share(self.attempts, self.asked),
+            'held_ms': _share(self.held_s * 1000, self.refused),
             'value_share': _share(self.value, self.possible_value),
         }
 
--- a/benchmarks/load_player/play.py
+++ b/benchmarks/load_player/play.py
@@ -170,6 +170,7 @@
     def _attempt(self, arrival, retries):
         """Let a client make a call or retry it."""
         kind = arrival.kind
+        started_at = self.events.now
         deadline = arrival.time + kind.deadline_ms / 1000
 
         def receive(answer, retry_after_s):
@@ -183,14 +184,14 @@
                     retry_after_s, self._attempt, arrival, retries + 1
                 )
                 return
-            self._record(arrival, answer, retries + 1)
+            self._record(arrival, answer, retries + 1, now - started_at)
 
         self.nodes[arrival.node].call(
             played.Call(
                 kind=kind,
                 organisation=arrival.organisation,
                 caller=None,
-                started_at=self.events.now,
+                started_at=started_at,
                 deadline=deadline,
                 objective_at=arrival.time + kind.objective_ms / 1000,
                 is_client_retry=retries > 0,
@@ -198,7 +199,7 @@
             )
         )
 
-    def _record(self, arrival, answer, attempts):
+    def _record(self, arrival, answer, attempts, held_s):
         kind = arrival.kind
         outcome = figures.KindCounts(
             asked=1, attempts=attempts, possible_value=kind.value
@@ -207,6 +208,7 @@
         match answer:
             case played.Answer.REFUSED:
                 outcome.refused = 1
+                outcome.held_s = held_s
             case played.Answer.FAILED:
                 outcome.failed = 1
             case _ if latency_ms <= kind.objective_ms:
--- a/packages/pumicestand/pumicestand/target_queue.py
+++ b/packages/pumicestand/pumicestand/target_queue.py
@@ -3,7 +3,11 @@
 Each target is reached only through the node beside it, so that node knows
 exactly which calls the target runs. It decides when a call arrives: a call
 that cannot be answered in time is refused at once, with the time after which
-a slot is expected to be free.
+a slot is expected to be free. Calls that wait are judged again with what is
+ahead of them whenever the queue is dispatched, and refused as soon as they
+can't be in time any more. The load that this answers is one above the
+capacity, where retries of clients and nested calls would otherwise be held
+until their deadline in vain.
 
 An overloaded target may advertise a rate limit, and a cold target bears few
 calls. Calls then start at that rate at most, however many slots are free, and
@@ -72,15 +76,6 @@
     number: int = 0
     started_at: float | None = None
 
-    @property
-    def priority_key(self):
-        """Sort key of the priority; the lowest goes first.
-
-        Nested calls go before others: the call that makes one holds a slot
-        until it is answered.
-        """
-        return (not self.is_nested, self.priority)
-
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Start:
@@ -103,23 +98,26 @@
 
 
 class _Demand:
-    """Estimates how many slots the recent calls of each priority need."""
+    """Estimates how many slots the recent calls of each rank need.
+
+    A rank is the first part of a sort key, see `TargetQueue`.
+    """
 
     def __init__(self):
         self._slots = {}
 
-    def record_arrival(self, priority_key, work_s, now):
+    def record_arrival(self, rank, work_s, now):
         """Add a call with its expected work."""
-        slots, updated_at = self._slots.get(priority_key, (0.0, now))
+        slots, updated_at = self._slots.get(rank, (0.0, now))
         decayed = slots * math.exp((updated_at - now) / DEMAND_WINDOW_S)
-        self._slots[priority_key] = (decayed + work_s / DEMAND_WINDOW_S, now)
+        self._slots[rank] = (decayed + work_s / DEMAND_WINDOW_S, now)
 
-    def slots_before(self, priority_key, now):
-        """Return the slots that calls of higher priority need."""
+    def slots_before(self, rank, now):
+        """Return the slots that calls of lower rank, which go first, need."""
         return sum(
             slots * math.exp((updated_at - now) / DEMAND_WINDOW_S)
             for other, (slots, updated_at) in self._slots.items()
-            if other < priority_key
+            if other < rank
         )
 
 
@@ -229,15 +227,32 @@
         return self._refuse_late(now)
 
     def _refuse_late(self, now):
-        """Remove and return the waiting calls that the limits make late."""
-        kept, refused = [], []
+        """Remove and return the waiting calls that can't finish in time.
+
+        Calls that arrived later may have overtaken them, or a limit makes
+        them late. For a retry of a client that is late already, calls
+        that have yet to arrive count as well, as these always go before it.
+        For other calls they don't: too many would be refused that would have
+        been in time. Calls that are kept are left in the order in which they
+        start.
+        """
+        kept, refused, work_s = [], [], 0.0
         waiting = sorted(
             self._waiting, key=lambda ticket: self._sort_key(ticket, now)
         )
         for ticket in waiting:
-            start_at = now + self._limiter.wait_s(len(kept), now)
-            is_in_time = start_at <= self.overdue_at(ticket)
-            (kept if is_in_time else refused).append(ticket)
+            reserved_slots = 0.0
+            if self._is_late(ticket, now):
+                rank = self._rank(ticket, now)
+                reserved_slots = self._demand.slots_before(rank, now)
+            start_at = now + self._wait_behind_s(
+                len(kept), work_s, reserved_slots, now
+            )
+            if start_at > self.overdue_at(ticket):
+                refused.append(ticket)
+                continue
+            kept.append(ticket)
+            work_s += self.route_work_s(ticket.route)
         self._waiting = kept
         return refused
 
@@ -262,29 +277,44 @@
         """Return the seconds that a new call is expected to wait.
 
         Calls that wait and sort before it get slots first. So do calls of
-        higher priority that have yet to arrive; they are assumed to arrive at
+        lower rank that have yet to arrive; they are assumed to arrive at
         their recent rate.
 
         :param ticket: `Ticket` of the new call
         """
-        if self._slots <= 0:
-            return float('inf')
         sort_key = self._sort_key(ticket, now)
         ahead = [o for o in self._waiting if self._sort_key(o, now) < sort_key]
-        rate_wait_s = self._limiter.wait_s(len(ahead), now)
-        if self._running < self._slots and not ahead and rate_wait_s <= 0:
+        work_s = sum(self.route_work_s(other.route) for other in ahead)
+        reserved = self._demand.slots_before(self._rank(ticket, now), now)
+        return self._wait_behind_s(len(ahead), work_s, reserved, now)
+
+    def _wait_behind_s(self, calls, work_s, reserved_slots, now):
+        """Return the seconds that a call waits behind other waiting calls.
+
+        :param calls: calls that wait and start before it
+        :param work_s: their expected work, in seconds
+        :param reserved_slots: slots that calls of lower rank need which have
+            yet to arrive
+        """
+        if self._slots <= 0:
+            return float('inf')
+        free_slots = self._slots - self._running
+        rate_wait_s = self._limiter.wait_s(calls, now)
+        if calls < free_slots and rate_wait_s <= 0:
             return 0.0
-        reserved = self._demand.slots_before(ticket.priority_key, now)
         # Of each start and each slot that gets free, those that calls of
-        # higher priority need are lost to this call.
+        # lower rank need are lost to this call.
         free_share = max(
-            MIN_FREE_SLOTS / self._slots, 1 - reserved / self._capacity()
+            MIN_FREE_SLOTS / self._slots,
+            1 - reserved_slots / self._capacity(),
         )
         rate_wait_s /= free_share
-        if self._running < self._slots and not ahead:
+        if calls < free_slots:
             return rate_wait_s
-        work_s = sum(self.route_work_s(other.route) for other in ahead)
-        slot_wait_s = (work_s + self._mean_work_s) / (self._slots * free_share)
+        # The calls that get the free slots are not waited for, and all slots
+        # are in use after that.
+        work_s += (1 - max(0, free_slots)) * self._mean_work_s
+        slot_wait_s = max(0.0, work_s) / (self._slots * free_share)
         return max(slot_wait_s, rate_wait_s)
 
     def route_work_s(self, route):
@@ -304,7 +334,7 @@
             return Refuse(0.0)
         ticket.number = next(self._numbers)
         self._demand.record_arrival(
-            ticket.priority_key, self.route_work_s(ticket.route), now
+            self._rank(ticket, now), self.route_work_s(ticket.route), now
         )
         if self._slots <= 0:
             return Refuse(MIN_RETRY_AFTER_S)
@@ -347,18 +377,27 @@
             and self._limiter.wait_s(0, now) <= 0
         )
 
+    def _rank(self, ticket, now):
+        """Return the first part of the sort key of waiting tickets.
+
+        Nested calls go before others: the call that makes one holds a slot
+        until it is answered. Calls that can still meet their objective go
+        before those that cannot, whatever their priority.
+        """
+        return (
+            not ticket.is_nested,
+            self._is_late(ticket, now),
+            ticket.priority,
+        )
+
     def _sort_key(self, ticket, now):
         """Return the sort key of waiting tickets; the lowest goes first.
 
-        Within a priority, calls that can still meet their objective go before
-        those that cannot, then calls of organisations within their share
-        before those of others, and then retries of clients before first
-        attempts.
+        Within a rank, calls of organisations within their share go before
+        those of others, and then retries of clients before first attempts.
         """
-        is_late = self._is_late(ticket, now)
         return (
-            *ticket.priority_key,
-            is_late,
+            *self._rank(ticket, now),
             self._shares.is_above_share(ticket.organisation),
             not ticket.is_client_retry,
             ticket.number,
@@ -423,8 +462,7 @@
 
         :returns: (tickets to start now, tickets to refuse now)
         """
-        started, refused = [], self._remove_overdue(now)
-        self._waiting.sort(key=lambda ticket: self._sort_key(ticket, now))
+        started, refused = [], self._refuse_late(now)
         while self._waiting and self._running < self._slots:
             ticket = self._waiting[0]
             if now + RESPONSE_MARGIN_S >= ticket.deadline:
@@ -437,18 +475,6 @@
             started.append(ticket)
         return started, refused
 
-    def _remove_overdue(self, now):
-        """Remove and return the waiting calls that can't finish in time.
-
-        Calls of higher priority that arrived later have overtaken them.
-        """
-        overdue = [
-            ticket for ticket in self._waiting if now > self.overdue_at(ticket)
-        ]
-        for ticket in overdue:
-            self._waiting.remove(ticket)
-        return overdue
-
     def refuse_all(self):
         """Remove and return all waiting calls.
 
--- a/tests/pumicestand/test_target_queue.py
+++ b/tests/pumicestand/test_target_queue.py
@@ -247,3 +247,123 @@
     queue.set_rate_limit(10.0, 10.0)
     assert offer(queue, is_probe=True)[1] == target_queue.Refuse(0.0)
     assert offer(queue, now=10.11, is_probe=True)[1] == target_queue.Start()
+
+
+def test_waiting_calls_that_others_overtake_are_refused_before_deadline():
+    """Guards against calls that are held until their deadline in vain."""
+    queue = make_queue(slots=1, work_s=0.1)
+    running, _ = offer(queue)
+    retry, decision = offer(
+        queue, objective=0.05, deadline=0.5, is_client_retry=True
+    )
+    assert decision == target_queue.Wait()
+    nested = [
+        offer(queue, now=10.01, is_nested=True, deadline=9.0)[0]
+        for _ in range(5)
+    ]
+    queue.finish(running, 10.1, True)
+    started, refused = queue.dispatch(10.1)
+    assert (started, refused) == ([nested[0]], [retry])
+
+
+def test_nested_call_that_others_overtake_is_refused_before_deadline():
+    """Guards against nested calls that hold their caller's slot in vain."""
+    queue = make_queue(slots=1, work_s=0.1)
+    running, _ = offer(queue)
+    late, decision = offer(queue, is_nested=True, priority=2, deadline=0.5)
+    assert decision == target_queue.Wait()
+    for _ in range(5):
+        offer(queue, now=10.01, is_nested=True, priority=1, deadline=9.0)
+    queue.finish(running, 10.1, True)
+    assert queue.dispatch(10.1)[1] == [late]
+
+
+def test_late_client_retry_goes_after_less_urgent_calls_in_time():
+    """Guards against late calls that make others late, too."""
+    queue = make_queue(slots=1, work_s=0.01)
+    running, _ = offer(queue)
+    late, _ = offer(queue, priority=0, objective=0.0, is_client_retry=True)
+    in_time, _ = offer(queue, priority=2)
+    queue.finish(running, 10.01, True)
+    assert queue.dispatch(10.01) == ([in_time], [])
+    queue.finish(in_time, 10.02, True)
+    assert queue.dispatch(10.02) == ([late], [])
+
+
+class _Clients:
+    """Plays calls of 0.1 s whose clients retry a refused call once.
+
+    ``refusals`` holds the calls that were refused in the end, with the
+    seconds for which they were held and those left until their deadline.
+
+    :param queue: a `target_queue.TargetQueue`
+    :param rate: calls in a second
+    """
+
+    def __init__(self, queue, rate):
+        self._queue = queue
+        self._rate = rate
+        self._retries = []
+        self._running = []
+        self._arrivals = {}
+        self.in_time = 0
+        self.answered = 0
+        self.refusals = []
+
+    def play(self, duration_s, nested_every):
+        """Play the calls; each n-th is nested and none retries these."""
+        step_s = 1 / self._rate
+        for step in range(int(duration_s * self._rate)):
+            now = step * step_s
+            self._finish_until(now)
+            while self._retries and self._retries[0][0] <= now:
+                _, ticket = self._retries.pop(0)
+                ticket.is_client_retry = True
+                self._offer(ticket, now)
+            is_nested = step % nested_every == 0
+            self._offer(
+                make_ticket(now, deadline=1.2, is_nested=is_nested), now
+            )
+
+    def _offer(self, ticket, now):
+        decision = self._queue.offer(ticket, now)
+        self._arrivals[ticket.number] = now
+        match decision:
+            case target_queue.Start():
+                self._running.append(ticket)
+            case target_queue.Refuse(retry_after):
+                self._refuse(ticket, now, retry_after)
+
+    def _refuse(self, ticket, now, retry_after):
+        if ticket.is_client_retry or ticket.is_nested:
+            held_s = now - self._arrivals[ticket.number]
+            self.refusals.append((held_s, ticket.deadline - now))
+            return
+        delay_s = min(retry_after, (ticket.deadline - now) / 3)
+        self._retries.append((now + delay_s, ticket))
+        self._retries.sort(key=lambda retry: retry[0])
+
+    def _finish_until(self, now):
+        while self._running and self._running[0].started_at + 0.1 <= now:
+            ticket = self._running.pop(0)
+            end = ticket.started_at + 0.1
+            self._queue.finish(ticket, end, True)
+            self.answered += end <= ticket.deadline
+            self.in_time += end <= ticket.objective_at
+            started, refused = self._queue.dispatch(end)
+            self._running += started
+            for other in refused:
+                self._refuse(other, end, target_queue.MIN_RETRY_AFTER_S)
+
+
+def test_overload_with_retries_refuses_early_and_keeps_the_slots_busy():
+    """Guards against late calls that are held longest and then refused."""
+    clients = _Clients(make_queue(slots=4, work_s=0.1), rate=60.0)
+    clients.play(20.0, nested_every=3)
+    assert clients.answered > 0.95 * 20 * 40
+    assert clients.in_time > 0.9 * clients.answered
+    assert len(clients.refusals) > 100
+    held_to_the_end = [left for _, left in clients.refusals if left < 0.1]
+    assert len(held_to_the_end) < 0.02 * len(clients.refusals)
+    held_s = sum(held for held, _ in clients.refusals)
+    assert held_s / len(clients.refusals) < 0.15
