Decide with one method whether a new call can be in time

offer() and refuse_late(), which decides before the body of a call is asked for, judged the same question separately. refuse_late() took a call without a number as the first of its rank, so that bodies were asked for and the calls refused once they had arrived. Now offer() uses refuse_late(), and a call without a number counts as the latest one.

--- a/packages/pumicestand/pumicestand/target_queue.py
+++ b/packages/pumicestand/pumicestand/target_queue.py
@@ -61,7 +61,8 @@
     :param is_probe: whether it is refused rather than waits, see `probing`
     :param organisation: organisation that the call belongs to, empty for
         none
-    :param number: order of arrival, set by the queue
+    :param number: order of arrival, set by the queue when the call is
+        offered, 0 before
     :param started_at: set by the queue when the call starts
     """
 
@@ -212,7 +213,7 @@
             at this rate
         """
         self._limiter.set_rate(rate, now)
-        return self._refuse_late(now)
+        return self._remove_late(now)
 
     def set_cold_limit(self, rate, until, now):
         """Set how many calls may start in a second while the target is cold.
@@ -224,9 +225,9 @@
             at this rate
         """
         self._limiter.set_cold_limit(rate, until, now)
-        return self._refuse_late(now)
+        return self._remove_late(now)
 
-    def _refuse_late(self, now):
+    def _remove_late(self, now):
         """Remove and return the waiting calls that can't finish in time.
 
         Calls that arrived later may have overtaken them, or a limit makes
@@ -336,31 +337,33 @@
         self._demand.record_arrival(
             self._rank(ticket, now), self.route_work_s(ticket.route), now
         )
-        if self._slots <= 0:
-            return Refuse(MIN_RETRY_AFTER_S)
-        if self._running < self._slots and not self._waiting:
-            if now + RESPONSE_MARGIN_S >= ticket.deadline:
-                return Refuse(0.0)
-            if self._limiter.try_start(now):
-                self._start(ticket, now)
-                return Start()
-        wait_s = self.expected_wait_s(now, ticket)
-        finish = (
-            now + wait_s + self.route_work_s(ticket.route) + RESPONSE_MARGIN_S
-        )
-        if finish > self._latest_finish(ticket):
-            return Refuse(self._retry_after(wait_s))
+        refusal = self.refuse_late(ticket, now)
+        if refusal is not None:
+            return refusal
+        if (
+            self._running < self._slots
+            and not self._waiting
+            and self._limiter.try_start(now)
+        ):
+            self._start(ticket, now)
+            return Start()
         self._waiting.append(ticket)
         return Wait()
 
-    def refuse_late(self, ticket, now, arrival_s):
+    def refuse_late(self, ticket, now, arrival_s=0.0):
         """Return the `Refuse` of a call that can't finish in time, or None.
 
-        :param ticket: `Ticket` of a call whose body has yet to arrive
-        :param arrival_s: seconds until the body has arrived
+        A call that has arrived and need not wait is refused only after its
+        deadline: the slot would else be idle.
+
+        :param ticket: `Ticket` of a new call
+        :param arrival_s: seconds until its body has arrived
         """
         if self._slots <= 0:
             return Refuse(MIN_RETRY_AFTER_S)
+        if arrival_s <= 0 and self._has_room_now(now):
+            is_over = now + RESPONSE_MARGIN_S >= ticket.deadline
+            return Refuse(0.0) if is_over else None
         wait_s = max(arrival_s, self.expected_wait_s(now, ticket))
         finish = (
             now + wait_s + self.route_work_s(ticket.route) + RESPONSE_MARGIN_S
@@ -400,7 +403,8 @@
             *self._rank(ticket, now),
             self._shares.is_above_share(ticket.organisation),
             not ticket.is_client_retry,
-            ticket.number,
+            # A call that has no number yet arrives after those that wait.
+            ticket.number or math.inf,
         )
 
     def _is_late(self, ticket, now):
@@ -462,7 +466,7 @@
 
         :returns: (tickets to start now, tickets to refuse now)
         """
-        started, refused = [], self._refuse_late(now)
+        started, refused = [], self._remove_late(now)
         while self._waiting and self._running < self._slots:
             ticket = self._waiting[0]
             if now + RESPONSE_MARGIN_S >= ticket.deadline:
--- a/tests/pumicestand/test_target_queue.py
+++ b/tests/pumicestand/test_target_queue.py
@@ -367,3 +367,39 @@
     assert len(held_to_the_end) < 0.02 * len(clients.refusals)
     held_s = sum(held for held, _ in clients.refusals)
     assert held_s / len(clients.refusals) < 0.15
+
+
+@pytest.mark.parametrize('is_client_retry', [False, True])
+@pytest.mark.parametrize('is_nested', [False, True])
+def test_call_gets_the_same_decision_before_and_after_its_body(
+    is_client_retry, is_nested
+):
+    """Guards against bodies that are asked for and then refused."""
+    decisions = set()
+    queue = make_queue(slots=2, work_s=0.1)
+    for _ in range(40):
+        ticket = make_ticket(
+            10.0, is_nested=is_nested, is_client_retry=is_client_retry
+        )
+        before = queue.refuse_late(ticket, 10.0)
+        decision = queue.offer(ticket, 10.0)
+        assert (before is None) == (
+            not isinstance(decision, target_queue.Refuse)
+        )
+        if before is not None:
+            assert before.retry_after == pytest.approx(decision.retry_after)
+        decisions.add(type(decision))
+    assert decisions == {
+        target_queue.Start,
+        target_queue.Wait,
+        target_queue.Refuse,
+    }
+
+
+def test_body_that_arrives_too_late_is_not_asked_for():
+    """Guards against bodies that use the link of a call that is late."""
+    queue = make_queue(slots=2, work_s=0.1)
+    ticket = make_ticket(10.0, objective=0.3)
+    assert queue.refuse_late(ticket, 10.0, arrival_s=0.15) is None
+    refusal = queue.refuse_late(ticket, 10.0, arrival_s=0.25)
+    assert refusal.retry_after == pytest.approx(0.25)
