Refuse calls whose nested calls displace more urgent ones

A load report tells which service a target makes nested calls to, and the priority and objective of the most urgent clients' calls that it serves. A node refuses a less urgent client's call on arrival while these are expected to be late.

--- a/benchmarks/load_play.py
+++ b/benchmarks/load_play.py
@@ -3,7 +3,8 @@
 The real placement, queues and quota of retries run on a simulated clock;
 targets, links, clients and the delays between nodes are simulated. The same
 day is played under each policy; 'no probes' is the current one without
-`pumicestand.probing`. Usage:
+`pumicestand.probing` and admission, 'no admission' the one without
+`pumicestand.admission_by_room`. Usage:
 
     python -m benchmarks.load_play FILE [--seconds N] [--rate N] [--seed N]
 """
--- a/benchmarks/load_player/nodes.py
+++ b/benchmarks/load_player/nodes.py
@@ -7,6 +7,7 @@
 import dataclasses
 
 from benchmarks.load_player import played
+from pumicestand import admission_by_room
 from pumicestand import fleet
 from pumicestand import hop_messages
 from pumicestand import placing
@@ -126,9 +127,29 @@
         if call.deadline <= now:
             self._answer(call, played.Answer.REFUSED)
             return
+        if self._displaces_urgent(call, now):
+            call.retry_after_s = admission_by_room.retry_after_s(
+                call.deadline - now, self._day.rng
+            )
+            self._answer(call, played.Answer.REFUSED)
+            return
         self._events.call_at(call.deadline, self._give_up, call)
         self._send(call)
 
+    def _displaces_urgent(self, call, now):
+        """See `OutboundCalls._refuse_displacing`."""
+        if not self._day.policy.has_admission or call.is_nested:
+            return False
+        service = admission_by_room.nested_service(
+            self._peers_by_service[call.kind.service]
+        )
+        return bool(service) and admission_by_room.displaces_urgent(
+            call.kind.priority,
+            call.is_client_retry,
+            [p for p in self._peers_by_service[service] if p.load.slots > 0],
+            now,
+        )
+
     def _give_up(self, call):
         """Answer a call whose deadline has passed."""
         if call.is_over:
--- a/benchmarks/load_player/policies.py
+++ b/benchmarks/load_player/policies.py
@@ -73,16 +73,30 @@
     :param selector: class with the interface of `placing.PeerSelector`
     :param queue: class with the interface of `target_queue.TargetQueue`
     :param has_probes: whether calls are sent as probes first
+    :param has_admission: whether `pumicestand.admission_by_room` is used
     """
 
     name: str
     selector: type
     queue: type
     has_probes: bool = False
+    has_admission: bool = False
 
 
 POLICIES = (
-    Policy('current', placing.PeerSelector, target_queue.TargetQueue, True),
+    Policy(
+        'current',
+        placing.PeerSelector,
+        target_queue.TargetQueue,
+        has_probes=True,
+        has_admission=True,
+    ),
+    Policy(
+        'no admission',
+        placing.PeerSelector,
+        target_queue.TargetQueue,
+        has_probes=True,
+    ),
     Policy('no probes', placing.PeerSelector, target_queue.TargetQueue),
     Policy('random, fifo', RandomSelector, FifoQueue),
     Policy('least in flight, fixed queue', LeastInFlightSelector, FixedQueue),
--- a/benchmarks/load_player/targets.py
+++ b/benchmarks/load_player/targets.py
@@ -8,6 +8,7 @@
 import math
 
 from benchmarks.load_player import played
+from pumicestand import admission_by_room
 from pumicestand import hop_messages
 from pumicestand import probing
 from pumicestand import target_queue
@@ -40,6 +41,7 @@
         self._make_nested = make_nested
         self._link = link
         self._slowness = target_queue.SlownessEstimator()
+        self._call_observer = admission_by_room.CallObserver()
         self._failure_ratio = 0.0
         self._waiting = {}
         self._running = {}
@@ -54,7 +56,7 @@
         """Return the `hop_messages.Load` of the target."""
         queue = self._queue
         now = self._events.now
-        return hop_messages.Load(
+        load = hop_messages.Load(
             running=queue.running,
             queued=queue.queued,
             slots=0 if self._is_down else queue.usable_slots,
@@ -63,6 +65,7 @@
             slowness=self._slowness.slowness(now),
             link_utilisation=self._link.meter.utilisation(now),
         )
+        return self._call_observer.add_to(load, now)
 
     def _refuse(self, placement, code, retry_after_s=0.0):
         placement.reply(
@@ -81,6 +84,10 @@
             return
         now = self._events.now
         call = placement.call
+        if not call.is_nested:
+            self._call_observer.record_client(
+                call.kind.priority, placement.objective_remaining_s * 1000, now
+            )
         ticket = self._make_ticket(placement, now)
         match self._queue.offer(ticket, now):
             case target_queue.Refuse() if placement.is_probe:
@@ -204,6 +211,7 @@
                 self._work(ticket, run, left_s, self._finish, True)
 
         kind = self._day.kinds[nested.kind]
+        self._call_observer.record_nested(kind.service, started_at)
         for _ in range(nested.count):
             self._make_nested(kind, run, ticket.deadline - started_at, receive)
 
--- a/packages/pumicestand-node/pumicestand_node/mesh_node.py
+++ b/packages/pumicestand-node/pumicestand_node/mesh_node.py
@@ -120,6 +120,7 @@
             settings.service,
             self._target_calls.find_running,
             self._clock,
+            self._target_calls.record_nested,
         )
         self._store = mesh_store.MeshStore(
             self._mesh,
--- a/packages/pumicestand-node/pumicestand_node/outbound_calls.py
+++ b/packages/pumicestand-node/pumicestand_node/outbound_calls.py
@@ -6,9 +6,11 @@
 
 import collections
 import itertools
+import random
 
 import trio
 
+from pumicestand import admission_by_room
 from pumicestand import fingerprints
 from pumicestand import hop_messages
 from pumicestand import latencies
@@ -67,14 +69,26 @@
     :param find_running: returns the call with a request id that runs at the
         target on this VM, or None
     :param clock: returns monotonic seconds
+    :param record_nested: called with the service of each call that the target
+        on this VM makes while it runs another one
     """
 
-    def __init__(self, mesh, headers, service, find_running, clock):
+    def __init__(
+        self,
+        mesh,
+        headers,
+        service,
+        find_running,
+        clock,
+        record_nested=lambda service: None,
+    ):
         self._mesh = mesh
         self._headers = headers
         self._find_running = find_running
         self._service_name = service.encode()
         self._clock = clock
+        self._record_nested = record_nested
+        self._rng = random.Random()
         self._pickers = {}
         self._table = None
         self._table_configuration = None
@@ -167,12 +181,37 @@
             )
             self._log_call(call, refusal.status, refusal.code, None)
             return await self._send_refusal(request, connection, refusal)
-        refusal = await self._take_quota(call)
+        refusal = self._refuse_displacing(call)
+        if refusal is None:
+            refusal = await self._take_quota(call)
         if refusal is not None:
             self._log_call(call, refusal.status, refusal.code, None)
             return await self._send_refusal(request, connection, refusal)
         return await self._execute(call, request, connection)
 
+    def _refuse_displacing(self, call):
+        """Return the refusal of a call that displaces more urgent ones."""
+        if call.is_nested or call.is_client_retry:
+            return None
+        fleet = self._mesh.fleet
+        service = admission_by_room.nested_service(fleet.serving(call.service))
+        if not service:
+            return None
+        now = self._clock()
+        if not admission_by_room.displaces_urgent(
+            call.priority, call.is_client_retry, fleet.serving(service), now
+        ):
+            return None
+        call.last_code = 'nested-calls-displace'
+        delay_s = admission_by_room.retry_after_s(
+            max(0.0, call.deadline - now), self._rng
+        )
+        return refusals.not_run(
+            refusals.CallCode.OVERLOADED,
+            f'{service}, which it needs, has no room for more urgent calls',
+            retry_after=round(max(0.01, delay_s), 3),
+        )
+
     async def _take_quota(self, call):
         """Take a token for the call; return the refusal if there is none.
 
@@ -298,6 +337,8 @@
         service = self._pick_service(route)
         quota = self._mesh.retry_quota
         quota.record_request(service, started_at)
+        if parent is not None:
+            self._record_nested(service)
         if parent is not None and parent.is_retry:
             quota.record_retry(service, started_at)
         return outbound_call.OutboundCall(
--- a/packages/pumicestand-node/pumicestand_node/target_calls.py
+++ b/packages/pumicestand-node/pumicestand_node/target_calls.py
@@ -10,6 +10,7 @@
 
 import trio
 
+from pumicestand import admission_by_room
 from pumicestand import coldness
 from pumicestand import fingerprints
 from pumicestand import hop_messages
@@ -92,6 +93,7 @@
         self._unreachable_until = 0.0
         self._failure_ratio = 0.0
         self._slowness = target_queue.SlownessEstimator()
+        self._call_observer = admission_by_room.CallObserver()
         self._limit = None
         self._invalid_limit = None
         self._coldness = coldness.Coldness()
@@ -142,14 +144,20 @@
         slots = queue.usable_slots
         if self._refusal_code() is not None:
             slots = 0
-        return hop_messages.Load(
+        now = self._clock()
+        load = hop_messages.Load(
             running=queue.running,
             queued=queue.queued,
             slots=slots,
             work_ms=queue.mean_work_s * 1000,
             failure_ratio=self._failure_ratio,
-            slowness=self._slowness.slowness(self._clock()),
+            slowness=self._slowness.slowness(now),
         )
+        return self._call_observer.add_to(load, now)
+
+    def record_nested(self, service):
+        """Record that the target makes a nested call to a service."""
+        self._call_observer.record_nested(service, self._clock())
 
     def on_heartbeat(self, heartbeat):
         """Apply what a heartbeat says of the target's coldness.
@@ -282,6 +290,10 @@
         code = self._refusal_code() or self._mismatch_code(call)
         if code is not None:
             return self._make_result(call, Outcome.NOT_HANDED_ON, code)
+        if not call.is_nested:
+            self._call_observer.record_client(
+                call.priority, call.objective_remaining_ms, now
+            )
         ticket = _make_ticket(call, now)
         match self._queue.offer(ticket, now):
             case target_queue.Refuse() if call.is_probe:
--- a/packages/pumicestand/pumicestand/hop.capnp
+++ b/packages/pumicestand/pumicestand/hop.capnp
@@ -47,6 +47,9 @@
   slowness @5 :Float32;
   linkBusy @6 :Float32;
   bodyDelayMs @7 :Float32;
+  nestedService @8 :Text;
+  clientPriority @9 :UInt16;
+  clientObjectiveMs @10 :Float32;
 }
 
 struct Evidence {
--- a/packages/pumicestand/pumicestand/hop.py
+++ b/packages/pumicestand/pumicestand/hop.py
@@ -151,6 +151,10 @@
     builder.slowness = load.slowness
     builder.linkBusy = load.link_utilisation
     builder.bodyDelayMs = load.body_delay_ms
+    if load.nested_service:
+        builder.nestedService = load.nested_service
+    builder.clientPriority = load.client_priority
+    builder.clientObjectiveMs = load.client_objective_ms
 
 
 def _write_target(builder, target):
@@ -379,6 +383,9 @@
         slowness=reader.slowness,
         link_utilisation=reader.linkBusy,
         body_delay_ms=reader.bodyDelayMs,
+        nested_service=reader.nestedService,
+        client_priority=reader.clientPriority,
+        client_objective_ms=reader.clientObjectiveMs,
     )
 
 
--- a/packages/pumicestand/pumicestand/hop_messages.py
+++ b/packages/pumicestand/pumicestand/hop_messages.py
@@ -62,6 +62,12 @@
     :param link_utilisation: fraction of the VM's network link in use
     :param body_delay_ms: time until a large body that is offered now is asked
         for, in milliseconds
+    :param nested_service: service that the target makes nested calls to,
+        empty for none
+    :param client_priority: priority of the most urgent calls that clients
+        make to the target
+    :param client_objective_ms: latency objective of these calls, in
+        milliseconds; 0 if there are none
     """
 
     running: int = 0
@@ -72,6 +78,9 @@
     slowness: float = 1.0
     link_utilisation: float = 0.0
     body_delay_ms: float = 0.0
+    nested_service: str = ''
+    client_priority: int = 0
+    client_objective_ms: float = 0.0
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/tests/pumicestand/test_hop.py
+++ b/tests/pumicestand/test_hop.py
@@ -90,6 +90,12 @@
         (hop_messages.Evidence('r', 'v1', 5, 1, 4, 80.0),),
         (hop_messages.BusyVersion('v1', 12),),
     ),
+    hop_messages.Load(
+        slots=3,
+        nested_service='stock',
+        client_priority=1,
+        client_objective_ms=150.0,
+    ),
     hop_messages.Ping(1),
     hop_messages.Pong(2),
     hop_messages.FetchConfiguration(9),
--- a/tests/pumicestand/test_layers.py
+++ b/tests/pumicestand/test_layers.py
@@ -14,6 +14,7 @@
 PACKAGE_PATH = pathlib.Path(pumicestand.__file__).parent
 DECISION_MODULES = (
     'admission',
+    'admission_by_room',
     'announcing',
     'application',
     'balancing',
--- a/tests/pumicestand_node/test_mesh_calls.py
+++ b/tests/pumicestand_node/test_mesh_calls.py
@@ -98,7 +98,12 @@
         )
         self.mesh.send_call = lambda peer, call: self.targets.run(call)
         self.outbound = outbound_calls.OutboundCalls(
-            self.mesh, headers.HEADERS, 'own-service', self.find_running, clock
+            self.mesh,
+            headers.HEADERS,
+            'own-service',
+            self.find_running,
+            clock,
+            self.targets.record_nested,
         )
         route = documents.Route(
             name='r',
@@ -440,6 +445,45 @@
     run_with_target(test)
 
 
+def test_a_call_that_displaces_urgent_calls_is_refused_on_arrival():
+    """Its nested calls would take the slots that urgent calls wait for."""
+
+    async def test(harness):
+        mesh = harness.mesh
+        harness.targets._running_calls['parent'] = hop_messages.Call(
+            1, 's', '', '', 'GET', b'/', b'', 1, 1, 1, 'r', 'parent', True
+        )
+        await harness.send_request(request_id='parent.child')
+        assert harness.targets.load().nested_service == 's'
+        # The target makes nested calls to its own service, which is full.
+        peer = mesh.fleet.get('own')
+        full = dataclasses.replace(
+            harness.targets.load(),
+            running=peer.load.slots,
+            queued=500,
+            client_priority=0,
+            client_objective_ms=200.0,
+        )
+        peer.update_load(full, trio.current_time())
+        route = mesh.configuration.document.routes[0]
+        mesh.configuration = dataclasses.replace(
+            mesh.configuration,
+            document=documents.Document(
+                routes=(dataclasses.replace(route, priority=2),)
+            ),
+        )
+        ran = list(harness.script.run_request_ids)
+        got, data = await harness.send_request(request_id='outer')
+        assert (got, harness.script.run_request_ids) == (503, ran)
+        assert b'pumicestand-code: overloaded' in data
+        assert b'retry-after: 0.' in data.lower()
+        # A call of the target itself is not refused.
+        got, _ = await harness.send_request(request_id='parent.other')
+        assert got == 200
+
+    run_with_target(test)
+
+
 def test_a_call_in_flight_when_the_node_stops_gets_a_response():
     """The stop must not cut a call that outlasts the grace period."""
 
--- a/tests/pumicestand_platform/test_start_modules.py
+++ b/tests/pumicestand_platform/test_start_modules.py
@@ -19,7 +19,8 @@
 from soak import clusters
 
 OWN = """
-pumicestand pumicestand.body_transfers pumicestand.call_headers
+pumicestand pumicestand.admission_by_room
+pumicestand.body_transfers pumicestand.call_headers
 pumicestand.coldness pumicestand.decision_log
 pumicestand.evacuations pumicestand.fair_shares
 pumicestand.documents pumicestand.errors pumicestand.fetches
