Split the node's record from the synchronisation with the store

mesh_store.py had grown to 625 lines and two jobs: the record by which nodes find each other, and the configuration, orders and evacuations that are read and watched. They are mesh_records.py and mesh_store.py now; store_access.py holds what both need to know of the store. No behaviour changes; the tests of both are the same but for the module of four constants.

--- a/tests/pumicestand_node/test_mesh_store.py
+++ b/tests/pumicestand_node/test_mesh_store.py
@@ -16,6 +16,7 @@
 from pumicestand import rollouts
 from pumicestand import targets
 from pumicestand import zone_roles
+from pumicestand_node import mesh_records
 from pumicestand_node import mesh_store
 from pumicestand_platform import configuration
 from pumicestand_platform import objects
@@ -150,7 +151,7 @@
                 )
                 node = Node(client, 'b')
                 await node.mesh_store.start(nursery)
-                await trio.sleep(mesh_store.TARGET_WAIT_S + 0.5)
+                await trio.sleep(mesh_records.TARGET_WAIT_S + 0.5)
                 assert [record.name for record in node.records] == ['a']
                 nursery.cancel_scope.cancel()
 
@@ -276,7 +277,7 @@
             before = trio.current_time()
             await node.mesh_store.save_own_record()
             waited = trio.current_time() - before
-            assert waited <= mesh_store.RECORD_WRITE_TIMEOUT_S
+            assert waited <= mesh_records.RECORD_WRITE_TIMEOUT_S
             store.faults.silent = False
             await trio.sleep(4)
             record = store.get(node_records.KIND, 'a')['spec']
@@ -386,7 +387,7 @@
         ):
             node = Node(client, 'a', is_first_start=False)
             await node.mesh_store.start(nursery)
-            await trio.sleep(mesh_store.TARGET_WAIT_S + 0.5)
+            await trio.sleep(mesh_records.TARGET_WAIT_S + 0.5)
             assert store.get(node_records.KIND, 'a') is not None
             nursery.cancel_scope.cancel()
 
@@ -402,7 +403,7 @@
             assert node.records == []
             record = node_records.NodeRecord('z', '10.0.0.9', 7000, 'a')
             store.put(node_records.KIND, 'z', node_records.to_json(record))
-            await trio.sleep(1.6 * mesh_store.SEARCH_PERIOD_S)
+            await trio.sleep(1.6 * mesh_records.SEARCH_PERIOD_S)
             assert {r.name for r in node.records} == {'z'}
 
     mock_clock.run(main)
@@ -428,7 +429,9 @@
             assert (store.get(RECORD_KIND, 'a') or {}).get('spec') != expected
             # Nothing else changes, so the next watch shows the era.
             await trio.sleep(
-                mesh_store.WATCH_TIMEOUT_S + mesh_store.ERA_CHECK_SPREAD_S + 1
+                mesh_store.WATCH_TIMEOUT_S
+                + mesh_records.ERA_CHECK_SPREAD_S
+                + 1
             )
             assert store.get(RECORD_KIND, 'a')['spec'] == expected
             assert node.mesh.store_era == 2
@@ -446,7 +449,7 @@
             store.faults.deaf = True
             store.restore()
             node.mesh_store.hear_era(2)
-            await trio.sleep(mesh_store.ERA_CHECK_SPREAD_S + 1)
+            await trio.sleep(mesh_records.ERA_CHECK_SPREAD_S + 1)
             assert store.get(RECORD_KIND, 'a')['spec'] == expected
 
     mock_clock.run(main)
