--- a/tests/pumicestand_node/test_placements.py
+++ b/tests/pumicestand_node/test_placements.py
@@ -109,6 +109,7 @@
     """Guards against refusing calls where a service has one target."""
 
     async def test(harness, asked):
+        harness.outbound.uses_probes = True
         status, _ = await harness.send_request('/o/1', 'POST')
         assert (status, asked) == (200, ['own', 'own'])
         assert harness.probes == [True, False]
