Let calls run into the last sixth of the grace when a node stops

What callers saw: a call that ran at its target 4.85 s after SIGTERM was answered 504 by the stopping node, though 6 s of grace were given and the target went on. The platform lets a node end a running call only in the last sixth of the grace, from 5.0 s on (LOST). Cause: moved the end of the calls from 5.2 to 4.85 s with margins that are constants (0.9 and 0.25 s) while the bound is a share of the grace. Only calls with a deadline of over 2.55 s get there: uploads of the grown sites. A grace of 10 s was not affected. Nested calls of the target beside the node were started although they could last beyond the end, and were cut there. Ruled out: queued calls, which are answered; the time that the exit needs, as the process closes connections and flushes its log, and waits for nothing. Change: the times of a stop are derived from the grace in one place. Calls end a twelfth of it before its end, at most 0.5 s, and connections are closed 0.2 s later. A nested call whose deadline lies behind the end of the calls is refused at once as not run. A response in place of a call that the stop ended has the code stopping, which its log line shows. Evidence: three tests of a stopped node fail on: the target's response at 5.1 s is lost to a 504, the answer to a call without end comes at 4.85 s, the late nested call is started. They pass now, and for a grace of 10 s, which passed before. The module is imported at the start, as a stopping node should read no files.

--- a/packages/pumicestand-node/pumicestand_node/mesh_node.py
+++ b/packages/pumicestand-node/pumicestand_node/mesh_node.py
@@ -11,6 +11,7 @@
 from pumicestand import documents
 from pumicestand import log
 from pumicestand import node_records
+from pumicestand import shutdown
 from pumicestand import targets
 from pumicestand_node import client_port
 from pumicestand_node import freshness_agent
@@ -35,17 +36,9 @@
 # Time after the start from which the node reports that it is ready although
 # it has not linked to all nodes listed in the store.
 MAX_READINESS_DELAY_S = 1.5
-# Time for which a stopping node still accepts calls: the platform redirects
-# clients only after two failed readiness checks, one second apart.
-ACCEPT_AFTER_STOP_S = 2.3
 # Time for which the links stay open to send final frames once the node
 # accepts no more calls.
 LINK_FLUSH_S = 0.1
-# Time reserved at the end of the grace period for closing connections.
-CLOSE_MARGIN_S = 0.9
-# Time before the connections are closed at which calls that are still in
-# flight are given up, so that their clients get a response.
-LAST_RESPONSES_S = 0.25
 # Allocations, net of deallocations, that start a collection of generation 0.
 GC_THRESHOLD = 20_000
 
@@ -244,7 +237,7 @@
         settings = self._settings
         mesh.is_stopping = True
         mesh.is_ready = False
-        deadline = self._clock() + settings.bounds.grace - CLOSE_MARGIN_S
+        schedule = shutdown.plan(self._clock(), settings.bounds.grace)
         self._decisions.note(
             'stopping',
             outbound=self._outbound_calls.in_flight,
@@ -252,14 +245,14 @@
         )
         # The target stays available until the clients on this VM have been
         # redirected.
-        await trio.sleep(ACCEPT_AFTER_STOP_S)
+        await trio.sleep(max(0.0, schedule.accept_until - self._clock()))
         self._client_port.close_when_idle()
         mesh.is_leaving = True
         self._target_calls.is_closed = True
         self._links.schedule_report()
-        self._outbound_calls.finish_by(deadline - LAST_RESPONSES_S)
+        self._outbound_calls.finish_by(schedule.calls_end_at)
         await trio.sleep(LINK_FLUSH_S)
-        while self._clock() < deadline and (
+        while self._clock() < schedule.close_at and (
             self._target_calls.in_flight or self._outbound_calls.in_flight
         ):
             await trio.sleep(0.02)
--- a/packages/pumicestand-node/pumicestand_node/outbound_call.py
+++ b/packages/pumicestand-node/pumicestand_node/outbound_call.py
@@ -46,6 +46,8 @@
     :param node_results: node and result of each placement, for the log
     :param quota_token: `quotas.Token` that the call has taken, None if it
         needs none or has returned it
+    :param ends_with_node: whether the deadline is the time at which the
+        stopping node gives its calls up
     """
 
     head: heads.RequestHead
@@ -75,6 +77,7 @@
     last_node: str = ''
     node_results: list = dataclasses.field(default_factory=list)
     quota_token: quotas.Token | None = None
+    ends_with_node: bool = False
 
     @property
     def organisation_name(self):
@@ -109,17 +112,7 @@
     :param now: monotonic seconds
     """
     if result is None and now >= call.deadline - 0.001:
-        if call.may_have_run:
-            return refusals.unknown(
-                refusals.CallCode.DEADLINE,
-                'given up at its deadline; it may have run',
-                status=504,
-            )
-        return refusals.not_run(
-            refusals.CallCode.DEADLINE_BEFORE_RUN,
-            'its deadline passed before it was sent',
-            retry_after=RETRY_AFTER_S,
-        )
+        return _overdue_refusal(call)
     if call.may_have_run:
         return refusals.unknown(
             refusals.CallCode.ANSWER_LOST,
@@ -144,6 +137,24 @@
     )
 
 
+def _overdue_refusal(call):
+    """Return the `refusals.Refusal` for a call that got no result in time."""
+    if call.ends_with_node:
+        code = code_before_run = refusals.CallCode.STOPPING
+        event = 'this node stops'
+    else:
+        code = refusals.CallCode.DEADLINE
+        code_before_run = refusals.CallCode.DEADLINE_BEFORE_RUN
+        event = 'its deadline passed'
+    if call.may_have_run:
+        return refusals.unknown(code, f'{event}; it may have run', status=504)
+    return refusals.not_run(
+        code_before_run,
+        f'{event} before it was sent',
+        retry_after=RETRY_AFTER_S,
+    )
+
+
 def format_response(call, result, keep_alive):
     """Return a target's response as bytes.
 
--- a/packages/pumicestand-node/pumicestand_node/outbound_calls.py
+++ b/packages/pumicestand-node/pumicestand_node/outbound_calls.py
@@ -173,9 +173,7 @@
             configuration,
             decision.organisation,
         )
-        if self._mesh.is_leaving and not call.is_nested:
-            # The target may still make calls for those that it runs; other
-            # clients use another node.
+        if self._mesh.is_leaving and not self._may_start_late(call):
             refusal = refusals.not_run(
                 refusals.CallCode.STOPPING,
                 'this node stops',
@@ -191,6 +189,14 @@
             return await self._send_refusal(request, connection, refusal)
         return await self._execute(call, request, connection)
 
+    def _may_start_late(self, call):
+        """Return whether a call may start while the node closes.
+
+        The target still makes calls for those that it runs; other clients use
+        another node.
+        """
+        return call.is_nested and call.deadline <= self._stop_at
+
     def _refuse_displacing(self, call):
         """Return the refusal of a call that displaces more urgent ones."""
         if call.is_nested or call.is_client_retry:
@@ -385,7 +391,9 @@
                     result = await self._send_until_answered(call)
                 finally:
                     self._call_scopes.discard(scope)
-        call.deadline = min(call.deadline, self._stop_at)
+        if self._stop_at < call.deadline:
+            call.deadline = self._stop_at
+            call.ends_with_node = True
         if result is None or result.outcome is not Outcome.ANSWERED:
             # A target's failure tells the client more than a refusal.
             result = call.failure_response or result
--- a/tests/pumicestand_node/test_mesh_node.py
+++ b/tests/pumicestand_node/test_mesh_node.py
@@ -3,10 +3,16 @@
 import dataclasses
 
 import pytest
+import trio
+import trio.testing
 
+from pumicestand import documents
+from pumicestand import hop_messages
 from pumicestand_node import mesh_node
 from pumicestand_platform import main
 from pumicestand_platform import settings
+from tests import mock_clock
+from tests.pumicestand import mesh_fakes
 from tests.pumicestand_platform import test_settings
 
 
@@ -19,10 +25,10 @@
         lambda descriptor: lambda data: True,
     )
 
-    def make(is_strict):
+    def make(is_strict, grace=6.0):
         node_settings = settings.parse(test_settings.TEXT)
         bounds = dataclasses.replace(
-            node_settings.bounds, is_revocation_strict=is_strict
+            node_settings.bounds, is_revocation_strict=is_strict, grace=grace
         )
         node_settings = dataclasses.replace(node_settings, bounds=bounds)
         return mesh_node.MeshNode(
@@ -44,3 +50,170 @@
     assert node._freshness is None
     assert node._outbound_calls.access.is_fresh()
     assert node._links.on_freshness is None
+
+
+GRACE_PERIODS_S = (6.0, 10.0)
+CALL_TIMEOUT_S = 30.0
+
+
+class StoppingNode:
+    """A node that is stopped while its clients make calls.
+
+    Each call runs at another node's target, which this class plays.
+
+    :param nursery: runs the connections of the clients
+    :param node: the `mesh_node.MeshNode`
+    """
+
+    def __init__(self, nursery, node):
+        self._nursery = nursery
+        self._node = node
+        self._mesh = node._mesh
+        self._mesh.send_call = self.run_call
+        self.stopped_at = None
+        # Time at which the target answers, for each request id.
+        self.answered_at = {}
+        self.run_request_ids = []
+        route = documents.Route(
+            name='r',
+            host='shop.example',
+            path='/',
+            methods=(),
+            to=(documents.Backend('s', 1),),
+            resources=(),
+            timeout=CALL_TIMEOUT_S,
+            idempotent=False,
+            retries=documents.Retries(1, 0.0),
+            objective=CALL_TIMEOUT_S,
+        )
+        self._mesh.configuration = documents.InForce(
+            documents.Accepted(3, ''), documents.Document(routes=(route,)), 0.0
+        )
+        peer = self._mesh.fleet.get_or_add('other', '10.0.0.2', 7000, 0.0)
+        report = dataclasses.replace(
+            self._mesh.new_report(hop_messages.Load(slots=9), (), 0.0),
+            name='other',
+            target=mesh_fakes.make_target('t'),
+        )
+        self._mesh.fleet.apply_report(report, 0.0)
+        peer.is_linked = True
+
+    async def run_call(self, peer, call):
+        """Return the response of the target when it is due."""
+        self.run_request_ids.append(call.request_id)
+        await trio.sleep_until(self.answered_at[call.request_id])
+        return hop_messages.Result(
+            call.id,
+            hop_messages.Outcome.ANSWERED,
+            status=200,
+            reason=b'OK',
+            headers=b'',
+            body=b'hello',
+            load=hop_messages.Load(slots=9),
+        )
+
+    async def stop(self):
+        """Stop the node like the platform, after one second."""
+        await trio.sleep(1.0)
+        self.stopped_at = trio.current_time()
+        await self._node.close()
+
+    async def send_request(self, sent_at, request_id, timeout_s):
+        """Send a request; return (status, seconds from the stop).
+
+        The status is 0 if the connection ended without a response.
+
+        :param sent_at: seconds from the stop
+        """
+        await trio.sleep_until(1.0 + sent_at)
+        client, server = trio.testing.memory_stream_pair()
+        self._nursery.start_soon(self._node._client_port.serve, server)
+        await client.send_all(
+            b'POST / HTTP/1.1\r\nhost: shop.example\r\n'
+            b'pumicestand-request-id: %b\r\ncontent-length: 0\r\n'
+            b'pumicestand-deadline-ms: %d\r\n\r\n'
+            % (request_id.encode(), timeout_s * 1000)
+        )
+        data = b''
+        while b'\r\n\r\n' not in data:
+            more = await client.receive_some(65_536)
+            if not more:
+                break
+            data += more
+        status = int(data.split(b' ')[1]) if data else 0
+        return status, trio.current_time() - self.stopped_at
+
+
+def run_stopping_node(monkeypatch, make_node, grace, test):
+    """Run a test with a `StoppingNode` on the mock clock."""
+
+    async def main():
+        async with trio.open_nursery() as clients:
+            async with trio.open_nursery() as nursery:
+                node = make_node(is_strict=False, grace=grace)
+                node._nursery = nursery
+                stopping = StoppingNode(clients, node)
+                async with trio.open_nursery() as steps:
+                    steps.start_soon(stopping.stop)
+                    await test(stopping)
+            clients.cancel_scope.cancel()
+
+    monkeypatch.setattr(mesh_node, 'boot_clock', trio.current_time)
+    mock_clock.run(main)
+
+
+@pytest.mark.parametrize('grace', GRACE_PERIODS_S)
+def test_a_stop_does_not_break_off_calls_before_the_last_sixth_of_the_grace(
+    monkeypatch, make_node, grace
+):
+    async def test(stopping):
+        stopping.answered_at['i1'] = 1.0 + grace * 5 / 6 + 0.1
+        status, _ = await stopping.send_request(2.2, 'i1', 20.0)
+        assert status == 200
+
+    run_stopping_node(monkeypatch, make_node, grace, test)
+
+
+@pytest.mark.parametrize('grace', GRACE_PERIODS_S)
+def test_a_call_that_outlasts_the_grace_is_answered_before_its_end(
+    monkeypatch, make_node, grace
+):
+    async def test(stopping):
+        stopping.answered_at['i1'] = 100.0
+        status, answered_at = await stopping.send_request(2.2, 'i1', 20.0)
+        assert status == 504
+        assert grace * 5 / 6 < answered_at < grace
+
+    run_stopping_node(monkeypatch, make_node, grace, test)
+
+
+def test_a_nested_call_that_may_outlast_the_grace_is_refused_at_once(
+    monkeypatch, make_node
+):
+    """Breaking it off later would discard what its target has done."""
+
+    async def test(stopping):
+        parent = hop_messages.Call(
+            1, 's', '', '', 'GET', b'/', b'', 1, 1, 1, 'r', 'parent', True
+        )
+        monkeypatch.setitem(
+            stopping._node._target_calls._running_calls, 'parent', parent
+        )
+        stopping.answered_at.update({'parent.1': 4.5, 'parent.2': 5.2})
+        stopping.answered_at['long'] = 100.0
+        results = {}
+
+        async def send(sent_at, request_id, timeout_s):
+            results[request_id] = await stopping.send_request(
+                sent_at, request_id, timeout_s
+            )
+
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(send, 2.0, 'long', 20.0)
+            nursery.start_soon(send, 3.2, 'parent.1', 0.8)
+            nursery.start_soon(send, 4.75, 'parent.2', 0.8)
+        assert results['parent.1'] == (200, 3.5)
+        assert results['parent.2'] == (503, 4.75)
+        assert stopping.run_request_ids == ['long', 'parent.1']
+
+    run_stopping_node(monkeypatch, make_node, 6.0, test)
--- a/tests/pumicestand_platform/test_start_modules.py
+++ b/tests/pumicestand_platform/test_start_modules.py
@@ -36,7 +36,8 @@
 pumicestand.ranking pumicestand.rate_limits
 pumicestand.refusals pumicestand.regressions pumicestand.reporting
 pumicestand.response_buffers pumicestand.retry_quota pumicestand.rollouts
-pumicestand.routing pumicestand.store_calls pumicestand.stored_objects
+pumicestand.routing pumicestand.shutdown
+pumicestand.store_calls pumicestand.stored_objects
 pumicestand.suspects pumicestand.target_queue pumicestand.target_states
 pumicestand.targets pumicestand.tcp_options pumicestand.tcp_streams
 pumicestand.zone_roles pumicestand.zone_summaries
