Start no call beside a stopping node that it may have to break off

What callers see: a node that was stopped still took calls of other nodes for 2.4 s, whatever their deadlines. One that outlasted the grace was cut with the node, and the node that had sent it answered 502 in place of a target that was at work; where that node was being stopped too, this is the same LOST. Change: from SIGTERM on, the node beside the target refuses calls whose deadline lies behind the end of its own calls, also those that waited and bodies that have not arrived, as not handed on; other nodes can run them. Evidence: the new test fails without the change (the call runs); small sites are not affected, as their deadlines of 2 s fit into 5.5 s after 2.4 s. Conclusion: a stop in order breaks off calls only if they were under way with over 5.5 s left when it began.

--- a/packages/pumicestand-node/pumicestand_node/mesh_node.py
+++ b/packages/pumicestand-node/pumicestand_node/mesh_node.py
@@ -243,6 +243,7 @@
             outbound=self._outbound_calls.in_flight,
             inbound=self._target_calls.in_flight,
         )
+        self._target_calls.finish_by(schedule.calls_end_at)
         # The target stays available until the clients on this VM have been
         # redirected.
         await trio.sleep(max(0.0, schedule.accept_until - self._clock()))
--- a/packages/pumicestand-node/pumicestand_node/target_calls.py
+++ b/packages/pumicestand-node/pumicestand_node/target_calls.py
@@ -105,6 +105,7 @@
         self._cold_limit = (None, 0.0)
         self._is_cold = False
         self._is_evacuated = False
+        self._calls_end_at = float('inf')
         self.cold_periods = 0
         self.is_closed = False
         self.on_leaving = None
@@ -135,6 +136,15 @@
         """The `hop_messages.Evidence` of each route and version."""
         return tuple(self._evidence.values())
 
+    def finish_by(self, calls_end_at):
+        """Refuse calls that may run beyond the end of this node's calls.
+
+        Other nodes can run them; here they would be broken off.
+
+        :param calls_end_at: monotonic seconds
+        """
+        self._calls_end_at = calls_end_at
+
     def find_running(self, request_id):
         """Return the call with this id if it runs at the target, or None."""
         return self._running_calls.get(request_id)
@@ -263,6 +273,16 @@
             return 'target-unreachable'
         return None
 
+    def _call_refusal_code(self, call, deadline):
+        """Return the code with which a call is refused, None if it is not.
+
+        :param deadline: monotonic seconds until which the call may run
+        """
+        code = self._refusal_code() or self._mismatch_code(call)
+        if code is None and deadline > self._calls_end_at:
+            return refusals.CallCode.STOPPING.value
+        return code
+
     def _mismatch_code(self, call):
         target = self._target_watch.target
         if target.service != call.service:
@@ -291,14 +311,14 @@
         """Run a call at the target and return its `hop_messages.Result`."""
         self.update_coldness()
         now = self._clock()
-        code = self._refusal_code() or self._mismatch_code(call)
+        ticket = _make_ticket(call, now)
+        code = self._call_refusal_code(call, ticket.deadline)
         if code is not None:
             return self._make_result(call, Outcome.NOT_HANDED_ON, code)
         if not call.is_nested:
             self._call_observer.record_client(
                 call.priority, call.objective_remaining_ms, now
             )
-        ticket = _make_ticket(call, now)
         match self._queue.offer(ticket, now):
             case target_queue.Refuse() if call.is_probe:
                 return self._make_result(
@@ -324,13 +344,12 @@
         :param call: `hop_messages.Call` whose body has not arrived
         :param arrival_s: seconds until the body is expected to have arrived
         """
-        code = self._refusal_code() or self._mismatch_code(call)
+        now = self._clock()
+        ticket = _make_ticket(call, now)
+        code = self._call_refusal_code(call, ticket.deadline)
         if code is not None:
             return self._make_result(call, Outcome.NOT_HANDED_ON, code)
-        now = self._clock()
-        refusal = self._queue.refuse_late(
-            _make_ticket(call, now), now, arrival_s
-        )
+        refusal = self._queue.refuse_late(ticket, now, arrival_s)
         if refusal is None:
             return None
         return self._make_result(
@@ -417,9 +436,9 @@
             self._resume_waiter(other, False)
 
     async def _run_in_slot(self, call, ticket):
-        code = self._refusal_code() or self._mismatch_code(call)
+        code = self._call_refusal_code(call, ticket.deadline)
         if code is not None:
-            # The target changed while the call waited.
+            # The target or this node changed while the call waited.
             self._release_slot(ticket, False)
             return self._make_result(call, Outcome.NOT_HANDED_ON, code)
         is_answered = False
--- a/tests/pumicestand_node/test_mesh_calls.py
+++ b/tests/pumicestand_node/test_mesh_calls.py
@@ -506,6 +506,22 @@
     run_with_target(test, 'hang')
 
 
+def test_a_stopping_node_starts_no_call_that_it_may_have_to_break_off():
+    """Such a call runs at another node or is refused as not run."""
+
+    async def test(harness):
+        # The routes' time limits are 0.89 and 0.79 s.
+        harness.targets.finish_by(trio.current_time() + 0.85)
+        got, data = await harness.send_request('/x/1', 'GET', 'long')
+        assert got == 503
+        assert b'retry-after: ' in data
+        got, _ = await harness.send_request('/o/2', 'POST', 'short')
+        assert got == 200
+        assert harness.script.run_request_ids == [b'short']
+
+    run_with_target(test)
+
+
 def test_a_call_queued_behind_calls_that_hang_is_refused_as_not_run():
     """No call ends, so only the time tells that it can't be in time."""
 
