Have targets end the last calls before a stopping node gives them up

Cause: the end of the calls was known to the loop that waits for the result, but neither to the choice of a node, the retries, nor the target. The node beside a target limits the calls of other nodes likewise and does not refuse them by deadline; those that wait when it closes are refused at once so that other nodes can run them.

--- a/packages/pumicestand-node/pumicestand_node/mesh_node.py
+++ b/packages/pumicestand-node/pumicestand_node/mesh_node.py
@@ -243,15 +243,15 @@
             outbound=self._outbound_calls.in_flight,
             inbound=self._target_calls.in_flight,
         )
-        self._target_calls.finish_by(schedule.calls_end_at)
+        self._outbound_calls.finish_by(schedule)
+        self._target_calls.finish_by(schedule.targets_end_at)
         # The target stays available until the clients on this VM have been
         # redirected.
         await trio.sleep(max(0.0, schedule.accept_until - self._clock()))
         self._client_port.close_when_idle()
         mesh.is_leaving = True
-        self._target_calls.is_closed = True
+        self._target_calls.refuse_all()
         self._links.schedule_report()
-        self._outbound_calls.finish_by(schedule.calls_end_at)
         await trio.sleep(LINK_FLUSH_S)
         while self._clock() < schedule.close_at and (
             self._target_calls.in_flight or self._outbound_calls.in_flight
--- a/packages/pumicestand-node/pumicestand_node/outbound_call.py
+++ b/packages/pumicestand-node/pumicestand_node/outbound_call.py
@@ -14,7 +14,7 @@
 QUARANTINED = refusals.CallCode.QUARANTINED.value
 
 
-@dataclasses.dataclass(slots=True)
+@dataclasses.dataclass(slots=True, eq=False)
 class OutboundCall:
     """The state of one call of a client.
 
@@ -46,8 +46,7 @@
     :param node_results: node and result of each placement, for the log
     :param quota_token: `quotas.Token` that the call has taken, None if it
         needs none or has returned it
-    :param ends_with_node: whether the deadline is the time at which the
-        stopping node gives its calls up
+    :param ends_with_node: whether the stop of the node has set the deadline
     """
 
     head: heads.RequestHead
--- a/packages/pumicestand-node/pumicestand_node/outbound_calls.py
+++ b/packages/pumicestand-node/pumicestand_node/outbound_calls.py
@@ -96,8 +96,9 @@
         self._mean_response_bytes = {}
         self._mean_work_ms = {}
         self._max_timeout_s = collections.defaultdict(float)
-        self._call_scopes = set()
-        self._stop_at = float('inf')
+        # Cancel scope of each call that is being sent.
+        self._scopes = {}
+        self._schedule = None
         self._replaced_headers = frozenset(
             (
                 headers.deadline_ms,
@@ -113,15 +114,25 @@
         self.counts = collections.Counter()
         self.durations = latencies.Latencies()
 
-    def finish_by(self, stop_at):
-        """End every call by a time; calls without a response are refused.
+    def finish_by(self, schedule):
+        """End every call in time for the stop of the node.
 
-        :param stop_at: monotonic seconds
+        :param schedule: `shutdown.Schedule`
         """
-        self._stop_at = stop_at
-        scope_deadline = trio.current_time() + stop_at - self._clock()
-        for scope in self._call_scopes:
-            scope.deadline = min(scope.deadline, scope_deadline)
+        self._schedule = schedule
+        end_in_s = schedule.calls_end_at - self._clock()
+        for call, scope in self._scopes.items():
+            self._limit(call)
+            if call.ends_with_node:
+                scope.deadline = trio.current_time() + end_in_s
+
+    def _limit(self, call):
+        """Have a call's target end it before this node gives it up."""
+        if self._schedule is None:
+            return
+        if self._schedule.targets_end_at < call.deadline:
+            call.deadline = self._schedule.targets_end_at
+            call.ends_with_node = True
 
     async def serve(self, request, connection):
         """Respond to a request and return whether to keep the connection."""
@@ -173,7 +184,9 @@
             configuration,
             decision.organisation,
         )
-        if self._mesh.is_leaving and not self._may_start_late(call):
+        if self._mesh.is_leaving and not call.is_nested:
+            # The target may still make calls for those that it runs; other
+            # clients use another node.
             refusal = refusals.not_run(
                 refusals.CallCode.STOPPING,
                 'this node stops',
@@ -189,14 +202,6 @@
             return await self._send_refusal(request, connection, refusal)
         return await self._execute(call, request, connection)
 
-    def _may_start_late(self, call):
-        """Return whether a call may start while the node closes.
-
-        The target still makes calls for those that it runs; other clients use
-        another node.
-        """
-        return call.is_nested and call.deadline <= self._stop_at
-
     def _refuse_displacing(self, call):
         """Return the refusal of a call that displaces more urgent ones."""
         if call.is_nested or call.is_client_retry:
@@ -349,7 +354,7 @@
             self._record_nested(service)
         if parent is not None and parent.is_retry:
             quota.record_retry(service, started_at)
-        return outbound_call.OutboundCall(
+        call = outbound_call.OutboundCall(
             head=head,
             body=body,
             request_id=request_id,
@@ -368,6 +373,8 @@
             configuration=configuration,
             organisation=organisation,
         )
+        self._limit(call)
+        return call
 
     def _format_target_headers(self, head, configuration, organisation):
         lines = bytearray()
@@ -383,17 +390,14 @@
 
     async def _execute(self, call, request, connection):
         result = None
-        remaining_s = min(call.deadline, self._stop_at) - self._clock()
+        remaining_s = self._give_up_at(call) - self._clock()
         if remaining_s > 0:
             with trio.move_on_after(remaining_s) as scope:
-                self._call_scopes.add(scope)
+                self._scopes[call] = scope
                 try:
                     result = await self._send_until_answered(call)
                 finally:
-                    self._call_scopes.discard(scope)
-        if self._stop_at < call.deadline:
-            call.deadline = self._stop_at
-            call.ends_with_node = True
+                    del self._scopes[call]
         if result is None or result.outcome is not Outcome.ANSWERED:
             # A target's failure tells the client more than a refusal.
             result = call.failure_response or result
@@ -406,6 +410,12 @@
         self._log_call(call, refusal.status, refusal.code, result)
         return await self._send_refusal(request, connection, refusal)
 
+    def _give_up_at(self, call):
+        """Return when a call without a result gets a response of the node."""
+        if call.ends_with_node:
+            return self._schedule.calls_end_at
+        return call.deadline
+
     async def _send_until_answered(self, call):
         """Send the call to nodes until it gets a response or can't be retried.
 
--- a/packages/pumicestand-node/pumicestand_node/target_calls.py
+++ b/packages/pumicestand-node/pumicestand_node/target_calls.py
@@ -31,6 +31,7 @@
 MISDIRECTED_STATUS = 421
 # Code of calls that are refused since the target's zone is evacuated.
 EVACUATED = 'zone-evacuated'
+STOPPING = refusals.CallCode.STOPPING.value
 # Seconds for which no call is sent after the target refused a connection or
 # said that a call was meant for another instance. The target comes back after
 # some seconds or not at all.
@@ -105,7 +106,7 @@
         self._cold_limit = (None, 0.0)
         self._is_cold = False
         self._is_evacuated = False
-        self._calls_end_at = float('inf')
+        self._targets_end_at = float('inf')
         self.cold_periods = 0
         self.is_closed = False
         self.on_leaving = None
@@ -136,14 +137,24 @@
         """The `hop_messages.Evidence` of each route and version."""
         return tuple(self._evidence.values())
 
-    def finish_by(self, calls_end_at):
-        """Refuse calls that may run beyond the end of this node's calls.
+    def finish_by(self, targets_end_at):
+        """Have the target end further calls in time for the node's stop.
 
-        Other nodes can run them; here they would be broken off.
+        :param targets_end_at: monotonic seconds
+        """
+        self._targets_end_at = targets_end_at
+
+    def refuse_all(self):
+        """Refuse the calls that wait, and all later ones, as the node stops.
 
-        :param calls_end_at: monotonic seconds
+        Other nodes may still run them in time. Calls that run go on.
         """
-        self._calls_end_at = calls_end_at
+        self.is_closed = True
+        self._refuse_waiting()
+
+    def _refuse_waiting(self):
+        for ticket in self._queue.refuse_all():
+            self._resume_waiter(ticket, False)
 
     def find_running(self, request_id):
         """Return the call with this id if it runs at the target, or None."""
@@ -219,8 +230,7 @@
         """
         self._is_evacuated = is_evacuated
         if is_evacuated:
-            for ticket in self._queue.refuse_all():
-                self._resume_waiter(ticket, False)
+            self._refuse_waiting()
         self._on_change()
 
     def _set_cold(self, is_cold, rate):
@@ -256,8 +266,7 @@
         self._unreachable_until = 0.0
         if target.state is target_states.TargetState.SERVING:
             return
-        for ticket in self._queue.refuse_all():
-            self._resume_waiter(ticket, False)
+        self._refuse_waiting()
 
     def _refusal_code(self):
         target = self._target_watch.target
@@ -266,23 +275,13 @@
         if target.state is not target_states.TargetState.SERVING:
             return 'target-leaving'
         if self.is_closed:
-            return 'stopping'
+            return STOPPING
         if self._is_evacuated:
             return EVACUATED
         if self._clock() < self._unreachable_until:
             return 'target-unreachable'
         return None
 
-    def _call_refusal_code(self, call, deadline):
-        """Return the code with which a call is refused, None if it is not.
-
-        :param deadline: monotonic seconds until which the call may run
-        """
-        code = self._refusal_code() or self._mismatch_code(call)
-        if code is None and deadline > self._calls_end_at:
-            return refusals.CallCode.STOPPING.value
-        return code
-
     def _mismatch_code(self, call):
         target = self._target_watch.target
         if target.service != call.service:
@@ -311,8 +310,8 @@
         """Run a call at the target and return its `hop_messages.Result`."""
         self.update_coldness()
         now = self._clock()
-        ticket = _make_ticket(call, now)
-        code = self._call_refusal_code(call, ticket.deadline)
+        ticket = self._make_ticket(call, now)
+        code = self._refusal_code() or self._mismatch_code(call)
         if code is not None:
             return self._make_result(call, Outcome.NOT_HANDED_ON, code)
         if not call.is_nested:
@@ -345,8 +344,8 @@
         :param arrival_s: seconds until the body is expected to have arrived
         """
         now = self._clock()
-        ticket = _make_ticket(call, now)
-        code = self._call_refusal_code(call, ticket.deadline)
+        ticket = self._make_ticket(call, now)
+        code = self._refusal_code() or self._mismatch_code(call)
         if code is not None:
             return self._make_result(call, Outcome.NOT_HANDED_ON, code)
         refusal = self._queue.refuse_late(ticket, now, arrival_s)
@@ -361,7 +360,7 @@
 
         :returns: monotonic seconds
         """
-        return self._queue.overdue_at(_make_ticket(call, self._clock()))
+        return self._queue.overdue_at(self._make_ticket(call, self._clock()))
 
     def refuse_overdue(self, call):
         """Return the result that refuses a call whose body is too late."""
@@ -379,6 +378,8 @@
         """Return the result of a call that waited in vain."""
         if self._is_evacuated:
             return self._make_result(call, Outcome.NOT_HANDED_ON, EVACUATED)
+        if self.is_closed:
+            return self._make_result(call, Outcome.NOT_HANDED_ON, STOPPING)
         retry_after_s = 0.0
         if self._is_cold:
             retry_after_s = self._queue.retry_after_s(ticket, self._clock())
@@ -436,7 +437,7 @@
             self._resume_waiter(other, False)
 
     async def _run_in_slot(self, call, ticket):
-        code = self._call_refusal_code(call, ticket.deadline)
+        code = self._refusal_code() or self._mismatch_code(call)
         if code is not None:
             # The target or this node changed while the call waited.
             self._release_slot(ticket, False)
@@ -709,20 +710,20 @@
             work_ms=previous.work_ms + (work_s * 1000 if is_timed else 0.0),
         )
 
+    def _make_ticket(self, call, now):
+        """Return the `target_queue.Ticket` of a call that has arrived now."""
+        deadline = now + call.remaining_ms / 1000
+        return target_queue.Ticket(
+            priority=call.priority,
+            is_nested=call.is_nested,
+            is_client_retry=call.is_client_retry,
+            deadline=min(deadline, self._targets_end_at),
+            objective_at=now + call.objective_remaining_ms / 1000,
+            route=call.route,
+            is_probe=call.is_probe,
+            organisation=call.organisation,
+        )
+
     async def close(self):
         """Close the idle connections to the target."""
         await self._pool.close_idle()
-
-
-def _make_ticket(call, now):
-    """Return the `target_queue.Ticket` of a call that has arrived now."""
-    return target_queue.Ticket(
-        priority=call.priority,
-        is_nested=call.is_nested,
-        is_client_retry=call.is_client_retry,
-        deadline=now + call.remaining_ms / 1000,
-        objective_at=now + call.objective_remaining_ms / 1000,
-        route=call.route,
-        is_probe=call.is_probe,
-        organisation=call.organisation,
-    )
