Decide in one place which call of the target has made a call

What callers saw: a client with a valid key and a request id such as a.1, while the call a ran on its VM, was admitted with its organisation but took no quota and was queued as a nested call. Without keys, a call that a nested call of the target had made was not known as nested: a stopping node refused it. Cause: the node looked for the parent in two ways, by the first part of the id without keys and by the longest one with them, and the second place ignored that targets send no key. Change: CallAccess.find_parent decides for both. Evidence: both new tests fail without the change.

--- a/packages/pumicestand-node/pumicestand_node/call_access.py
+++ b/packages/pumicestand-node/pumicestand_node/call_access.py
@@ -62,15 +62,14 @@
         parent = None
         may_be_nested = False
         if PARENT_SEPARATOR in request_id:
-            parent = self.find_parent(request_id)
+            parent = self.find_parent(configuration, head, request_id)
             age_s = self._clock() - self._started_at
             may_be_nested = age_s < UNKNOWN_PARENTS_S
         key = head.header(self._headers.api_key)
         return self._keys.decide(
             is_public=route.is_public,
             key=key and key.strip(),
-            # Targets send no key with the calls that they make.
-            is_nested=parent is not None and not key,
+            is_nested=parent is not None,
             may_be_nested=may_be_nested,
             is_fresh=self.is_fresh(),
         )
@@ -83,11 +82,19 @@
         name = organisation.name if organisation else ''
         self.counts[(type(decision).__name__, name)] += 1
 
-    def find_parent(self, request_id):
+    def find_parent(self, configuration, head, request_id):
         """Return the running call that has made a call, None if none has.
 
         A nested call may have made it, whose id then has a suffix, too.
+
+        :param configuration: the `documents.InForce` to apply
+        :param head: the `heads.RequestHead`
         """
+        if head.header(self._headers.api_key) and self.needs_keys(
+            configuration
+        ):
+            # Targets send no key with the calls that they make.
+            return None
         id_, separator, _ = request_id.rpartition(PARENT_SEPARATOR)
         while separator and id_:
             parent = self._find_running(id_)
--- a/packages/pumicestand-node/pumicestand_node/outbound_calls.py
+++ b/packages/pumicestand-node/pumicestand_node/outbound_calls.py
@@ -84,7 +84,6 @@
     ):
         self._mesh = mesh
         self._headers = headers
-        self._find_running = find_running
         self._service_name = service.encode()
         self._clock = clock
         self._record_nested = record_nested
@@ -323,14 +322,6 @@
         value = head.header(self._headers.deadline_ms)
         return _parse_int(value, DEFAULT_TIMEOUT_S * 1000) / 1000
 
-    def _find_parent(self, configuration, request_id):
-        """Return the call at the target on this VM that has made a call."""
-        if self.access.needs_keys(configuration):
-            return self.access.find_parent(request_id)
-        return self._find_running(
-            request_id.partition(call_access.PARENT_SEPARATOR)[0]
-        )
-
     def _create_call(
         self, head, body, route, started_at, configuration, organisation
     ):
@@ -338,7 +329,7 @@
         max_timeout_s = max(self._max_timeout_s[route.name], client_timeout_s)
         self._max_timeout_s[route.name] = max_timeout_s
         request_id = self._request_id(head)
-        parent = self._find_parent(configuration, request_id)
+        parent = self.access.find_parent(configuration, head, request_id)
         # A client that retries has less time left than at its first attempt.
         is_client_retry = (
             parent is None
--- a/tests/pumicestand_node/test_call_access.py
+++ b/tests/pumicestand_node/test_call_access.py
@@ -401,3 +401,18 @@
 def test_names_of_headers_are_those_of_the_platform():
     assert headers.HEADERS.api_key == b'x-api-key'
     assert headers.HEADERS.organisation == b'pumicestand-tenant-id'
+
+
+def test_a_client_with_a_key_is_not_served_as_a_target_by_its_request_id():
+    """It would take no quota and be queued before other clients' calls."""
+
+    async def test(harness):
+        calls = record_calls(harness)
+        harness.targets._running_calls['a'] = Parent()
+        status, _ = await harness.send_request(
+            request_id='a.1', extra=ACME_KEY
+        )
+        assert status == 200
+        assert [call.is_nested for call in calls] == [False]
+
+    run_with_organisations(test)
--- a/tests/pumicestand_node/test_mesh_calls.py
+++ b/tests/pumicestand_node/test_mesh_calls.py
@@ -446,6 +446,20 @@
     run_with_target(test)
 
 
+def test_a_stopping_node_serves_the_calls_of_a_nested_call_of_its_target():
+    """Their ids have two suffixes; the call that made them runs here."""
+
+    async def test(harness):
+        harness.mesh.is_leaving = True
+        harness.targets._running_calls['parent.child'] = hop_messages.Call(
+            1, 's', '', '', 'GET', b'/', b'', 1, 1, 1, 'r', 'parent', True
+        )
+        got, _ = await harness.send_request(request_id='parent.child.other')
+        assert got == 200
+
+    run_with_target(test)
+
+
 def test_a_call_that_displaces_urgent_calls_is_refused_on_arrival():
     """Its nested calls would take the slots that urgent calls wait for."""
 
