Decide on the last response and on further requests at once

Callers of a stopping node saw a request end without an answer: it followed another one on its connection, reached a target and was then cancelled.

Cause: whether a response is the last one was decided before it was sent, and further requests were refused only a scheduler tick or a blocked send later. In between the reader parsed and started them, and the close cancelled them. Likewise the reader ended with the first bytes after the last response, so that a client that still sent got a reset, which can lose the response.

Ruled out: a busy send_eof (no response is left when the connection closes); a response behind a cut one (the stream ended before the next task ran). The latter has a test, as the order is now explicit.

Change: a connection has one state: open, draining, last, closing. The decision to close sets it, in the turn of the response, and is not made while a further request is received in part or a refusal is due. The reader runs until the client closes, or 1 s has passed since the last response, and discards what may not be parsed: also behind "connection: close", which was answered by a further 400, and behind a malformed request, where a disconnect went unseen.

--- a/packages/pumicestand-node/pumicestand_node/client_connections.py
+++ b/packages/pumicestand-node/pumicestand_node/client_connections.py
@@ -6,6 +6,8 @@
 """
 
 import collections
+import enum
+import itertools
 
 import httptools
 import trio
@@ -27,6 +29,22 @@
 CLOSE_LINGER_S = 1.0
 
 
+class _State(enum.Enum):
+    """What a connection does with the bytes that it receives."""
+
+    # Requests are read and served.
+    OPEN = enum.auto()
+    # Requests are read and served; the connection ends once it is idle.
+    DRAINING = enum.auto()
+    # Bytes are discarded. Requests that were read before are still served.
+    LAST = enum.auto()
+    # Bytes are discarded until the client closes or the linger time is over.
+    CLOSING = enum.auto()
+
+
+_ACCEPTING = (_State.OPEN, _State.DRAINING)
+
+
 class IncompleteRequestError(Exception):
     """The rest of a request's body will not be received."""
 
@@ -105,9 +123,10 @@
 class _RequestParser:
     """Callbacks of httptools for the requests of one connection."""
 
-    def __init__(self, on_request, on_body_read):
+    def __init__(self, on_request, on_body_read, on_last_request):
         self._on_request = on_request
         self._on_body_read = on_body_read
+        self._on_last_request = on_last_request
         self._url = b''
         self._headers = []
         self._request = None
@@ -163,7 +182,10 @@
 
     def on_message_complete(self):
         self._request.end_body()
+        keep_alive = self._request.head.keep_alive
         self._request = None
+        if not keep_alive:
+            self._on_last_request()
 
 
 class PendingResponse:
@@ -185,10 +207,16 @@
         self.finished = trio.Event()
         self.cancel_scope = trio.CancelScope()
 
-    @property
-    def has_later_request(self):
-        """Whether a later request on the connection is being served."""
-        return self._connection.has_later_request(self)
+    def decide_keep_alive(self, is_stopping):
+        """Return whether the connection is kept after this response.
+
+        If it is not, it accepts no further request from now on, so this must
+        be the turn of the response and the decision its last.
+
+        :param is_stopping: whether to keep it only for requests that were
+            already received
+        """
+        return self._connection.decide_keep_alive(self, is_stopping)
 
     async def wait_for_turn(self):
         """Wait until all earlier responses are sent."""
@@ -220,13 +248,19 @@
         self._room_available = trio.Event()
         self._cancel_scope = trio.CancelScope()
         self._limits = limits
-        self._parser = _RequestParser(self._start_request, self._signal_room)
+        self._parser = _RequestParser(
+            self._start_request, self._signal_room, self._accept_no_more
+        )
         self._refusal = None
         self._nursery = None
-        self._is_ending = False
-        self.is_closing = False
+        self._state = _State.OPEN
         self.last_progress_at = clock()
 
+    @property
+    def refusal(self):
+        """The `refusals.Refusal` that ended the connection, or None."""
+        return self._refusal
+
     async def run(self):
         """Serve requests until the connection ends, then close it."""
         try:
@@ -234,20 +268,30 @@
                 async with trio.open_nursery() as nursery:
                     self._nursery = nursery
                     await self._read()
-                    await self._finish_responses()
-                    nursery.cancel_scope.cancel()
         finally:
             await trio.aclose_forcefully(self._stream)
 
     def close_when_idle(self):
         """Close the connection once no request is being served on it."""
-        self.is_closing = True
+        if self._state is _State.OPEN:
+            self._state = _State.DRAINING
         if not self._pending_responses:
             self._cancel_scope.cancel()
 
-    def has_later_request(self, pending_response):
-        """Return whether a request after this one is being served."""
-        return self._pending_responses[-1] is not pending_response
+    def decide_keep_alive(self, pending_response, is_stopping):
+        """Return whether to keep the connection after a response.
+
+        See `PendingResponse.decide_keep_alive`.
+        """
+        request = pending_response.request
+        keep_alive = (
+            request.head.keep_alive
+            and request.is_complete
+            and (not is_stopping or self._has_later_request(pending_response))
+        )
+        if not keep_alive:
+            self._accept_no_more()
+        return keep_alive
 
     def enforce_timeouts(self, now):
         """End the connection if a time limit for the client has passed.
@@ -270,9 +314,23 @@
         """Send bytes of a response."""
         await socket_io.send_all(self._stream, data)
 
+    def _has_later_request(self, pending_response):
+        """Return whether a request after this one was received in part."""
+        return (
+            self._pending_responses[-1] is not pending_response
+            or self._refusal is not None
+            or self._has_begun_request()
+        )
+
+    def _has_begun_request(self):
+        """Return whether a request has arrived in part."""
+        if self._state not in _ACCEPTING:
+            return False
+        return self._parser.is_in_head or self._parser.request is not None
+
     def _start_request(self, request):
-        """Start a task for a request unless the connection is ending."""
-        if self._is_ending:
+        """Start a task for a request if the connection accepts it."""
+        if self._state not in _ACCEPTING:
             return
         previous = (
             self._pending_responses[-1].finished
@@ -283,17 +341,36 @@
         self._pending_responses.append(pending_response)
         self._nursery.start_soon(self._serve_request, pending_response)
 
+    def _accept_no_more(self):
+        """Discard from now on what the client sends."""
+        if self._state in _ACCEPTING:
+            self._state = _State.LAST
+        self._signal_room()
+
+    def _close_after_last(self):
+        """Start to close if no request is accepted or served any more."""
+        if self._state is _State.LAST and not self._pending_responses:
+            self._state = _State.CLOSING
+            self._nursery.start_soon(self._close)
+
     def _signal_room(self):
         self._room_available.set()
 
     def _is_full(self):
+        if self._state not in _ACCEPTING:
+            return False
         request = self._parser.request
         if request is not None and request.is_buffer_full:
             return True
         return len(self._pending_responses) > MAX_PIPELINED_REQUESTS
 
     async def _read(self):
-        while not self._is_ending:
+        """Read until the client closes its connection.
+
+        Bytes that are not parsed are read as well: if they stayed unread, the
+        close would be a reset, which could lose the last response.
+        """
+        while True:
             while self._is_full():
                 self._room_available = trio.Event()
                 await self._room_available.wait()
@@ -303,25 +380,21 @@
                 data = b''
             if not data:
                 # The client has disconnected; the responses are not needed.
-                self._is_ending = True
                 self._cancel_scope.cancel()
                 return
             self.last_progress_at = self._clock()
-            if self._is_ending:
-                # Discard bytes after the last request; if they stayed unread,
-                # the close would be a reset that could lose its response.
-                continue
-            if not self._parse(data):
-                return
+            if self._state in _ACCEPTING:
+                self._parse(data)
 
     def _parse(self, data):
-        """Parse bytes and return whether to continue reading."""
+        """Parse bytes, or refuse the request that they belong to."""
         parser = self._parser
         try:
             parser.parser.feed_data(data)
         except (httptools.HttpParserError, httptools.HttpParserUpgrade) as e:
-            self._reject(parser.refusal or _malformed(e))
-            return False
+            if self._state in _ACCEPTING:
+                self._reject(parser.refusal or _malformed(e))
+            return
         if parser.is_in_head:
             parser.head_bytes += len(data)
             if parser.head_bytes > self._limits.head_bytes:
@@ -332,10 +405,10 @@
                         status=431,
                     )
                 )
-                return False
+                return
         request = parser.request
         if request is None:
-            return True
+            return
         max_body_bytes = self._limits.body_bytes
         if (
             max(request.received_bytes, request.head.body_length or 0)
@@ -348,8 +421,6 @@
                     status=413,
                 )
             )
-            return False
-        return True
 
     def _reject(self, refusal):
         """Refuse a request that breaks the protocol and accept no more.
@@ -358,6 +429,7 @@
         target has not received the whole body and must not take it as whole.
         """
         self._refusal = refusal
+        self._accept_no_more()
         rejected_request = self._parser.request
         if rejected_request is not None:
             rejected_request.end_body(is_broken=True)
@@ -366,7 +438,7 @@
                 and self._pending_responses[-1].request is rejected_request
             ):
                 self._pending_responses[-1].cancel_scope.cancel()
-        self._is_ending = True
+        self._close_after_last()
 
     async def _serve_request(self, pending_response):
         """Serve one request and close the connection if it is the last."""
@@ -389,51 +461,47 @@
             # Even without a response of its own, a request lets later ones
             # respond only after all earlier ones have.
             await pending_response.wait_for_turn()
+        if not keep_alive:
+            self._cut_after(pending_response)
         self._pending_responses.remove(pending_response)
         pending_response.finished.set()
         self._signal_room()
         self.last_progress_at = self._clock()
-        if self._refusal is not None:
-            return
-        if not keep_alive or (self.is_closing and not self._pending_responses):
-            await self._close()
+        if self._state is _State.DRAINING and not self._pending_responses:
+            self._accept_no_more()
+        self._close_after_last()
+
+    def _cut_after(self, pending_response):
+        """Accept no more and send no response after this one.
+
+        It may be incomplete, so that the client would take a later one for a
+        part of it. There are no later ones if the connection was not kept by
+        `decide_keep_alive`.
+        """
+        self._accept_no_more()
+        position = self._pending_responses.index(pending_response)
+        for later_response in itertools.islice(
+            self._pending_responses, position + 1, None
+        ):
+            later_response.cancel_scope.cancel()
 
     async def _close(self):
-        """Close the connection after the response that was sent last."""
-        self._is_ending = True
-        for pending_response in self._pending_responses:
-            pending_response.cancel_scope.cancel()
-        await self._linger()
-        self._cancel_scope.cancel()
+        """Send the refusal, if there is one, and the end of the stream.
 
-    async def _linger(self):
-        """Give the client time to read; a reset could lose the response."""
+        Then give the client time to read and to close.
+        """
         try:
-            await self._stream.send_eof()
+            if self._refusal is not None:
+                await self.send(
+                    heads.format_refusal(self._refusal, keep_alive=False)
+                )
+            with trio.move_on_after(CLOSE_LINGER_S):
+                await self._stream.send_eof()
+                await trio.sleep_forever()
         except (trio.BrokenResourceError, trio.ClosedResourceError):
-            return
-        except trio.BusyResourceError:
-            return
-        await trio.sleep(CLOSE_LINGER_S)
-
-    async def _finish_responses(self):
-        """Wait for all responses, then send the refusal, if there is one."""
-        while self._pending_responses:
-            await self._pending_responses[-1].finished.wait()
-        if self._refusal is None:
-            return
-        with trio.move_on_after(CLOSE_LINGER_S):
-            await self.send(
-                heads.format_refusal(self._refusal, keep_alive=False)
-            )
-            await self._stream.send_eof()
-            while await self._stream.receive_some(READ_BYTES):
-                pass
-
-    @property
-    def refusal(self):
-        """The `refusals.Refusal` that ended the connection, or None."""
-        return self._refusal
+            # The client has disconnected.
+            pass
+        self._cancel_scope.cancel()
 
 
 def _malformed(error):
--- a/packages/pumicestand-node/pumicestand_node/outbound_calls.py
+++ b/packages/pumicestand-node/pumicestand_node/outbound_calls.py
@@ -625,15 +625,11 @@
         return keep_alive
 
     def _may_keep_alive(self, request, connection):
-        """Return whether to keep the connection.
+        """Decide in the response's turn whether to keep the connection.
 
         A node that is stopping closes it after the last request received.
         """
-        return (
-            request.head.keep_alive
-            and request.is_complete
-            and (connection.has_later_request or not self._mesh.is_stopping)
-        )
+        return connection.decide_keep_alive(self._mesh.is_stopping)
 
     async def _send_refusal(self, request, connection, refusal):
         self.counts[('refused', refusal.code.value, refusal.status)] += 1
--- /dev/null
+++ b/tests/pumicestand_node/test_client_connections.py
@@ -0,0 +1,183 @@
+"""Tests that no request which a connection has read ends without an answer.
+
+The connection is the real one, on memory streams or on sockets.
+"""
+
+import pytest
+import trio
+import trio.testing
+
+from pumicestand_node import client_connections
+from tests.pumicestand_node import test_mesh_calls
+
+make_request = test_mesh_calls.make_request
+run_with_target = test_mesh_calls.run_with_target
+RESPONSE = b'HTTP/1.1 200 OK\r\ncontent-length: 2\r\n\r\nok'
+
+
+async def read_to_end(stream):
+    """Return all bytes up to the end of the stream, or in the first minute."""
+    data = b''
+    with trio.move_on_after(60):
+        while more := await stream.receive_some(65_536):
+            data += more
+    return data
+
+
+def open_lockstep_client(harness):
+    """Return a client's stream; a send to it waits until it has received."""
+    client_end, node_end = trio.testing.lockstep_stream_pair()
+    connection = client_connections.ClientConnection(
+        node_end, harness.outbound.serve, trio.current_time
+    )
+    harness.nursery.start_soon(connection.run)
+    return client_end
+
+
+def run_on_socket(serve, test):
+    """Run a test with a client's socket stream to a served connection.
+
+    :param serve: as for `client_connections.ClientConnection`
+    :param test: coroutine function (client's stream, connection)
+    """
+
+    async def main():
+        listener = (await trio.open_tcp_listeners(0, host='127.0.0.1'))[0]
+        address = listener.socket.getsockname()
+        async with listener, trio.open_nursery() as nursery:
+            client_end = await trio.open_tcp_stream(*address)
+            connection = client_connections.ClientConnection(
+                await listener.accept(), serve, trio.current_time
+            )
+            nursery.start_soon(connection.run)
+            async with client_end:
+                await test(client_end, connection)
+
+    trio.run(main)
+
+
+def test_a_request_behind_the_last_response_reaches_no_target():
+    async def test(harness):
+        harness.mesh.is_stopping = True
+        stream = open_lockstep_client(harness)
+        await stream.send_all(make_request(request_id='a', close=False))
+        await trio.sleep(0.1)
+        # The last response is being sent, but the client does not read yet.
+        await stream.send_all(make_request(request_id='b', close=False))
+        await trio.sleep(0.1)
+        assert harness.script.run_request_ids == [b'a']
+        data = await read_to_end(stream)
+        assert data.endswith(b'connection: close\r\n\r\nhello')
+
+    run_with_target(test)
+
+
+def test_a_request_received_in_part_is_answered_by_a_stopping_node():
+    async def test(harness):
+        harness.mesh.is_stopping = True
+        stream = await harness.open_client()
+        second = make_request('/o/1', 'POST', request_id='b', close=False)
+        await stream.send_all(
+            make_request(request_id='a', close=False) + second[:9]
+        )
+        await trio.sleep(0.2)
+        await stream.send_all(second[9:])
+        data = await read_to_end(stream)
+        assert data.count(b'HTTP/1.1 200') == 2
+        assert data.count(b'connection: close') == 1
+        assert data.index(b'connection: close') > data.index(b': b\r\n')
+
+    run_with_target(test)
+
+
+def test_bytes_behind_a_request_to_close_are_not_answered():
+    """They must not be taken for a malformed request."""
+
+    async def test(harness):
+        stream = await harness.open_client()
+        await stream.send_all(make_request() + make_request(request_id='b'))
+        data = await read_to_end(stream)
+        assert data.count(b'HTTP/1.1 ') == 1
+        assert harness.script.run_request_ids == [b'i1']
+
+    run_with_target(test)
+
+
+def test_a_client_that_still_sends_a_body_reads_its_refusal():
+    async def test(harness):
+        harness.mesh.configuration = None
+        stream = await harness.open_client()
+        await stream.send_all(
+            make_request('/o/1', 'PUT', extra=b'content-length: 99000\r\n')
+        )
+        for _ in range(9):
+            await trio.sleep(0.05)
+            # Fails if the node has closed its end already.
+            await stream.send_all(bytes(11_000))
+        data = await read_to_end(stream)
+        assert data.startswith(b'HTTP/1.1 503')
+
+    run_with_target(test)
+
+
+def test_no_reset_reaches_a_client_that_sends_after_the_last_response():
+    async def serve(request, response):
+        await response.send(RESPONSE)
+        return False
+
+    async def test(stream, connection):
+        await stream.send_all(
+            make_request(method='PUT', extra=b'content-length: 9000000\r\n')
+        )
+        for _ in range(90):
+            await stream.send_all(bytes(100_000))
+        assert await read_to_end(stream) == RESPONSE
+
+    run_on_socket(serve, test)
+
+
+def test_nothing_follows_a_response_that_is_cut():
+    """The client would take it for a part of the cut response."""
+
+    async def serve(request, response):
+        if request.head.path == '/first':
+            await trio.testing.wait_all_tasks_blocked()
+        await response.send(RESPONSE[:-1])
+        return False
+
+    async def test(stream, connection):
+        await stream.send_all(
+            make_request('/first', close=False) + make_request(close=False)
+        )
+        assert await read_to_end(stream) == RESPONSE[:-1]
+
+    run_on_socket(serve, test)
+
+
+def test_a_disconnect_behind_a_malformed_request_cancels_the_calls():
+    async def test(harness):
+        stream = await harness.open_client()
+        await stream.send_all(make_request(close=False) + b'\0\r\n\r\n')
+        await trio.sleep(0.1)
+        assert harness.targets.in_flight == 1
+        await stream.aclose()
+        await trio.sleep(0.1)
+        assert harness.targets.in_flight == 0
+
+    run_with_target(test, 'hang')
+
+
+@pytest.mark.parametrize('is_stopping', [False, True])
+def test_the_refusal_of_a_malformed_request_is_the_last_response(is_stopping):
+    async def test(harness):
+        harness.mesh.is_stopping = is_stopping
+        stream = await harness.open_client()
+        await stream.send_all(make_request(close=False) + b'\0\r\n\r\n')
+        data = await read_to_end(stream)
+        first, _, second = data.partition(b'hello')
+        assert first.startswith(b'HTTP/1.1 200')
+        assert b'connection: close' not in first
+        assert second.startswith(b'HTTP/1.1 400')
+        assert b'connection: close' in second
+
+    run_with_target(test, 'late limit')
