Answer a request whose serving fails by an error

Callers saw a connection end with all of its requests unanswered when the serving of one of them raised an unexpected error; the node only logged "connection on port N failed".

Cause: the error left the task of the request and ended the connection's nursery. An error of a broken stream elsewhere was taken for a disconnect of the client, and a request that was served without any response shifted the later responses to the wrong requests. A malformed chunk behind a response that had begun cut it and appended a 400.

Ruled out: paths of OutboundCalls that return without a response (each ends in _forward_response or _send_refusal, also when the configuration or the route goes while the request waits); a response of OutboundCalls half written when a scope ends (the scope of a call ends before its response is sent).

Change: a request whose serving fails before its response has begun is refused in its turn: as "unknown", or as "not-run" if whoever serves it has said so by may_have_run. The others go on. It is logged as request-failed with its exception and passed to on_refusal, which counts it. A broken send to the client, and nothing else, counts as its disconnect. No refusal follows a response that has begun.

Left: OutboundCalls does not set may_have_run yet, so that all such requests are "unknown"; there is no error code of its own for them.

--- a/packages/pumicestand-node/pumicestand_node/client_connections.py
+++ b/packages/pumicestand-node/pumicestand_node/client_connections.py
@@ -13,6 +13,7 @@
 import trio
 
 from pumicestand import documents
+from pumicestand import log
 from pumicestand import refusals
 from pumicestand_node import heads
 from pumicestand_node import socket_io
@@ -43,6 +44,8 @@
 
 
 _ACCEPTING = (_State.OPEN, _State.DRAINING)
+# Responses with these first bytes are followed by the final one.
+_INTERIM_RESPONSE = b'HTTP/1.1 1'
 
 
 class IncompleteRequestError(Exception):
@@ -194,6 +197,10 @@
     Responses are sent in the order of the requests, although the requests may
     be served concurrently.
 
+    ``has_begun`` is true once any of the final response was sent. Whoever
+    serves the request may set ``may_have_run`` to false while it has certainly
+    not been sent to a target: it tells what the client learns after an error.
+
     :param connection: the `ClientConnection`
     :param request: the `Request`
     :param previous: event set once the previous response is sent, None if
@@ -204,6 +211,8 @@
         self._connection = connection
         self._previous = previous
         self.request = request
+        self.has_begun = False
+        self.may_have_run = True
         self.finished = trio.Event()
         self.cancel_scope = trio.CancelScope()
 
@@ -226,6 +235,8 @@
     async def send(self, data):
         """Send bytes of the response once all earlier ones are sent."""
         await self.wait_for_turn()
+        if not self.has_begun:
+            self.has_begun = not data.startswith(_INTERIM_RESPONSE)
         await self._connection.send(data)
 
 
@@ -238,9 +249,18 @@
         kept
     :param clock: returns monotonic seconds
     :param limits: the `documents.ClientLimits` in force when it was opened
+    :param on_refusal: called with the `refusals.Refusal` of a request that
+        could not be read, or whose serving failed
     """
 
-    def __init__(self, stream, serve, clock, limits=DEFAULT_LIMITS):
+    def __init__(
+        self,
+        stream,
+        serve,
+        clock,
+        limits=DEFAULT_LIMITS,
+        on_refusal=lambda refusal: None,
+    ):
         self._stream = stream
         self._serve = serve
         self._clock = clock
@@ -248,19 +268,16 @@
         self._room_available = trio.Event()
         self._cancel_scope = trio.CancelScope()
         self._limits = limits
+        self._on_refusal = on_refusal
         self._parser = _RequestParser(
             self._start_request, self._signal_room, self._accept_no_more
         )
         self._refusal = None
+        self._rejected_response = None
         self._nursery = None
         self._state = _State.OPEN
         self.last_progress_at = clock()
 
-    @property
-    def refusal(self):
-        """The `refusals.Refusal` that ended the connection, or None."""
-        return self._refusal
-
     async def run(self):
         """Serve requests until the connection ends, then close it."""
         try:
@@ -312,7 +329,12 @@
 
     async def send(self, data):
         """Send bytes of a response."""
-        await socket_io.send_all(self._stream, data)
+        try:
+            await socket_io.send_all(self._stream, data)
+        except (trio.BrokenResourceError, trio.ClosedResourceError):
+            # The client has disconnected; the responses are not needed.
+            self._cancel_scope.cancel()
+            raise
 
     def _has_later_request(self, pending_response):
         """Return whether a request after this one was received in part."""
@@ -427,8 +449,10 @@
 
         If the request is already being served, its call is cancelled: the
         target has not received the whole body and must not take it as whole.
+        A response that has begun is not cut, and no refusal follows it.
         """
         self._refusal = refusal
+        self._on_refusal(refusal)
         self._accept_no_more()
         rejected_request = self._parser.request
         if rejected_request is not None:
@@ -437,7 +461,10 @@
                 self._pending_responses
                 and self._pending_responses[-1].request is rejected_request
             ):
-                self._pending_responses[-1].cancel_scope.cancel()
+                rejected_response = self._pending_responses[-1]
+                self._rejected_response = rejected_response
+                if not rejected_response.has_begun:
+                    rejected_response.cancel_scope.cancel()
         self._close_after_last()
 
     async def _serve_request(self, pending_response):
@@ -448,16 +475,7 @@
                 await pending_response.wait_for_turn()
             # The request may have been rejected before this task ran.
             await trio.lowlevel.checkpoint_if_cancelled()
-            try:
-                keep_alive = await self._serve(
-                    pending_response.request, pending_response
-                )
-            except (
-                trio.BrokenResourceError,
-                trio.ClosedResourceError,
-                IncompleteRequestError,
-            ):
-                keep_alive = False
+            keep_alive = await self._respond(pending_response)
             # Even without a response of its own, a request lets later ones
             # respond only after all earlier ones have.
             await pending_response.wait_for_turn()
@@ -471,6 +489,51 @@
             self._accept_no_more()
         self._close_after_last()
 
+    async def _respond(self, pending_response):
+        """Respond to a request and return whether to keep the connection.
+
+        A request that is not served because of an error is refused, so that
+        the error does not end the connection with all of its requests.
+        """
+        request = pending_response.request
+        try:
+            keep_alive = await self._serve(request, pending_response)
+            if pending_response.has_begun or request.is_broken:
+                return keep_alive
+            _log_failure(request, None)
+        except IncompleteRequestError:
+            return False
+        except Exception as error:
+            if self._cancel_scope.cancel_called:
+                # The client has disconnected.
+                return False
+            _log_failure(request, error)
+        if pending_response.has_begun:
+            # It may be incomplete.
+            return False
+        return await self._refuse_failed(pending_response)
+
+    async def _refuse_failed(self, pending_response):
+        """Refuse a request whose serving failed; return as `_respond`."""
+        detail = 'an unexpected error in the node'
+        if pending_response.may_have_run:
+            refusal = refusals.unknown(refusals.CallCode.ANSWER_LOST, detail)
+        else:
+            refusal = refusals.not_run(refusals.CallCode.NO_TARGET, detail)
+        self._on_refusal(refusal)
+        await pending_response.wait_for_turn()
+        keep_alive = pending_response.decide_keep_alive(
+            is_stopping=self._state is _State.DRAINING
+        )
+        with_body = pending_response.request.head.method != 'HEAD'
+        try:
+            await pending_response.send(
+                heads.format_refusal(refusal, keep_alive, with_body)
+            )
+        except (trio.BrokenResourceError, trio.ClosedResourceError):
+            return False
+        return keep_alive
+
     def _cut_after(self, pending_response):
         """Accept no more and send no response after this one.
 
@@ -491,7 +554,10 @@
         Then give the client time to read and to close.
         """
         try:
-            if self._refusal is not None:
+            rejected_response = self._rejected_response
+            if self._refusal is not None and (
+                rejected_response is None or not rejected_response.has_begun
+            ):
                 await self.send(
                     heads.format_refusal(self._refusal, keep_alive=False)
                 )
@@ -504,6 +570,19 @@
         self._cancel_scope.cancel()
 
 
+def _log_failure(request, error):
+    """Log why a request got no response from the function that serves it.
+
+    :param error: the exception, None if the function has returned
+    """
+    log.logger.opt(exception=error).bind(event='request-failed').error(
+        'request {} {} failed: {!r}',
+        request.head.method,
+        request.head.path,
+        error or 'no response',
+    )
+
+
 def _malformed(error):
     detail = str(error) or type(error).__name__
     return refusals.bad_request(refusals.CallCode.MALFORMED, detail)
--- a/packages/pumicestand-node/pumicestand_node/client_port.py
+++ b/packages/pumicestand-node/pumicestand_node/client_port.py
@@ -15,7 +15,7 @@
     :param serve: coroutine function that responds to one request, as for
         `client_connections.ClientConnection`
     :param on_refusal: called with the `refusals.Refusal` of a request that
-        could not be read
+        could not be read, or whose serving failed
     :param limits: returns the `documents.ClientLimits` in force
     :param max_connections: further connections are closed at once
     """
@@ -47,7 +47,11 @@
             await trio.aclose_forcefully(stream)
             return
         connection = client_connections.ClientConnection(
-            stream, self._serve, time.monotonic, self._limits()
+            stream,
+            self._serve,
+            time.monotonic,
+            self._limits(),
+            self._on_refusal,
         )
         self._connections.add(connection)
         try:
@@ -57,8 +61,6 @@
                 log.logger.debug('connection from a client failed: {}', error)
         finally:
             self._connections.discard(connection)
-            if connection.refusal is not None:
-                self._on_refusal(connection.refusal)
 
     def enforce_timeouts(self):
         """End the connections whose clients exceed a time limit."""
--- a/tests/pumicestand_node/test_client_connections.py
+++ b/tests/pumicestand_node/test_client_connections.py
@@ -7,7 +7,10 @@
 import trio
 import trio.testing
 
+from pumicestand import log
 from pumicestand_node import client_connections
+from pumicestand_node import client_port
+from tests import mock_clock
 from tests.pumicestand_node import test_mesh_calls
 
 make_request = test_mesh_calls.make_request
@@ -181,3 +184,81 @@
         assert b'connection: close' in second
 
     run_with_target(test, 'late limit')
+
+
+def exchange_with_port(serve, *parts, on_refusal=lambda refusal: None):
+    """Return what a port responds to bytes that arrive in parts."""
+
+    async def main():
+        port = client_port.ClientPort(serve, on_refusal)
+        client_end, node_end = trio.testing.memory_stream_pair()
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(port.serve, node_end)
+            for part in parts:
+                await client_end.send_all(part)
+                await trio.sleep(0.1)
+            return await read_to_end(client_end)
+
+    return mock_clock.run(main)
+
+
+@pytest.mark.parametrize(
+    'error',
+    [ValueError('bug'), trio.BrokenResourceError('of a link'), None],
+    ids=['error', 'broken link', 'no response'],
+)
+@pytest.mark.parametrize(
+    ('may_have_run', 'start'),
+    [
+        (True, b'HTTP/1.1 502 Bad Gateway\r\n'),
+        (False, b'HTTP/1.1 503 Service Unavailable\r\n'),
+    ],
+)
+def test_an_error_in_one_request_costs_no_other_its_response(
+    error, may_have_run, start
+):
+    refused, lines = [], []
+
+    async def serve(request, response):
+        if request.head.path != '/bad':
+            await response.send(RESPONSE)
+            return request.head.keep_alive
+        response.may_have_run = may_have_run
+        if error is not None:
+            raise error
+        return True
+
+    sink = log.logger.add(lines.append, format='{message}')
+    try:
+        data = exchange_with_port(
+            serve,
+            make_request(close=False)
+            + make_request('/bad', close=False)
+            + make_request(),
+            on_refusal=refused.append,
+        )
+    finally:
+        log.logger.remove(sink)
+    assert data.startswith(RESPONSE + start)
+    assert data.endswith(RESPONSE)
+    assert b'connection: close' not in data
+    outcome = 'unknown' if may_have_run else 'not-run'
+    assert b'pumicestand-outcome: ' + outcome.encode() in data
+    assert [refusal.outcome for refusal in refused] == [outcome]
+    (line,) = lines
+    assert ('Traceback' in line) == (error is not None)
+
+
+def test_no_refusal_follows_a_part_of_a_response():
+    """The client would take it for the rest of the response."""
+
+    async def serve(request, response):
+        await response.send(b'HTTP/1.1 100 Continue\r\n\r\n')
+        await response.send(RESPONSE[:-1])
+        await request.read_all()
+
+    head = make_request(
+        method='PUT', extra=b'transfer-encoding: chunked\r\n', close=False
+    )
+    data = exchange_with_port(serve, head, b'1\r\nx\r\nno chunk')
+    assert data == b'HTTP/1.1 100 Continue\r\n\r\n' + RESPONSE[:-1]
