Drain a connection only when no request has begun to arrive

Callers saw connections of a stopping node end while their request was on its way: its bytes had arrived but were not read, or its head was read in part.

Cause: close_when_idle counted a connection as idle when no request was being served on it, and cancelled it at once: also one opened a moment before, and one that waited for its client to read the last response, which then could be lost in a reset. Connections that were opened later were not drained at all.

Ruled out: a body that still arrives (its request is being served); a response that is removed before its task has finished (there is no checkpoint between).

Change: a draining connection ends when it has served a request and neither its parser nor its socket holds a part of another one. The same holds for the decision that a response is the last. A new connection has 1 s for its first request. The port drains connections that are opened later as well. The socket is polled only while the node stops.

Evidence: six of the nine new cases fail on the code before. The others guard a body in transit and the time that a drain takes.

--- a/packages/pumicestand-node/pumicestand_node/client_connections.py
+++ b/packages/pumicestand-node/pumicestand_node/client_connections.py
@@ -28,6 +28,8 @@
 BODY_STALL_TIMEOUT_S = 30.0
 # Time for the client to read the last response before the connection closes.
 CLOSE_LINGER_S = 1.0
+# Time for the first request on a new connection of a node that stops.
+FIRST_REQUEST_S = 1.0
 
 
 class _State(enum.Enum):
@@ -35,7 +37,8 @@
 
     # Requests are read and served.
     OPEN = enum.auto()
-    # Requests are read and served; the connection ends once it is idle.
+    # Requests are read and served; the connection ends once it is idle after
+    # a request.
     DRAINING = enum.auto()
     # Bytes are discarded. Requests that were read before are still served.
     LAST = enum.auto()
@@ -275,6 +278,7 @@
         self._refusal = None
         self._rejected_response = None
         self._nursery = None
+        self._has_served = False
         self._state = _State.OPEN
         self.last_progress_at = clock()
 
@@ -289,11 +293,14 @@
             await trio.aclose_forcefully(self._stream)
 
     def close_when_idle(self):
-        """Close the connection once no request is being served on it."""
+        """Close the connection once no request is received or served on it.
+
+        A connection on which no request has begun yet gets `FIRST_REQUEST_S`
+        for it; `enforce_timeouts` ends that time.
+        """
         if self._state is _State.OPEN:
             self._state = _State.DRAINING
-        if not self._pending_responses:
-            self._cancel_scope.cancel()
+        self._close_if_drained()
 
     def decide_keep_alive(self, pending_response, is_stopping):
         """Return whether to keep the connection after a response.
@@ -324,7 +331,11 @@
             if idle_s > BODY_STALL_TIMEOUT_S:
                 self._cancel_scope.cancel()
             return
-        if not self._pending_responses and idle_s > self._limits.idle_timeout:
+        if self._pending_responses:
+            return
+        if idle_s > self._limits.idle_timeout or (
+            self._state is _State.DRAINING and idle_s > FIRST_REQUEST_S
+        ):
             self._cancel_scope.cancel()
 
     async def send(self, data):
@@ -345,10 +356,12 @@
         )
 
     def _has_begun_request(self):
-        """Return whether a request has arrived in part."""
-        if self._state not in _ACCEPTING:
-            return False
-        return self._parser.is_in_head or self._parser.request is not None
+        """Return whether a request has arrived in part, read or not."""
+        return self._state in _ACCEPTING and (
+            self._parser.is_in_head
+            or self._parser.request is not None
+            or socket_io.is_readable(self._stream)
+        )
 
     def _start_request(self, request):
         """Start a task for a request if the connection accepts it."""
@@ -375,6 +388,17 @@
             self._state = _State.CLOSING
             self._nursery.start_soon(self._close)
 
+    def _close_if_drained(self):
+        """Close a draining connection that is idle after a request."""
+        if (
+            self._state is _State.DRAINING
+            and self._has_served
+            and not self._pending_responses
+            and not self._has_begun_request()
+        ):
+            self._accept_no_more()
+            self._close_after_last()
+
     def _signal_room(self):
         self._room_available.set()
 
@@ -407,6 +431,7 @@
             self.last_progress_at = self._clock()
             if self._state in _ACCEPTING:
                 self._parse(data)
+                self._close_if_drained()
 
     def _parse(self, data):
         """Parse bytes, or refuse the request that they belong to."""
@@ -485,8 +510,8 @@
         pending_response.finished.set()
         self._signal_room()
         self.last_progress_at = self._clock()
-        if self._state is _State.DRAINING and not self._pending_responses:
-            self._accept_no_more()
+        self._has_served = True
+        self._close_if_drained()
         self._close_after_last()
 
     async def _respond(self, pending_response):
--- a/packages/pumicestand-node/pumicestand_node/client_port.py
+++ b/packages/pumicestand-node/pumicestand_node/client_port.py
@@ -32,6 +32,7 @@
         self._limits = limits
         self._max_connections = max_connections
         self._connections = set()
+        self._is_draining = False
 
     @property
     def connection_count(self):
@@ -54,6 +55,8 @@
             self._on_refusal,
         )
         self._connections.add(connection)
+        if self._is_draining:
+            connection.close_when_idle()
         try:
             await connection.run()
         except OSError as error:
@@ -69,6 +72,10 @@
             connection.enforce_timeouts(now)
 
     def close_when_idle(self):
-        """Close each connection once no request is being served on it."""
+        """Close each connection once no request is received or served on it.
+
+        This also holds for the connections that are opened later.
+        """
+        self._is_draining = True
         for connection in list(self._connections):
             connection.close_when_idle()
--- a/packages/pumicestand-node/pumicestand_node/socket_io.py
+++ b/packages/pumicestand-node/pumicestand_node/socket_io.py
@@ -13,7 +13,7 @@
 
 
 def is_readable(stream):
-    """Return whether an idle socket was closed or has data to read."""
+    """Return whether a socket was closed by its peer or has data to read."""
     if not isinstance(stream, trio.SocketStream):
         return False
     poll = select.poll()
--- a/tests/pumicestand_node/test_client_connections.py
+++ b/tests/pumicestand_node/test_client_connections.py
@@ -10,6 +10,7 @@
 from pumicestand import log
 from pumicestand_node import client_connections
 from pumicestand_node import client_port
+from pumicestand_node import socket_io
 from tests import mock_clock
 from tests.pumicestand_node import test_mesh_calls
 
@@ -262,3 +263,127 @@
     )
     data = exchange_with_port(serve, head, b'1\r\nx\r\nno chunk')
     assert data == b'HTTP/1.1 100 Continue\r\n\r\n' + RESPONSE[:-1]
+
+
+async def serve_ok(request, response):
+    await request.read_all()
+    await response.send(RESPONSE)
+    return request.head.keep_alive
+
+
+def run_on_memory(serve, test):
+    """Run a test as `run_on_socket` does, on memory streams."""
+
+    async def main():
+        client_end, node_end = trio.testing.memory_stream_pair()
+        connection = client_connections.ClientConnection(
+            node_end, serve, trio.current_time
+        )
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(connection.run)
+            await test(client_end, connection)
+            await client_end.aclose()
+
+    mock_clock.run(main)
+
+
+def test_a_request_that_is_not_read_yet_is_answered_by_a_draining_node():
+    async def test(stream, connection):
+        await stream.send_all(make_request(close=False))
+        assert await stream.receive_some() == RESPONSE
+        # Without a checkpoint, so that the node can't read it before.
+        socket_io.send_nowait(stream, make_request(close=False))
+        connection.close_when_idle()
+        assert await read_to_end(stream) == RESPONSE
+
+    run_on_socket(serve_ok, test)
+
+
+def test_a_response_is_not_the_last_before_a_request_that_is_not_read_yet():
+    async def test(client_end, connection):
+        async def serve(request, response):
+            if request.head.path == '/first':
+                socket_io.send_nowait(client_end, make_request(close=False))
+            kept.append(response.decide_keep_alive(is_stopping=True))
+            await response.send(RESPONSE)
+            return kept[-1]
+
+        connection._serve = serve
+        await client_end.send_all(make_request('/first', close=False))
+        assert await read_to_end(client_end) == 2 * RESPONSE
+        assert kept == [True, False]
+
+    kept = []
+    run_on_socket(serve_ok, test)
+
+
+@pytest.mark.parametrize('split', [3, -1], ids=['head', 'body'])
+def test_a_request_received_in_part_is_answered_by_a_draining_node(split):
+    request = make_request(
+        method='PUT', extra=b'content-length: 2\r\n', close=False
+    )
+    request += b'xy'
+
+    async def test(stream, connection):
+        await stream.send_all(make_request(close=False) + request[:split])
+        await trio.sleep(0.1)
+        connection.close_when_idle()
+        await trio.sleep(0.1)
+        await stream.send_all(request[split:])
+        assert await read_to_end(stream) == 2 * RESPONSE
+
+    run_on_memory(serve_ok, test)
+
+
+def test_a_draining_node_answers_the_first_request_of_a_connection():
+    async def test(stream, connection):
+        connection.close_when_idle()
+        await trio.sleep(0.5)
+        await stream.send_all(make_request(close=False))
+        assert await read_to_end(stream) == RESPONSE
+        assert trio.current_time() < 2
+
+    run_on_memory(serve_ok, test)
+
+
+def test_a_connection_opened_to_a_draining_port_ends_after_a_response():
+    async def main():
+        port = client_port.ClientPort(serve_ok, None)
+        client_end, node_end = trio.testing.memory_stream_pair()
+        async with trio.open_nursery() as nursery:
+            port.close_when_idle()
+            nursery.start_soon(port.serve, node_end)
+            await client_end.send_all(make_request(close=False))
+            assert await read_to_end(client_end) == RESPONSE
+            await client_end.aclose()
+        assert trio.current_time() < 2
+
+    mock_clock.run(main)
+
+
+@pytest.mark.parametrize('has_served', [False, True])
+def test_a_connection_without_a_request_does_not_delay_a_drain(has_served):
+    async def test(stream, connection):
+        if has_served:
+            await stream.send_all(make_request(close=False))
+            assert await stream.receive_some() == RESPONSE
+        connection.close_when_idle()
+        for _ in range(4):
+            await trio.sleep(0.5)
+            connection.enforce_timeouts(trio.current_time())
+        assert await read_to_end(stream) == b''
+        assert trio.current_time() < 5
+
+    run_on_memory(serve_ok, test)
+
+
+def test_a_drain_does_not_cut_a_connection_that_is_closing():
+    async def test(stream, connection):
+        await stream.send_all(make_request())
+        assert await read_to_end(stream) == RESPONSE
+        connection.close_when_idle()
+        await trio.sleep(0.1)
+        # Fails if the node has closed its end already.
+        await stream.send_all(b'x')
+
+    run_on_memory(serve_ok, test)
