End a stalled request without the ones before it

Callers that pipelined requests lost those being served when a later one on the connection stalled. A node that had been paused cut connections whose requests had arrived in the meantime.

Cause: the time limits for a head, a body and an idle connection cancelled the whole connection, and bytes that had arrived but were not read did not count as progress of the client.

Ruled out: a request that was just read, since each read is progress and a request that is served is not idle.

Change: a time limit ends what the connection accepts, not what it serves. A body that stalls is refused by 408 behind the earlier responses; a slow head still gets no response (test_connection_with_a_slow_request_head_is_closed). No limit passes while the socket has bytes that are not read yet. An idle connection is closed in order, with the end of the stream before the close.

--- a/packages/pumicestand-node/pumicestand_node/client_connections.py
+++ b/packages/pumicestand-node/pumicestand_node/client_connections.py
@@ -320,23 +320,42 @@
     def enforce_timeouts(self, now):
         """End the connection if a time limit for the client has passed.
 
+        Requests that were read before are still served.
+
         :param now: monotonic seconds
         """
         idle_s = now - self.last_progress_at
-        if self._parser.is_in_head:
-            if idle_s > self._limits.head_timeout:
-                self._cancel_scope.cancel()
+        limit_s = self._idle_limit_s()
+        if idle_s <= limit_s or socket_io.is_readable(self._stream):
+            # Bytes that are not read yet are progress of the client.
+            return
+        if self._state is _State.CLOSING:
+            self._cancel_scope.cancel()
             return
         if self._parser.request is not None:
-            if idle_s > BODY_STALL_TIMEOUT_S:
-                self._cancel_scope.cancel()
+            self._reject(
+                refusals.bad_request(
+                    refusals.CallCode.MALFORMED,
+                    f'no more of the body was received for {limit_s:g} s',
+                    status=408,
+                )
+            )
             return
+        self._accept_no_more()
+        self._close_after_last()
+
+    def _idle_limit_s(self):
+        """Return for how many seconds the client may make no progress."""
+        if self._state in _ACCEPTING:
+            if self._parser.is_in_head:
+                return self._limits.head_timeout
+            if self._parser.request is not None:
+                return BODY_STALL_TIMEOUT_S
         if self._pending_responses:
-            return
-        if idle_s > self._limits.idle_timeout or (
-            self._state is _State.DRAINING and idle_s > FIRST_REQUEST_S
-        ):
-            self._cancel_scope.cancel()
+            return float('inf')
+        if self._state is _State.DRAINING:
+            return FIRST_REQUEST_S
+        return self._limits.idle_timeout
 
     async def send(self, data):
         """Send bytes of a response."""
--- a/tests/pumicestand_node/test_client_connections.py
+++ b/tests/pumicestand_node/test_client_connections.py
@@ -387,3 +387,54 @@
         await stream.send_all(b'x')
 
     run_on_memory(serve_ok, test)
+
+
+@pytest.mark.parametrize(
+    ('rest', 'statuses'),
+    [
+        (b'GET /x/2 HT', []),
+        (
+            make_request(method='PUT', extra=b'content-length: 2\r\n') + b'x',
+            [b'408'],
+        ),
+    ],
+    ids=['head', 'body'],
+)
+def test_a_request_that_stalls_costs_no_earlier_one_its_response(
+    rest, statuses
+):
+    async def serve(request, response):
+        await request.read_all()
+        await trio.sleep(50)
+        await response.send(RESPONSE)
+        return True
+
+    async def test(stream, connection):
+        await stream.send_all(make_request(close=False) + rest)
+        for _ in range(40):
+            await trio.sleep(1)
+            connection.enforce_timeouts(trio.current_time())
+        data = await read_to_end(stream)
+        assert data.startswith(RESPONSE)
+        assert data[len(RESPONSE) :].split(b' ')[1:2] == statuses
+
+    run_on_memory(serve, test)
+
+
+@pytest.mark.parametrize('received', [b'', b'GET /x/2 HT'])
+def test_a_request_that_is_not_read_yet_ends_no_time_limit(received):
+    """A node that was paused finds the bytes and the time passed at once."""
+
+    async def test(stream, connection):
+        await stream.send_all(make_request(close=False))
+        assert await stream.receive_some() == RESPONSE
+        if received:
+            await stream.send_all(received)
+            while not connection._parser.is_in_head:
+                await trio.lowlevel.checkpoint()
+        request = make_request('/x/2')
+        socket_io.send_nowait(stream, request[len(received) :])
+        connection.enforce_timeouts(trio.current_time() + 1000)
+        assert await read_to_end(stream) == RESPONSE
+
+    run_on_socket(serve_ok, test)
