Close a cut connection of a client without a reset

Callers whose connection was open when a node ended could see a reset in place of the end of the stream, which can lose a response that was written.

Cause: closing a socket whose received bytes were not read sends a reset.

Ruled out: the close after the last response, which reads until the client closes or the linger time is over.

Change: what was received is discarded right before the close, without waiting: at most 4 MB, and one system call where nothing was received.

Bytes that arrive after the close still cause a reset; only the linger time helps against these.

--- a/packages/pumicestand-node/pumicestand_node/client_connections.py
+++ b/packages/pumicestand-node/pumicestand_node/client_connections.py
@@ -290,6 +290,7 @@
                     self._nursery = nursery
                     await self._read()
         finally:
+            socket_io.discard_received(self._stream)
             await trio.aclose_forcefully(self._stream)
 
     def close_when_idle(self):
--- a/packages/pumicestand-node/pumicestand_node/socket_io.py
+++ b/packages/pumicestand-node/pumicestand_node/socket_io.py
@@ -11,6 +11,10 @@
 
 import trio
 
+# Most bytes that are discarded before a socket is closed: 4 MB.
+DISCARD_BYTES = 65_536
+MAX_DISCARDS = 64
+
 
 def is_readable(stream):
     """Return whether a socket was closed by its peer or has data to read."""
@@ -65,3 +69,23 @@
             continue
         except OSError as error:
             raise trio.BrokenResourceError(str(error)) from error
+
+
+def discard_received(stream):
+    """Discard what was received but not read, without waiting for more.
+
+    Closing a socket with unread bytes resets the connection, which can lose
+    what was sent to the peer before.
+    """
+    if not isinstance(stream, trio.SocketStream):
+        return
+    descriptor = stream.socket.fileno()
+    if descriptor < 0:
+        return
+    try:
+        for _ in range(MAX_DISCARDS):
+            if not os.read(descriptor, DISCARD_BYTES):
+                return
+    except OSError:
+        # No more bytes, or the peer has reset the connection.
+        return
--- a/tests/pumicestand_node/test_client_connections.py
+++ b/tests/pumicestand_node/test_client_connections.py
@@ -438,3 +438,15 @@
         assert await read_to_end(stream) == RESPONSE
 
     run_on_socket(serve_ok, test)
+
+
+def test_a_connection_that_is_cut_does_not_reset_its_last_response():
+    async def test(stream, connection):
+        await stream.send_all(make_request(close=False))
+        assert await stream.receive_some() == RESPONSE
+        socket_io.send_nowait(stream, make_request(close=False))
+        connection._cancel_scope.cancel()
+        # Fails if the connection was reset.
+        assert await read_to_end(stream) == b''
+
+    run_on_socket(serve_ok, test)
