Test that served requests are answered while a node stops

The tests before play single cases. This one plays 100 seeds of pipelined requests that arrive in parts, with errors, a client that reads slowly, a stop and a drain at random times, and checks that there are as many responses as served requests, that the last is whole and only it says "connection: close".

It does not see a request that is dropped before it is served; single tests do.

--- a/tests/pumicestand_node/test_client_connections.py
+++ b/tests/pumicestand_node/test_client_connections.py
@@ -3,6 +3,8 @@
 The connection is the real one, on memory streams or on sockets.
 """
 
+import random
+
 import pytest
 import trio
 import trio.testing
@@ -450,3 +452,77 @@
         assert await read_to_end(stream) == b''
 
     run_on_socket(serve_ok, test)
+
+
+def split_random_requests(rng):
+    """Return the parts of up to 12 requests."""
+    parts = []
+    for _ in range(rng.randrange(1, 13)):
+        request = make_request(close=False)
+        if rng.random() < 0.3:
+            length = b'content-length: 3\r\n'
+            request = make_request(method='PUT', extra=length, close=False)
+            request += b'xyz'
+        position = rng.choice((1, 50, len(request) - 1))
+        parts += [request[:position], request[position:]]
+    return parts
+
+
+async def send_parts(stream, parts, rng):
+    """Send each part at a random time."""
+    for part in parts:
+        await trio.sleep(rng.choice((0, 0, 0.01, 0.3)))
+        await stream.send_all(part)
+
+
+@pytest.mark.parametrize('seed', range(100))
+def test_each_request_that_is_served_is_answered_while_a_node_stops(seed):
+    rng = random.Random(seed)
+    stop_at = rng.uniform(0, 2)
+    drain_at = stop_at + rng.choice((0, 0.3, 2))
+    served = []
+
+    async def serve(request, response):
+        await request.read_all()
+        served.append(request)
+        await trio.sleep(rng.choice((0, 0, 0.01, 0.5)))
+        if rng.random() < 0.1:
+            raise ValueError('bug')
+        await response.wait_for_turn()
+        keep_alive = response.decide_keep_alive(trio.current_time() > stop_at)
+        end = b'\r\n' if keep_alive else b'connection: close\r\n\r\n'
+        await response.send(RESPONSE.replace(b'\r\n\r\n', b'\r\n' + end))
+        return keep_alive
+
+    async def main():
+        pair = rng.choice(
+            (
+                trio.testing.lockstep_stream_pair,
+                trio.testing.memory_stream_pair,
+            )
+        )
+        client_end, node_end = pair()
+        connection = client_connections.ClientConnection(
+            node_end, serve, trio.current_time
+        )
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(connection.run)
+            parts = split_random_requests(rng)
+            nursery.start_soon(send_parts, client_end, parts, rng)
+            nursery.start_soon(close_later, connection)
+            received = b''
+            while more := await client_end.receive_some():
+                received += more
+                # Meanwhile the node waits with its next response.
+                await trio.sleep(rng.choice((0, 0, 0.3)))
+            nursery.cancel_scope.cancel()
+        return received
+
+    async def close_later(connection):
+        await trio.sleep(drain_at)
+        connection.close_when_idle()
+
+    received = mock_clock.run(main)
+    assert received.count(b'HTTP/1.1 ') == len(served)
+    assert not received or received.endswith((b'ok', b'node\n'))
+    assert b'connection: close' not in received[: received.rfind(b'HTTP/')]
