Say close in the last response whatever ends the connection

Callers got a response that kept the connection, which then closed: a drain or a stalled head had ended it while the response was due.

Cause: the decision to keep the connection knew only whether the node stops.

Ruled out: a route that a new configuration drops while requests wait (they get their responses; a test holds that).

Change: only an open connection is kept without a later request on it.

--- a/packages/pumicestand-node/pumicestand_node/client_connections.py
+++ b/packages/pumicestand-node/pumicestand_node/client_connections.py
@@ -309,10 +309,11 @@
         See `PendingResponse.decide_keep_alive`.
         """
         request = pending_response.request
+        is_open = self._state is _State.OPEN and not is_stopping
         keep_alive = (
             request.head.keep_alive
             and request.is_complete
-            and (not is_stopping or self._has_later_request(pending_response))
+            and (is_open or self._has_later_request(pending_response))
         )
         if not keep_alive:
             self._accept_no_more()
@@ -567,9 +568,7 @@
             refusal = refusals.not_run(refusals.CallCode.NO_TARGET, detail)
         self._on_refusal(refusal)
         await pending_response.wait_for_turn()
-        keep_alive = pending_response.decide_keep_alive(
-            is_stopping=self._state is _State.DRAINING
-        )
+        keep_alive = pending_response.decide_keep_alive(is_stopping=False)
         with_body = pending_response.request.head.method != 'HEAD'
         try:
             await pending_response.send(
--- a/tests/pumicestand_node/test_client_connections.py
+++ b/tests/pumicestand_node/test_client_connections.py
@@ -3,12 +3,14 @@
 The connection is the real one, on memory streams or on sockets.
 """
 
+import dataclasses
 import random
 
 import pytest
 import trio
 import trio.testing
 
+from pumicestand import documents
 from pumicestand import log
 from pumicestand_node import client_connections
 from pumicestand_node import client_port
@@ -454,6 +456,32 @@
     run_on_socket(serve_ok, test)
 
 
+@pytest.mark.parametrize('has_stalled', [False, True])
+def test_the_last_response_says_so_whatever_ends_the_connection(has_stalled):
+    """Otherwise the client sends its next request to a closed connection."""
+    decisions = []
+
+    async def serve(request, response):
+        await trio.sleep(50)
+        decisions.append(response.decide_keep_alive(is_stopping=False))
+        await response.send(RESPONSE)
+        return decisions[-1]
+
+    async def test(stream, connection):
+        await stream.send_all(make_request(close=False))
+        if has_stalled:
+            await stream.send_all(b'GET /x/2 HT')
+            await trio.sleep(30)
+            connection.enforce_timeouts(trio.current_time())
+        else:
+            await trio.sleep(30)
+            connection.close_when_idle()
+        assert await read_to_end(stream) == RESPONSE
+        assert decisions == [False]
+
+    run_on_memory(serve, test)
+
+
 def split_random_requests(rng):
     """Return the parts of up to 12 requests."""
     parts = []
@@ -526,3 +554,23 @@
     assert received.count(b'HTTP/1.1 ') == len(served)
     assert not received or received.endswith((b'ok', b'node\n'))
     assert b'connection: close' not in received[: received.rfind(b'HTTP/')]
+
+
+def test_a_request_whose_route_is_dropped_meanwhile_is_answered():
+    async def test(harness):
+        stream = await harness.open_client()
+        length = b'content-length: 3\r\n'
+        await stream.send_all(
+            make_request(close=False)
+            + make_request('/x/2', 'PUT', extra=length)
+        )
+        await trio.sleep(0.05)
+        harness.mesh.configuration = dataclasses.replace(
+            harness.mesh.configuration, document=documents.Document(routes=())
+        )
+        await stream.send_all(b'xyz')
+        first, _, second = (await read_to_end(stream)).partition(b'hello')
+        assert first.startswith(b'HTTP/1.1 200')
+        assert second.startswith(b'HTTP/1.1 404')
+
+    run_with_target(test, 'late limit')
