Count discarded bytes as no progress of a client

A client that went on sending but read no refusal would have kept its connection for good: each discarded read renewed the time of its last progress.

Change: only bytes that are parsed are progress, and unread ones hold off no time limit of a connection that is closing.

--- a/packages/pumicestand-node/pumicestand_node/client_connections.py
+++ b/packages/pumicestand-node/pumicestand_node/client_connections.py
@@ -328,12 +328,14 @@
         """
         idle_s = now - self.last_progress_at
         limit_s = self._idle_limit_s()
-        if idle_s <= limit_s or socket_io.is_readable(self._stream):
-            # Bytes that are not read yet are progress of the client.
+        if idle_s <= limit_s:
             return
         if self._state is _State.CLOSING:
             self._cancel_scope.cancel()
             return
+        if socket_io.is_readable(self._stream):
+            # Bytes that are not read yet are progress of the client.
+            return
         if self._parser.request is not None:
             self._reject(
                 refusals.bad_request(
@@ -449,8 +451,8 @@
                 # The client has disconnected; the responses are not needed.
                 self._cancel_scope.cancel()
                 return
-            self.last_progress_at = self._clock()
             if self._state in _ACCEPTING:
+                self.last_progress_at = self._clock()
                 self._parse(data)
                 self._close_if_drained()
 
--- a/tests/pumicestand_node/test_client_connections.py
+++ b/tests/pumicestand_node/test_client_connections.py
@@ -482,6 +482,23 @@
     run_on_memory(serve, test)
 
 
+def test_a_client_that_reads_no_refusal_does_not_keep_its_connection():
+    async def main():
+        client_end, node_end = trio.testing.lockstep_stream_pair()
+        connection = client_connections.ClientConnection(
+            node_end, serve_ok, trio.current_time
+        )
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(connection.run)
+            with pytest.raises(trio.BrokenResourceError):
+                for _ in range(100):
+                    await client_end.send_all(b'\0')
+                    await trio.sleep(1)
+                    connection.enforce_timeouts(trio.current_time())
+
+    mock_clock.run(main)
+
+
 def split_random_requests(rng):
     """Return the parts of up to 12 requests."""
     parts = []
