--- a/packages/pumicestand-node/pumicestand_node/client_port.py
+++ b/packages/pumicestand-node/pumicestand_node/client_port.py
@@ -15,7 +15,7 @@
     :param serve: coroutine function that responds to one request, as for
         `client_connections.ClientConnection`
     :param on_refusal: called with the `refusals.Refusal` of a request that
-        could not be read
+        could not be read, or whose serving failed
     :param limits: returns the `documents.ClientLimits` in force
     :param max_connections: further connections are closed at once
     """
@@ -32,6 +32,7 @@
         self._limits = limits
         self._max_connections = max_connections
         self._connections = set()
+        self._is_draining = False
 
     @property
     def connection_count(self):
@@ -47,9 +48,15 @@
             await trio.aclose_forcefully(stream)
             return
         connection = client_connections.ClientConnection(
-            stream, self._serve, time.monotonic, self._limits()
+            stream,
+            self._serve,
+            time.monotonic,
+            self._limits(),
+            self._on_refusal,
         )
         self._connections.add(connection)
+        if self._is_draining:
+            connection.close_when_idle()
         try:
             await connection.run()
         except OSError as error:
@@ -57,8 +64,6 @@
                 log.logger.debug('connection from a client failed: {}', error)
         finally:
             self._connections.discard(connection)
-            if connection.refusal is not None:
-                self._on_refusal(connection.refusal)
 
     def enforce_timeouts(self):
         """End the connections whose clients exceed a time limit."""
@@ -67,6 +72,10 @@
             connection.enforce_timeouts(now)
 
     def close_when_idle(self):
-        """Close each connection once no request is being served on it."""
+        """Close each connection once no request is received or served on it.
+
+        This also holds for the connections that are opened later.
+        """
+        self._is_draining = True
         for connection in list(self._connections):
             connection.close_when_idle()
