Close idle connections of clients without reading on

Cause: the merged state of a connection lets a draining connection that is idle read and discard for up to a second before it closes. A request that crosses the close would count as read, so that its client may not send it again if it must run once. Change: an idle connection closes at once, and only after a last response that was announced are further bytes read and discarded. Conclusion: a client can tell from a reset that its request was not read.

--- a/packages/pumicestand-node/pumicestand_node/client_connections.py
+++ b/packages/pumicestand-node/pumicestand_node/client_connections.py
@@ -290,7 +290,8 @@
                     self._nursery = nursery
                     await self._read()
         finally:
-            socket_io.discard_received(self._stream)
+            if self._state is _State.CLOSING:
+                socket_io.discard_received(self._stream)
             await trio.aclose_forcefully(self._stream)
 
     def close_when_idle(self):
@@ -345,8 +346,10 @@
                 )
             )
             return
+        if not self._pending_responses:
+            self._cancel_scope.cancel()
+            return
         self._accept_no_more()
-        self._close_after_last()
 
     def _idle_limit_s(self):
         """Return for how many seconds the client may make no progress."""
@@ -412,15 +415,18 @@
             self._nursery.start_soon(self._close)
 
     def _close_if_drained(self):
-        """Close a draining connection that is idle after a request."""
+        """Close a draining connection that is idle after a request.
+
+        A request that crosses the close stays unread, which tells the client
+        that it can be sent again.
+        """
         if (
             self._state is _State.DRAINING
             and self._has_served
             and not self._pending_responses
             and not self._has_begun_request()
         ):
-            self._accept_no_more()
-            self._close_after_last()
+            self._cancel_scope.cancel()
 
     def _signal_room(self):
         self._room_available.set()
