Tell clients that a request has not run if an error came before it was sent

Cause: the connection can't know how far serving a request got, so that each unexpected error in the node was answered 502, which unsafe requests may not be repeated after. Change: the call path says from when on a request may have run. Evidence: the case of an error in the check of access fails without the change (502 in place of 503). Conclusion: unexpected errors are answered truthfully on both sides of it.

--- a/packages/pumicestand-node/pumicestand_node/outbound_calls.py
+++ b/packages/pumicestand-node/pumicestand_node/outbound_calls.py
@@ -142,6 +142,7 @@
             self.in_flight -= 1
 
     async def _serve(self, request, connection):
+        connection.may_have_run = False
         started_at = self._clock()
         configuration = self._mesh.configuration
         if configuration is None:
@@ -380,6 +381,7 @@
         return bytes(lines)
 
     async def _execute(self, call, request, connection):
+        connection.may_have_run = True
         result = None
         remaining_s = self._give_up_at(call) - self._clock()
         if remaining_s > 0:
--- a/tests/pumicestand_node/test_mesh_calls.py
+++ b/tests/pumicestand_node/test_mesh_calls.py
@@ -499,6 +499,26 @@
     run_with_target(test)
 
 
+@pytest.mark.parametrize(
+    ('step', 'status'), [('access', 503), ('send_call', 502)]
+)
+def test_an_error_before_the_call_is_sent_tells_that_it_has_not_run(
+    step, status
+):
+    async def test(harness):
+        def fail(*args):
+            raise ValueError('bug')
+
+        if step == 'access':
+            harness.outbound.access.decide = fail
+        else:
+            harness.mesh.send_call = fail
+        got, _ = await harness.send_request('/o/1', 'POST')
+        assert got == status
+
+    run_with_target(test)
+
+
 def test_a_call_in_flight_when_the_node_stops_gets_a_response():
     """The stop must not cut a call that outlasts the grace period."""
 
