Take a reused connection to the store for silent after 0.4 s

Seen: in a play in memory (MeshStore, FreshnessAgent, stand-in store; 20 phases) in which all open connections go silent at once while new ones work, the node's record was in the store after 1.06 to 1.15 s, although the acknowledgement of a leaving target waits for 0.5 s; a roll-out's state after 1.20 to 1.40 s; a new proof after up to 2.03 s, or 1.35 s where keys have to be refused after 2 s.

Cause: a call on a reused connection had the full time-out of 1.0 s, and then failed, although the store answers within milliseconds and a new connection would have worked at once.

Ruled out: that stale connections are tried one after the other (a time-out closes all idle ones already); TCP keepalive, which takes 2 s and sees nothing if something on the way acknowledges.

Change: a response has to begin within 0.4 s on a reused connection, as long as the store answers quickly (the last answer within 0.1 s). Then all idle connections are closed; a read is sent again on a new connection within the time of the same call, a write is reported as lost. A first time-out of 0.4 s is twice the 200 ms of a slow store.

Evidence: failed before: test_read_succeeds_although_the_pooled_connections_ are_silent, test_write_on_a_silent_connection_is_reported_early_and_not_ repeated. test_slow_or_silent_store_gets_one_more_call_at_most fails if slow stores are given less time as well.

The back-off after a failure is still in the way.

--- a/packages/pumicestand/pumicestand/http_pool.py
+++ b/packages/pumicestand/pumicestand/http_pool.py
@@ -7,6 +7,7 @@
 import collections
 import contextlib
 import dataclasses
+import math
 import select
 
 import httptools
@@ -26,6 +27,10 @@
     """There is no valid response, although the request may have been read."""
 
 
+class SilentConnectionError(ResponseError):
+    """A connection that was used before has been silent for too long."""
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class Response:
     """A response with its whole body.
@@ -58,17 +63,18 @@
         return stream
 
 
-class _Idle:
-    """A connection that no request uses.
+class _Connection:
+    """A connection to the server.
 
-    :param since: time since when it is idle, in seconds of trio's clock
+    :param idle_since: time since when no request uses it, in seconds of
+        trio's clock; None if none ever did
     """
 
-    __slots__ = ('stream', 'since')
+    __slots__ = ('stream', 'idle_since')
 
-    def __init__(self, stream, since):
+    def __init__(self, stream, idle_since=None):
         self.stream = stream
-        self.since = since
+        self.idle_since = idle_since
 
     def is_usable(self):
         """Return whether the server has neither closed it nor sent data."""
@@ -196,7 +202,9 @@
         while self._idle:
             await self._discard(self._idle.popleft().stream)
 
-    async def request(self, method, target, headers, content=b''):
+    async def request(
+        self, method, target, headers, content=b'', reuse_timeout=math.inf
+    ):
         """Send a request and return the `Response`.
 
         A connection is not used again unless its response was complete.
@@ -204,21 +212,27 @@
         :param target: path and query, quoted
         :param headers: dict of strings
         :param content: the body
+        :param reuse_timeout: seconds within which a response has to begin on
+            a connection that was used before
         :raises ConnectError: if the request was not sent
+        :raises SilentConnectionError: if it has not begun by then
         :raises ResponseError: if there is no valid response
         """
         lines = [f'{method} {target} HTTP/1.1']
         lines += [f'{name}: {value}' for name, value in headers.items()]
         head = '\r\n'.join(lines).encode('ascii') + b'\r\n\r\n'
         async with self._in_use:
-            stream = await self._open()
+            connection = await self._open()
+            is_reused = connection.idle_since is not None
             reader = _ResponseReader()
+            scope = trio.move_on_after(
+                reuse_timeout if is_reused else math.inf
+            )
             try:
-                with contextlib.suppress(trio.BrokenResourceError):
-                    # A server may respond and close before it has read all.
-                    await stream.send_all(head + content)
-                while not reader.is_complete:
-                    reader.feed(await stream.receive_some(READ_BYTES))
+                with scope:
+                    await self._exchange(
+                        connection.stream, head + content, reader, scope
+                    )
             except (
                 trio.BrokenResourceError,
                 trio.ClosedResourceError,
@@ -226,27 +240,45 @@
                 raise ResponseError(f'connection lost: {error}') from error
             finally:
                 if reader.is_complete and reader.is_reusable:
-                    self._idle.append(_Idle(stream, trio.current_time()))
+                    connection.idle_since = trio.current_time()
+                    self._idle.append(connection)
                 else:
-                    await self._discard(stream)
+                    await self._discard(connection.stream)
+        if not reader.is_complete:
+            raise SilentConnectionError(
+                f'reused connection was silent for {reuse_timeout:g} s'
+            )
         return reader.response
 
+    async def _exchange(self, stream, data, reader, silence_scope):
+        """Send a request and read the response to it.
+
+        :param silence_scope: cancel scope that ends with the first bytes
+        """
+        with contextlib.suppress(trio.BrokenResourceError):
+            # A server may respond and close before it has read all.
+            await stream.send_all(data)
+        while not reader.is_complete:
+            received = await stream.receive_some(READ_BYTES)
+            silence_scope.deadline = math.inf
+            reader.feed(received)
+
     async def _open(self):
-        """Return a connection that is idle, or a new one."""
+        """Return a `_Connection` that is idle, or a new one."""
         expired_before = trio.current_time() - self._keepalive
-        while self._idle and self._idle[0].since <= expired_before:
+        while self._idle and self._idle[0].idle_since <= expired_before:
             await self._discard(self._idle.popleft().stream)
         while self._idle:
             idle = self._idle.pop()
             if idle.is_usable():
-                return idle.stream
+                return idle
             await self._discard(idle.stream)
         try:
             stream = await self._backend.connect(self._host, self._port)
         except OSError as error:
             raise ConnectError(str(error)) from error
         self._streams.add(stream)
-        return stream
+        return _Connection(stream)
 
     async def _discard(self, stream):
         self._streams.discard(stream)
--- a/packages/pumicestand/pumicestand/store_calls.py
+++ b/packages/pumicestand/pumicestand/store_calls.py
@@ -5,10 +5,12 @@
 """
 
 import dataclasses
+import math
 import urllib.parse
 
 import trio
 
+from pumicestand import connection_trust
 from pumicestand import errors
 from pumicestand import http_pool
 
@@ -25,12 +27,16 @@
     :param max_connections: maximum number of open connections
     :param keepalive: time after which an idle connection is closed, in
         seconds
+    :param reuse_timeout: time within which a response has to begin on a
+        connection that was used before, in seconds; applied while the store
+        answers quickly
     """
 
     timeout: float
     wait_margin: float
     max_connections: int
     keepalive: float
+    reuse_timeout: float = math.inf
 
 
 class StoreCalls:
@@ -52,6 +58,7 @@
             raise ValueError(f'{url}: the scheme is not http')
         self._limits = limits
         self._backend = backend or http_pool.TcpBackend(socket_options)
+        self._trust = connection_trust.ConnectionTrust(limits.reuse_timeout)
         self._pool = None
 
     async def start(self):
@@ -93,17 +100,23 @@
         timeout = wait + limits.wait_margin if wait else limits.timeout
         try:
             with trio.fail_after(timeout):
-                response = await self._pool.request(
-                    method, self._url.path + path, request_headers, content
+                response = await self._request(
+                    method,
+                    self._url.path + path,
+                    request_headers,
+                    content,
+                    is_waiting=wait > 0,
                 )
         except http_pool.ConnectError as error:
+            self._trust.record_failure()
             raise self.unavailable_error(
                 step, f'no connection: {error}'
             ) from error
         except (trio.TooSlowError, http_pool.ResponseError) as error:
             if isinstance(error, trio.TooSlowError):
-                # They may be as silent as this one.
-                await self._pool.close_idle()
+                await self._distrust(is_old=wait > 0)
+            elif not isinstance(error, http_pool.SilentConnectionError):
+                self._trust.record_failure()
             detail = f'no answer to {method} {path}: {type(error).__name__}'
             if method == 'GET':
                 raise self.unavailable_error(step, detail) from error
@@ -117,6 +130,43 @@
             )
         return response
 
+    async def _request(self, method, target, headers, content, is_waiting):
+        """Send a request and return the `http_pool.Response`.
+
+        A read is sent again, on a new connection, if a reused one is silent.
+        A write may have taken effect, so it is the caller who decides.
+        """
+        reuse_timeout = math.inf if is_waiting else self._trust.reuse_timeout
+        sent_at = trio.current_time()
+        try:
+            response = await self._pool.request(
+                method, target, headers, content, reuse_timeout
+            )
+        except http_pool.SilentConnectionError:
+            await self._distrust(is_old=True)
+            if method != 'GET':
+                raise
+            sent_at = trio.current_time()
+            response = await self._pool.request(
+                method, target, headers, content
+            )
+        self._trust.record_answer(
+            None if is_waiting else trio.current_time() - sent_at
+        )
+        return response
+
+    async def _distrust(self, is_old):
+        """Close the idle connections; they may be silent as well.
+
+        :param is_old: whether the silent connection was opened before the
+            response to the call was due
+        """
+        if is_old:
+            self._trust.record_old_silence()
+        else:
+            self._trust.record_failure()
+        await self._pool.close_idle()
+
     def unavailable_error(self, step, detail):
         """Return the error for a call that had no effect."""
         return errors.StoreUnavailableError(detail, step=step, peer=self.peer)
--- a/tests/pumicestand/test_layers.py
+++ b/tests/pumicestand/test_layers.py
@@ -20,6 +20,7 @@
     'balancing',
     'blackboard',
     'coldness',
+    'connection_trust',
     'controllers',
     'dissemination',
     'evacuations',
--- a/tests/pumicestand_platform/test_objects.py
+++ b/tests/pumicestand_platform/test_objects.py
@@ -249,3 +249,54 @@
             assert await client.read(KIND, 'b') is None
 
     mock_clock.run(main)
+
+
+async def fill_pool(client):
+    """Leave three connections idle."""
+    async with trio.open_nursery() as nursery:
+        for number in range(3):
+            nursery.start_soon(client.create, KIND, f'{number}', 1)
+
+
+def test_read_succeeds_although_the_pooled_connections_are_silent():
+    async def main():
+        async with open_store() as (client, store, backend):
+            await fill_pool(client)
+            backend.silence()
+            for _ in range(2):
+                assert (await client.read(KIND, '0')).spec == 1
+            assert store.counters['GET'] == 2
+
+    mock_clock.run(main)
+
+
+def test_write_on_a_silent_connection_is_reported_early_and_not_repeated():
+    async def main():
+        async with open_store() as (client, store, backend):
+            await fill_pool(client)
+            backend.silence()
+            with (
+                pytest.raises(errors.StoreResponseLostError),
+                trio.fail_after(objects.LIMITS.reuse_timeout + 0.1),
+            ):
+                await client.create(KIND, 'a', 1)
+            assert store.counters['POST'] == 3
+
+    mock_clock.run(main)
+
+
+@pytest.mark.parametrize(
+    ('fault', 'value', 'calls'),
+    [('slow_s', 0.2, 10), ('slow_s', 0.7, 11), ('silent', True, 11)],
+)
+def test_slow_or_silent_store_gets_one_more_call_at_most(fault, value, calls):
+    async def main():
+        async with open_store() as (client, store, _):
+            await fill_pool(client)
+            setattr(store.faults, fault, value)
+            for _ in range(10):
+                with contextlib.suppress(errors.StoreUnavailableError):
+                    await client.read(KIND, '0')
+            assert store.counters['GET'] <= calls
+
+    mock_clock.run(main)
--- a/tests/pumicestand_platform/test_start_modules.py
+++ b/tests/pumicestand_platform/test_start_modules.py
@@ -21,7 +21,7 @@
 OWN = """
 pumicestand pumicestand.admission_by_room
 pumicestand.body_transfers pumicestand.call_headers
-pumicestand.coldness pumicestand.decision_log
+pumicestand.coldness pumicestand.connection_trust pumicestand.decision_log
 pumicestand.evacuations pumicestand.fair_shares
 pumicestand.documents pumicestand.errors pumicestand.fetches
 pumicestand.field_reading pumicestand.fingerprints pumicestand.fleet
