Don't back off from the store when only old connections were silent

Seen: with all open connections silent, the node's record was in the store 0.45 to 0.55 s after its request, so that half of the acknowledgements of leaving targets, which wait for 0.5 s, came before it; the node counted itself as cut off from the store for 0.05 to 0.15 s after each lost watch, and after a lost write until its next watch ended, up to 2 s, in which it wrote no states of roll-outs.

Cause: each failure was taken for one of the store and followed by a delay of 0.05 to 0.15 s, although a new connection had not been tried.

Change: the client tells whether only connections from before its calls have been silent. Then there is no delay, and the next one is longer by it; failed calls other than watches don't say that the store can't be reached. A lost watch still does, until the list that follows at once: if the node alone is cut off, the others must not take over later than before.

Ruled out: leaving that out for watches, too.

A watch still waits for its own time-out.

--- a/packages/pumicestand-node/pumicestand_node/mesh_records.py
+++ b/packages/pumicestand-node/pumicestand_node/mesh_records.py
@@ -97,7 +97,7 @@
                     node_records.KIND, self._mesh.identity.name
                 )
             except store_access.STORE_ERRORS as error:
-                self._access.set_reachable(False, error)
+                self._access.record_failure(error)
                 backoff = await self._access.back_off(backoff)
                 continue
             self._own_position = stored.position if stored else None
@@ -131,7 +131,7 @@
                     await self._create_own_record()
                 listing = await self._client.list(node_records.KIND)
             except store_access.STORE_ERRORS as error:
-                self._access.set_reachable(False, error)
+                self._access.record_failure(error)
                 backoff = await self._access.back_off(backoff)
                 continue
             records = self._read_records(listing)
@@ -180,7 +180,7 @@
                     node_records.KIND, allow_stale=True
                 )
             except store_access.STORE_ERRORS as error:
-                self._access.set_reachable(False, error)
+                self._access.record_failure(error)
                 continue
             self._on_records(self._read_records(listing))
 
@@ -247,7 +247,7 @@
                     self._write_requested.set()
                     continue
                 except store_access.STORE_ERRORS as error:
-                    self._access.set_reachable(False, error)
+                    self._access.record_failure(error)
                     backoff = await self._access.back_off(backoff)
                     self._write_requested.set()
                     continue
--- a/packages/pumicestand-node/pumicestand_node/mesh_store.py
+++ b/packages/pumicestand-node/pumicestand_node/mesh_store.py
@@ -65,7 +65,7 @@
         self._translator = translator
         self._clock = clock
         self._on_change = on_change
-        self._access = store_access.StoreAccess(mesh, rng, on_change)
+        self._access = store_access.StoreAccess(mesh, client, rng, on_change)
         self._records = mesh_records.MeshRecords(
             mesh,
             client,
@@ -180,6 +180,7 @@
             except store_access.STORE_ERRORS as error:
                 self._note_lost_watch(kind, position, answered_at, error)
                 position = None
+                # After a lost watch other nodes have to take over at once.
                 self._access.set_reachable(False, error)
                 backoff = await self._access.back_off(backoff)
 
@@ -398,7 +399,7 @@
         try:
             listing = await self._client.list(self._translator.order_kind)
         except store_access.STORE_ERRORS as error:
-            self._access.set_reachable(False, error)
+            self._access.record_failure(error)
             return
         for item in listing.items:
             self._apply_order(item)
--- a/packages/pumicestand/pumicestand/store_calls.py
+++ b/packages/pumicestand/pumicestand/store_calls.py
@@ -61,6 +61,14 @@
         self._trust = connection_trust.ConnectionTrust(limits.reuse_timeout)
         self._pool = None
 
+    @property
+    def is_only_old_silent(self):
+        """Whether only connections from before the calls have failed.
+
+        No new one has been tried since the first of them was silent.
+        """
+        return self._trust.is_only_old_silent
+
     async def start(self):
         """Open the connection pool; connections are opened on demand."""
         self._pool = http_pool.HttpPool(
--- a/tests/pumicestand_node/test_mesh_store.py
+++ b/tests/pumicestand_node/test_mesh_store.py
@@ -232,6 +232,51 @@
     mock_clock.run(main)
 
 
+@contextlib.asynccontextmanager
+async def open_silenced_node():
+    """Yield (node, store); all open connections have just gone silent."""
+    async with test_objects.open_store() as (client, store, backend):
+        put_configuration(store, '0000001f')
+        put_order(store)
+        async with trio.open_nursery() as nursery:
+            node = Node(client, 'a')
+            node.mesh.target_watch.restore(mesh_fakes.make_target('a'))
+            await node.mesh_store.start(nursery)
+            await trio.sleep(1.5)
+            backend.silence()
+            yield node, store
+            nursery.cancel_scope.cancel()
+
+
+def test_lost_watch_is_renewed_at_once_on_a_new_connection():
+    """A back-off would tell the other nodes that the store is lost."""
+
+    async def main():
+        async with open_silenced_node() as (node, store):
+            put_configuration(store, '00000020')
+            for _ in range(300):
+                await trio.sleep(0.01)
+                assert node.mesh.store_reachable
+            assert node.mesh.generation == 0x20
+
+    mock_clock.run(main)
+
+
+def test_silent_connections_do_not_delay_the_record_beyond_its_bound():
+    """The acknowledgement of a leaving target waits no longer."""
+
+    async def main():
+        async with open_silenced_node() as (node, store):
+            target = mesh_fakes.make_target('t', started_ms=2)
+            node.mesh.target_watch.apply(targets.Heartbeat(target, 1), 0.0)
+            await node.mesh_store.save_own_record()
+            record = store.get(node_records.KIND, 'a')['spec']
+            assert record['target']['instance'] == 'i-t'
+            assert node.mesh.store_reachable
+
+    mock_clock.run(main)
+
+
 def test_older_configuration_is_not_applied():
     async def main():
         async with open_nodes('a') as ((node,), store):
