Read the node's record after a conflict before it is written again

Seen: a write of the record that was carried out but whose response was lost led to three writes: the first, its repeat on the same revision, which the store refused, and, after a delay, one on the revision that the refusal names.

Cause: the refusal was answered with a write that did not look at what the object holds by then, and with a back-off, although it came from a store that answers. With the 0.4 s after which a silent connection is noticed, the record then missed the 0.5 s for which the acknowledgement of a leaving target waits.

Ruled out: a look-up before the repeat. The repeat is conditional on the revision, so it has no effect if the first was carried out, and saves a call and its time if it was not.

Change: a conflict leads to a read of the record, at once, and to a write only if it still differs. Only a second conflict in succession is followed by a delay. The check in a new era of the store uses the same read.

Evidence: test_record_whose_response_was_lost_is_looked_up_after_a_conflict failed before (3 writes in place of 2).

--- a/packages/pumicestand-node/pumicestand_node/mesh_records.py
+++ b/packages/pumicestand-node/pumicestand_node/mesh_records.py
@@ -93,20 +93,23 @@
         backoff = store_access.MIN_BACKOFF_S
         while self._client.era == era:
             try:
-                stored = await self._client.read(
-                    node_records.KIND, self._mesh.identity.name
-                )
+                await self._read_own_record()
             except store_access.STORE_ERRORS as error:
                 self._access.record_failure(error)
                 backoff = await self._access.back_off(backoff)
                 continue
-            self._own_position = stored.position if stored else None
-            self._written_record = (
-                node_records.from_json(stored.spec) if stored else None
-            )
             self._write_requested.set()
             return
 
+    async def _read_own_record(self):
+        stored = await self._client.read(
+            node_records.KIND, self._mesh.identity.name
+        )
+        self._own_position = stored.position if stored else None
+        self._written_record = (
+            node_records.from_json(stored.spec) if stored else None
+        )
+
     def _set_own_position(self, revision):
         """Set the position of the own record from a conflict's revision."""
         self._own_position = None
@@ -236,24 +239,40 @@
             self._write_requested = trio.Event()
             if not self.has_joined:
                 continue
-            record = self._own_record()
-            if record != self._written_record:
-                try:
-                    await self._write_own_record(record)
-                    backoff = store_access.MIN_BACKOFF_S
-                except errors.ConflictError as error:
-                    self._set_own_position(error.current_version)
-                    backoff = await self._access.back_off(backoff)
-                    self._write_requested.set()
-                    continue
-                except store_access.STORE_ERRORS as error:
-                    self._access.record_failure(error)
-                    backoff = await self._access.back_off(backoff)
-                    self._write_requested.set()
-                    continue
+            try:
+                await self._update_own_record()
+                backoff = store_access.MIN_BACKOFF_S
+            except store_access.STORE_ERRORS as error:
+                self._access.record_failure(error)
+                backoff = await self._access.back_off(backoff)
+                self._write_requested.set()
+                continue
+            except errors.ConflictError:
+                backoff = await self._access.back_off(backoff)
+                self._write_requested.set()
+                continue
             done, self._write_done = self._write_done, trio.Event()
             done.set()
 
+    async def _update_own_record(self):
+        """Write this node's record unless it is in the store.
+
+        A write whose response was lost is repeated on the same revision. The
+        conflict if it was carried out does not tell the content, so the record
+        is read before another write.
+        """
+        for is_retry in (False, True):
+            record = self._own_record()
+            if record == self._written_record:
+                return
+            try:
+                await self._write_own_record(record)
+                return
+            except errors.ConflictError:
+                if is_retry:
+                    raise
+                await self._read_own_record()
+
     async def _write_own_record(self, record):
         spec = node_records.to_json(record)
         if self._own_position is None:
--- a/tests/pumicestand_node/test_mesh_store.py
+++ b/tests/pumicestand_node/test_mesh_store.py
@@ -331,6 +331,24 @@
     mock_clock.run(main)
 
 
+def test_record_whose_response_was_lost_is_looked_up_after_a_conflict():
+    """Another write would overwrite what the conflict is about."""
+
+    async def main():
+        async with open_nodes('a') as ((node,), store):
+            await trio.sleep(1)
+            writes = store.counters['PUT']
+            store.faults.lost_writes = 1
+            target = mesh_fakes.make_target('t', started_ms=2)
+            node.mesh.target_watch.apply(targets.Heartbeat(target, 1), 0.0)
+            await node.mesh_store.save_own_record()
+            await trio.sleep(1)
+            # The one that was carried out and the one that was refused.
+            assert store.counters['PUT'] == writes + 2
+
+    mock_clock.run(main)
+
+
 @pytest.mark.parametrize('fault', [None, 'lost_writes', 'conflict'])
 def test_roll_out_state_is_written_to_store(fault):
     async def main():
