Renew waiting watches once another call finds old connections silent

A change is to be in force 2 s after it was acknowledged.

Cause: each watch waited for its own time-out, 0.4 s after the end of its wait.

Ruled out: shorter waits, as each watch is billed; ending watches at the first silence, as a store that does not answer at all would then be asked once more for each watch; a watch on a new connection after its time-out instead of a list, which would show only 2.4 s later that the store does not answer.

Change: the first quick answer after old connections were silent shows that nothing will come on them any more. The requests that have waited since before are then sent again, from the same position and with the whole time-out.

Evidence: test_waiting_watch_is_renewed_when_a_read_finds_connections_silent failed before.

--- a/packages/pumicestand/pumicestand/connection_trust.py
+++ b/packages/pumicestand/pumicestand/connection_trust.py
@@ -50,10 +50,15 @@
         """Record an answer.
 
         :param seconds: time that it took, None if it was meant to wait
+        :returns: whether it shows that old connections are silent while the
+            server answers, so that nothing will come on them any more
         """
+        was_silent = self._state is _State.OLD_SILENT
         self._state = _State.ANSWERING
-        if seconds is not None:
-            self._is_quick = seconds <= QUICK_RATIO * self._reuse_timeout
+        if seconds is None:
+            return False
+        self._is_quick = seconds <= QUICK_RATIO * self._reuse_timeout
+        return was_silent and self._is_quick
 
     def record_old_silence(self):
         """Record that a connection from before the call was silent."""
--- a/packages/pumicestand/pumicestand/store_calls.py
+++ b/packages/pumicestand/pumicestand/store_calls.py
@@ -39,6 +39,19 @@
     reuse_timeout: float = math.inf
 
 
+class _Wait:
+    """A request that the store may answer late.
+
+    :param sent_at: time of the request, in seconds of trio's clock
+    """
+
+    __slots__ = ('scope', 'sent_at')
+
+    def __init__(self, sent_at):
+        self.scope = trio.CancelScope()
+        self.sent_at = sent_at
+
+
 class StoreCalls:
     """Makes calls to one store over a pool of connections.
 
@@ -59,6 +72,8 @@
         self._limits = limits
         self._backend = backend or http_pool.TcpBackend(socket_options)
         self._trust = connection_trust.ConnectionTrust(limits.reuse_timeout)
+        self._distrusted_at = -math.inf
+        self._waits = set()
         self._pool = None
 
     @property
@@ -104,17 +119,17 @@
             'content-length': str(len(content)),
             **(headers or {}),
         }
-        limits = self._limits
-        timeout = wait + limits.wait_margin if wait else limits.timeout
+        send = self._wait if wait else self._request
         try:
-            with trio.fail_after(timeout):
-                response = await self._request(
-                    method,
-                    self._url.path + path,
-                    request_headers,
-                    content,
-                    is_waiting=wait > 0,
-                )
+            response = await send(
+                wait + self._limits.wait_margin
+                if wait
+                else self._limits.timeout,
+                method,
+                self._url.path + path,
+                request_headers,
+                content,
+            )
         except http_pool.ConnectError as error:
             self._trust.record_failure()
             raise self.unavailable_error(
@@ -138,31 +153,52 @@
             )
         return response
 
-    async def _request(self, method, target, headers, content, is_waiting):
+    async def _request(self, timeout, method, target, headers, content):
         """Send a request and return the `http_pool.Response`.
 
         A read is sent again, on a new connection, if a reused one is silent.
         A write may have taken effect, so it is the caller who decides.
         """
-        reuse_timeout = math.inf if is_waiting else self._trust.reuse_timeout
+        request = (method, target, headers, content)
         sent_at = trio.current_time()
-        try:
-            response = await self._pool.request(
-                method, target, headers, content, reuse_timeout
-            )
-        except http_pool.SilentConnectionError:
-            await self._distrust(is_old=True)
-            if method != 'GET':
-                raise
-            sent_at = trio.current_time()
-            response = await self._pool.request(
-                method, target, headers, content
-            )
-        self._trust.record_answer(
-            None if is_waiting else trio.current_time() - sent_at
-        )
+        with trio.fail_after(timeout):
+            try:
+                response = await self._pool.request(
+                    *request, self._trust.reuse_timeout
+                )
+            except http_pool.SilentConnectionError:
+                await self._distrust(is_old=True)
+                if method != 'GET':
+                    raise
+                sent_at = trio.current_time()
+                response = await self._pool.request(*request)
+        if self._trust.record_answer(trio.current_time() - sent_at):
+            self._renew_waits()
         return response
 
+    async def _wait(self, timeout, *request):
+        """Send a request that the store may answer late.
+
+        It is sent again, with the whole time-out, if its connection is found
+        to be silent by other calls.
+        """
+        while True:
+            wait = _Wait(trio.current_time())
+            self._waits.add(wait)
+            try:
+                with trio.fail_after(timeout), wait.scope:
+                    response = await self._pool.request(*request)
+                    self._trust.record_answer()
+                    return response
+            finally:
+                self._waits.discard(wait)
+
+    def _renew_waits(self):
+        """Have the requests that wait on distrusted connections sent again."""
+        for wait in self._waits:
+            if wait.sent_at < self._distrusted_at:
+                wait.scope.cancel()
+
     async def _distrust(self, is_old):
         """Close the idle connections; they may be silent as well.
 
@@ -170,6 +206,7 @@
             response to the call was due
         """
         if is_old:
+            self._distrusted_at = trio.current_time()
             self._trust.record_old_silence()
         else:
             self._trust.record_failure()
--- a/tests/pumicestand/test_connection_trust.py
+++ b/tests/pumicestand/test_connection_trust.py
@@ -20,6 +20,14 @@
     assert trust.reuse_timeout == math.inf
 
 
+@pytest.mark.parametrize('seconds', [None, 0.002, 0.2])
+def test_only_a_quick_answer_shows_that_old_connections_are_silent(seconds):
+    trust = connection_trust.ConnectionTrust(0.4)
+    assert not trust.record_answer(seconds)
+    trust.record_old_silence()
+    assert trust.record_answer(seconds) == (seconds == 0.002)
+
+
 @pytest.mark.parametrize('is_answering', [False, True])
 def test_server_that_failed_on_new_connections_is_not_excused(is_answering):
     trust = connection_trust.ConnectionTrust(0.4)
--- a/tests/pumicestand_platform/test_objects.py
+++ b/tests/pumicestand_platform/test_objects.py
@@ -285,6 +285,28 @@
     mock_clock.run(main)
 
 
+def test_waiting_watch_is_renewed_when_a_read_finds_connections_silent():
+    async def main():
+        async with open_store() as (client, store, backend):
+            await fill_pool(client)
+            at = (await client.list(KIND)).position
+            async with trio.open_nursery() as nursery:
+
+                async def watch():
+                    (event,) = (await client.watch(KIND, at, 5.0)).events
+                    assert event.object.name == 'a'
+
+                nursery.start_soon(watch)
+                await trio.sleep(1)
+                backend.silence()
+                store.put(KIND, 'a', 1)
+                await client.read(KIND, 'a')
+                nursery.cancel_scope.deadline = trio.current_time() + 0.1
+            assert not nursery.cancel_scope.cancelled_caught
+
+    mock_clock.run(main)
+
+
 @pytest.mark.parametrize(
     ('fault', 'value', 'calls'),
     [('slow_s', 0.2, 10), ('slow_s', 0.7, 11), ('silent', True, 11)],
