Take the kernel's time-out of a store connection for silence

Seen, by reading: where packets are dropped, TCP keepalive or the user time-out ends a silent watch about 2 s after the silence, before its own time-out. This was treated like a reset: a delay of 0.05 to 0.15 s before the list, and idle connections were kept.

Cause: the pool did not tell ETIMEDOUT, which needs 2 s of silence, from a connection that the server has reset.

Ruled out: leaving out the delay after resets, too. A store that resets every watch at once would be asked without any pause.

Change: ETIMEDOUT is raised as a silent connection.

Evidence: test_time_out_of_the_kernel_is_told_from_a_reset fails without the distinction. Dropped packets themselves were not played, that needs rights on the machine.

--- a/packages/pumicestand/pumicestand/http_pool.py
+++ b/packages/pumicestand/pumicestand/http_pool.py
@@ -7,6 +7,7 @@
 import collections
 import contextlib
 import dataclasses
+import errno
 import math
 import select
 
@@ -28,7 +29,7 @@
 
 
 class SilentConnectionError(ResponseError):
-    """A connection that was used before has been silent for too long."""
+    """A connection has gone silent while or before the request used it."""
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -215,7 +216,8 @@
         :param reuse_timeout: seconds within which a response has to begin on
             a connection that was used before
         :raises ConnectError: if the request was not sent
-        :raises SilentConnectionError: if it has not begun by then
+        :raises SilentConnectionError: if it has not begun by then, or the
+            kernel has found that the server does not acknowledge anything
         :raises ResponseError: if there is no valid response
         """
         lines = [f'{method} {target} HTTP/1.1']
@@ -237,7 +239,10 @@
                 trio.BrokenResourceError,
                 trio.ClosedResourceError,
             ) as error:
-                raise ResponseError(f'connection lost: {error}') from error
+                reason = f'connection lost: {error}'
+                if _is_timeout(error):
+                    raise SilentConnectionError(reason) from error
+                raise ResponseError(reason) from error
             finally:
                 if reader.is_complete and reader.is_reusable:
                     connection.idle_since = trio.current_time()
@@ -283,3 +288,9 @@
     async def _discard(self, stream):
         self._streams.discard(stream)
         await trio.aclose_forcefully(stream)
+
+
+def _is_timeout(error):
+    """Return whether the kernel has given up on a silent connection."""
+    cause = error.__cause__
+    return isinstance(cause, OSError) and cause.errno == errno.ETIMEDOUT
--- a/packages/pumicestand/pumicestand/store_calls.py
+++ b/packages/pumicestand/pumicestand/store_calls.py
@@ -136,10 +136,13 @@
                 step, f'no connection: {error}'
             ) from error
         except (trio.TooSlowError, http_pool.ResponseError) as error:
-            if isinstance(error, trio.TooSlowError):
-                await self._distrust(is_old=wait > 0)
-            elif not isinstance(error, http_pool.SilentConnectionError):
-                self._trust.record_failure()
+            match error:
+                case trio.TooSlowError():
+                    await self._distrust(is_old=wait > 0)
+                case http_pool.SilentConnectionError():
+                    await self._distrust(is_old=True)
+                case _:
+                    self._trust.record_failure()
             detail = f'no answer to {method} {path}: {type(error).__name__}'
             if method == 'GET':
                 raise self.unavailable_error(step, detail) from error
@@ -167,9 +170,9 @@
                     *request, self._trust.reuse_timeout
                 )
             except http_pool.SilentConnectionError:
-                await self._distrust(is_old=True)
                 if method != 'GET':
                     raise
+                await self._distrust(is_old=True)
                 sent_at = trio.current_time()
                 response = await self._pool.request(*request)
         if self._trust.record_answer(trio.current_time() - sent_at):
--- a/tests/pumicestand/test_http_pool.py
+++ b/tests/pumicestand/test_http_pool.py
@@ -1,6 +1,7 @@
 """Tests of HTTP requests over a pool of connections."""
 
 import contextlib
+import errno
 import functools
 
 import pytest
@@ -242,3 +243,29 @@
             await request(pool)
 
     trio.run(main)
+
+
+def test_time_out_of_the_kernel_is_told_from_a_reset():
+    """It says nothing of the server, so the next call need not wait."""
+
+    async def main(number, error_type):
+        async with open_pool(OK) as (pool, backend):
+            stream = await backend.connect('host', 80)
+
+            async def fail(max_bytes):
+                raise trio.BrokenResourceError from OSError(number, 'lost')
+
+            async def connect(host, port):
+                return stream
+
+            stream.receive_some = fail
+            backend.connect = connect
+            with pytest.raises(http_pool.ResponseError) as caught:
+                await request(pool)
+            assert caught.type is error_type
+
+    for number, error_type in (
+        (errno.ETIMEDOUT, http_pool.SilentConnectionError),
+        (errno.ECONNRESET, http_pool.ResponseError),
+    ):
+        mock_clock.run(functools.partial(main, number, error_type))
