--- a/packages/pumicestand/pumicestand/store_calls.py
+++ b/packages/pumicestand/pumicestand/store_calls.py
@@ -119,16 +119,13 @@
             'content-length': str(len(content)),
             **(headers or {}),
         }
+        limits = self._limits
+        timeout = wait + limits.wait_margin if wait else limits.timeout
         send = self._wait if wait else self._request
+        target = self._url.path + path
         try:
             response = await send(
-                wait + self._limits.wait_margin
-                if wait
-                else self._limits.timeout,
-                method,
-                self._url.path + path,
-                request_headers,
-                content,
+                timeout, method, target, request_headers, content
             )
         except http_pool.ConnectError as error:
             self._trust.record_failure()
@@ -203,7 +200,7 @@
                 wait.scope.cancel()
 
     async def _distrust(self, is_old):
-        """Close the idle connections; they may be silent as well.
+        """Record silence and close the idle connections, silent as well.
 
         :param is_old: whether the silent connection was opened before the
             response to the call was due
