Play stops in order under long calls in the soak

The soak had never found it.

Change: the part `stops`. Two more clients at each node send calls with a deadline of 9 s that end 4.4 to 5.1 s after the SIGTERM of their node. Stops overlap each other, configurations and SIGHUP, and the process is killed after the grace period of 6 s. A new check applies to all calls and all stops: a call that has reached a target gets its answer, unless the target still works on it in the last sixth of the grace period, its time limit has passed, or an unplanned fault hit its node or target.

The check of cut calls now excuses a call that the target still worked on in the last sixth of the grace of its node. No earlier call lasts that long, so it is as strict as before for those.

--- a/packages/pumicestand-standins/pumicestand_standins/mesh_target.py
+++ b/packages/pumicestand-standins/pumicestand_standins/mesh_target.py
@@ -41,6 +41,7 @@
     :param at: start, in seconds of trio's clock, which all stand-ins share
     :param organisation: the organisation that the request named, or empty
     :param has_key: whether the request had a key
+    :param work_s: seconds that it takes, without nested calls
     """
 
     request_id: str
@@ -48,6 +49,7 @@
     at: float
     organisation: str = ''
     has_key: bool = False
+    work_s: float = 0.0
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -96,7 +98,7 @@
 class Behaviour:
     """How the target responds to calls.
 
-    :param work_s: seconds that a call takes
+    :param work_s: seconds that a call takes, unless its query has ``work_s``
     :param loses: every n-th call runs but gets no response; 0 for none
     :param spoils: every n-th response is truncated; 0 for none
     :param fails: every n-th call runs and fails with status 500; 0 for none
@@ -127,8 +129,11 @@
     :param control_address: (host, port) where its node receives heartbeats
     :param outbound_address: (host, port) where its node receives its calls
     :param nested_path_prefix: path prefix of the nested call that each of
-        its calls makes, None for none
+        its calls makes unless their query has ``work_s``, None for none
     :param slots: calls that it runs at the same time; more are refused
+
+    ``ended_at`` holds the time at which each run ended, finished or cut, by
+    request id and instance, in seconds of trio's clock.
     """
 
     def __init__(
@@ -168,6 +173,7 @@
         self._heartbeat_scope = None
         self.behaviour = Behaviour()
         self.ledger = []
+        self.ended_at = {}
         self.departures = []
         self.limit_periods = []
         self.cold_crashes = []
@@ -388,24 +394,29 @@
             trio.current_time(),
             request.headers.get('pumicestand-tenant-id', ''),
             'x-api-key' in request.headers,
+            float(request.query('work_s', self.behaviour.work_s)),
         )
         self.ledger.append(run)
         self._in_flight += 1
         try:
-            response = await self._answer(request, request_id)
+            response = await self._answer(request, run)
         finally:
             self._in_flight -= 1
+            self.ended_at[request_id, run.instance] = trio.current_time()
         if not isinstance(response, http_server.Response):
             return response
         return dataclasses.replace(
             response, headers=response.headers + self._condition_headers()
         )
 
-    async def _answer(self, request, request_id):
+    async def _answer(self, request, run):
         """Run a call and return its response, which may be a faulty one."""
-        await trio.sleep(self.behaviour.work_s)
-        if self._nested_path_prefix and not await self._make_nested_call(
-            request, request_id
+        request_id = run.request_id
+        await trio.sleep(run.work_s)
+        if (
+            self._nested_path_prefix
+            and not request.query('work_s')
+            and not await self._make_nested_call(request, request_id)
         ):
             return http_server.Response(
                 500, b'', (_request_id_header(request_id), SERVER_STAMP_HEADER)
--- a/soak/checks.py
+++ b/soak/checks.py
@@ -3,6 +3,7 @@
 import bisect
 import collections
 
+from soak import clusters
 from soak import records
 
 # The operators set the following limits. After a node has acknowledged the
@@ -33,6 +34,22 @@
 # With these statuses a node states that it has not run the request.
 NOT_RUN_STATUSES = frozenset((408, 421, 429, 503))
 NOT_FOUND = 404
+# A request sent to a node up to this time after its SIGTERM gets the target's
+# answer, unless the target still works on it in the last sixth of the grace.
+TAKEN_S = 3.0
+LAST_SHARE_OF_GRACE = 1 / 6
+# Time limits of the calls, the lower one of the client's and the route's. A
+# node may respond a little before.
+CALL_LIMIT_S, LONG_CALL_LIMIT_S = 1.5, 9.0
+CALL_LIMIT_MARGIN_S = 0.1
+# Faults of a target that leave the calls that it runs alone.
+HARMLESS_FAULTS = frozenset(
+    (
+        records.Fault.TARGET_SLOW,
+        records.Fault.TARGET_LIMITS,
+        records.Fault.TARGET_COLD,
+    )
+)
 
 
 def check(record, checks_timing=True):
@@ -46,6 +63,7 @@
         *check_not_run(record),
         *check_responses(record),
         *check_interruptions(record),
+        *check_stops(record),
         *check_regressions(record),
         *check_withdrawals(record),
         *check_organisations(record),
@@ -103,7 +121,7 @@
     A node may close an idle connection while a request is on its way to it;
     it does not read such a request, which is then no finding.
     """
-    executed_ids = {run.request_id for run in record.runs}
+    last_runs = {run.request_id: run for run in record.runs}
     ignored_faults = (
         records.PLANNED_FAULTS | records.STORE_FAULTS | records.TARGET_FAULTS
     )
@@ -111,7 +129,13 @@
         if call.status:
             continue
         may_have_been_read = call.ended_at - call.sent_at > UNREAD_LIMIT_S
-        if call.request_id not in executed_ids and not may_have_been_read:
+        if call.request_id not in last_runs and not may_have_been_read:
+            continue
+        run = last_runs.get(call.request_id)
+        if run is not None and any(
+            stop.node == call.node and _may_give_up(record, run, stop)
+            for stop in record.stops
+        ):
             continue
         if not _is_disrupted(
             record,
@@ -127,6 +151,49 @@
             )
 
 
+def check_stops(record):
+    """Yield findings for calls without the answer of their target.
+
+    They were in flight while the node that took them, or that of the target,
+    was stopped in order.
+    """
+    last_runs = {run.request_id: run for run in record.runs}
+    for call in record.calls:
+        run = last_runs.get(call.request_id)
+        if run is None or (call.status and call.is_of_target):
+            continue
+        limit_s = (
+            LONG_CALL_LIMIT_S
+            if call.kind is records.CallKind.LONG
+            else CALL_LIMIT_S
+        )
+        if call.ended_at - call.sent_at > limit_s - CALL_LIMIT_MARGIN_S:
+            continue
+        target_node = _target_node(record, run)
+        stops = [
+            stop
+            for stop in record.stops
+            if stop.node in (call.node, target_node)
+            and stop.at <= call.ended_at <= stop.at + clusters.GRACE_S
+            and call.sent_at <= stop.at + TAKEN_S
+        ]
+        if (
+            not stops
+            or any(_may_give_up(record, run, stop) for stop in stops)
+            or _is_unplanned(record, call, run)
+        ):
+            continue
+        stop = stops[0]
+        yield records.Finding(
+            'a stopping node answers what it has taken',
+            f'{call.request_id} at {call.node} got status {call.status} '
+            f'{call.ended_at - stop.at:.2f} s after the SIGTERM of '
+            f'{stop.node}, sent at {call.sent_at - stop.at:.2f} s, at '
+            f'{run.instance} of {target_node}, which would have answered at '
+            f'{run.at + run.work_s - stop.at:.2f} s',
+        )
+
+
 def check_departures(record):
     """Yield findings for calls sent to a target too long after it departed."""
     latest_run_at = {
@@ -303,6 +370,46 @@
             )
 
 
+def _target_node(record, run):
+    return record.target_nodes.get(run.instance.rpartition('-')[0], '')
+
+
+def _may_give_up(record, run, stop):
+    """Return whether a run went on in the last sixth of a stop's grace.
+
+    A target ends a run at once when its connection is closed, so a run that
+    the node gave up before does not count.
+    """
+    ended_at = record.run_ends.get((run.request_id, run.instance), run.at)
+    end = stop.at + clusters.GRACE_S
+    since = end - clusters.GRACE_S * LAST_SHARE_OF_GRACE
+    return run.at <= end and ended_at >= since
+
+
+def _is_unplanned(record, call, run):
+    """Return whether an unplanned fault affected a call or its target."""
+    target_faults = records.TARGET_FAULTS - HARMLESS_FAULTS
+    target_node = _target_node(record, run)
+    return any(
+        disruption.since <= call.ended_at
+        and disruption.until >= call.sent_at
+        and (
+            (
+                disruption.fault in (records.Fault.KILL, records.Fault.PAUSE)
+                and disruption.node in (call.node, target_node)
+            )
+            or (
+                disruption.fault in target_faults
+                and disruption.node == target_node
+            )
+        )
+        for disruption in record.disruptions
+    ) or any(
+        crash.instance == run.instance and run.at <= crash.at <= call.ended_at
+        for crash in record.cold_crashes
+    )
+
+
 def _undisturbed_s(record, node, since, until):
     """Return the time in which a node was running and reached the store.
 
--- a/soak/clusters.py
+++ b/soak/clusters.py
@@ -25,6 +25,10 @@
 # Calls a second that a cold target bears, about a quarter of what it gets, and
 # the time for which it is cold after a restart.
 COLD_RATE, COLD_START_S = 6.0, 3.0
+# Time limit of the route of long calls, longer than the grace period.
+LONG_TIMEOUT_S = 10.0
+# A stopping node takes new calls for about this time.
+ACCEPT_AFTER_STOP_S = 2.2
 READY_PERIOD_S = 0.2
 OUTBOUND_PORT, READY_PORT, CONTROL_PORT = 8304, 8302, 8306
 # Bound by a soak while it uses its loopback network.
@@ -82,6 +86,16 @@
         spec['routes']['columns'].append('public')
         for row in spec['routes']['rows']:
             row.append(row[0] == 'own')
+    if records.Part.STOPS in parts:
+        columns, rows = spec['routes']['columns'], spec['routes']['rows']
+        row = dict(zip(columns, rows[1], strict=True))
+        row |= {
+            'name': 'long',
+            'path_prefix': '/l/',
+            'timeout_s': LONG_TIMEOUT_S,
+            'target_latency_s': LONG_TIMEOUT_S / 2,
+        }
+        rows.append(list(row.values()))
     if records.Part.COLD in parts:
         spec['services'] = {
             'columns': ['name', 'cold_start_s', 'cold_per_s'],
@@ -104,6 +118,9 @@
         self.name = f'node-{index}'
         self.ip = f'127.{network_number}.0.{index + 10}'
         self.start_count = 0
+        # Time of the last or next stop under calls, in seconds of trio's
+        # clock.
+        self.stop_at = float('-inf')
         self.process = None
         self._folder = folder
         self._parts = parts
@@ -283,6 +300,11 @@
         ]
         self.generation = 0
 
+    @property
+    def has_long_calls(self):
+        """Whether the configuration has a route for long calls."""
+        return records.Part.STOPS in self._parts
+
     def accept_next_configuration(self):
         """Store the next configuration; return its generation."""
         self.generation += 1
--- a/soak/faults.py
+++ b/soak/faults.py
@@ -24,7 +24,13 @@
     records.Part.COLD: (2.0, 2.0, 6.0),
     records.Part.EVACUATION: (5.0, 8.0, 12.0),
     records.Part.KEYS: (4.0, 7.0, 9.0),
+    records.Part.STOPS: (2.5, 9.0, 9.0),
 }
+# Time before a stop under calls from which clients prepare for it by calls
+# that end late in the grace period, and least time from then until the node
+# has started again.
+PREPARATION_S = 2.0
+STOP_DURATION_S = 9.0
 # Rate limit of a target in calls a second, about a fifth of what it gets.
 TARGET_LIMIT = 5.0
 # How long a target continues to serve after it has announced its departure.
@@ -145,13 +151,22 @@
             busy_name = node.name
         elif entry.fault in records.ORDERS:
             busy_name = entry.fault
+        if (
+            entry.fault is Fault.STOP_UNDER_CALLS
+            and entry.duration_s < STOP_DURATION_S
+        ):
+            # The soak ends too soon for it.
+            return
         # A fault of a process is skipped while another one affects the same
         # process, and an order while one of its kind is in force.
         if busy_name in self._busy_names:
             return
-        since = trio.current_time()
         if busy_name is not None:
             self._busy_names.add(busy_name)
+        if entry.fault is Fault.STOP_UNDER_CALLS:
+            node.stop_at = trio.current_time() + PREPARATION_S
+            await trio.sleep_until(node.stop_at)
+        since = trio.current_time()
         try:
             await self._inject(entry, node)
         finally:
@@ -192,20 +207,56 @@
                 await trio.sleep(entry.duration_s)
                 node.process.send_signal(signal.SIGCONT)
             case Fault.STOP:
-                node.process.terminate()
-                limit_s = clusters.GRACE_S + clusters.EXIT_MARGIN_S
-                if not await node.wait_for_exit(limit_s):
-                    self.findings.append(
-                        records.Finding(
-                            'nodes stop within the grace period',
-                            f'{node.name} was still running after '
-                            f'{limit_s:g} s',
-                        )
-                    )
+                self._terminate(node)
+                await self._wait_for_exit(
+                    node, clusters.GRACE_S + clusters.EXIT_MARGIN_S
+                )
                 await node.start_process()
+            case Fault.STOP_UNDER_CALLS:
+                await self._stop_under_calls(entry, node)
             case Fault.HANGUP:
-                node.write_settings(f'changed at {entry.offset_s:.3f}')
-                node.process.send_signal(signal.SIGHUP)
+                self._hang_up(entry, node)
+
+    def _hang_up(self, entry, node):
+        node.write_settings(f'changed at {entry.offset_s:.3f}')
+        node.process.send_signal(signal.SIGHUP)
+
+    def _terminate(self, node):
+        self._record.stops.append(records.Stop(node.name, trio.current_time()))
+        node.process.terminate()
+
+    async def _wait_for_exit(self, node, limit_s):
+        if not await node.wait_for_exit(limit_s):
+            self.findings.append(
+                records.Finding(
+                    'nodes stop within the grace period',
+                    f'{node.name} was still running after {limit_s:g} s',
+                )
+            )
+
+    async def _stop_under_calls(self, entry, node):
+        """Stop a node, as the platform kills it at the end of the grace.
+
+        Meanwhile the configuration changes, and the node and the next one
+        read their settings again.
+        """
+        rng = random.Random(f'{entry.offset_s}')
+        nodes = self._cluster.nodes
+        next_node = nodes[(entry.node_index + 1) % len(nodes)]
+        at = trio.current_time()
+        self._hang_up(entry, next_node)
+        self._terminate(node)
+        await trio.sleep(rng.uniform(0.0, clusters.GRACE_S / 2))
+        generation = self._cluster.accept_next_configuration()
+        self._record.changes.append(
+            records.Change(generation, trio.current_time())
+        )
+        if node.process.is_running:
+            self._hang_up(entry, node)
+        await self._wait_for_exit(
+            node, at + clusters.GRACE_S - trio.current_time()
+        )
+        await node.start_process()
 
     async def _inject_store_fault(self, entry, node):
         store_faults = self._cluster.store.faults
--- a/soak/play.py
+++ b/soak/play.py
@@ -21,6 +21,13 @@
 CLIENTS_PER_NODE = 2
 MEAN_THINK_TIME_S = 0.06
 DEADLINE_MS = 1500
+# With `records.Part.STOPS`: clients per node that send long calls, and the
+# seconds that these take. Near a stop, they end at the given seconds after
+# its SIGTERM, on both sides of the time from which a node may give them up.
+LONG_CLIENTS_PER_NODE = 2
+LONG_DEADLINE_MS = 9000
+LONG_WORK_S = (0.5, 3.0)
+LATE_ENDS_S = (4.4, 5.1)
 UPLOAD_BYTES = 200_000
 CHANGE_PERIOD_S = 2.5
 PROBE_PERIOD_S = 0.3
@@ -89,7 +96,7 @@
                 await cluster.start(nursery)
                 start_time = trio.current_time()
                 injector_findings = await _run_load_and_faults(
-                    cluster, schedule, record, seconds, rng
+                    cluster, schedule, record, seconds, rng, seed
                 )
                 nursery.cancel_scope.cancel()
         finally:
@@ -97,6 +104,8 @@
                 await cluster.close()
     for node in cluster.nodes:
         record.runs += node.target.ledger
+        record.run_ends |= node.target.ended_at
+        record.target_nodes[node.target.name] = node.name
         record.departures += node.target.departures
         record.cold_crashes += node.target.cold_crashes
         record.limits += [(node.name, p) for p in node.target.limit_periods]
@@ -133,6 +142,7 @@
         call
         for call in record.calls
         if call.sent_at > end - FINAL_WINDOW_S
+        and call.kind is not records.CallKind.LONG
         and call.request_id not in refused_ids
     ]
     served = sum(call.status == 200 for call in final_calls)
@@ -147,7 +157,7 @@
     ]
 
 
-async def _run_load_and_faults(cluster, schedule, record, seconds, rng):
+async def _run_load_and_faults(cluster, schedule, record, seconds, rng, seed):
     async with trio.open_nursery() as nursery:
         for node in cluster.nodes:
             nursery.start_soon(_send_probes, node, cluster, record)
@@ -162,6 +172,19 @@
                     client_rng,
                     cluster.key_ring,
                 )
+            if not cluster.has_long_calls:
+                continue
+            for number in range(LONG_CLIENTS_PER_NODE):
+                client_name = f'{node.name}l{number}'
+                nursery.start_soon(
+                    _send_calls,
+                    node,
+                    client_name,
+                    record,
+                    random.Random(f'{client_name} {seed}'),
+                    cluster.key_ring,
+                    _draw_long_call,
+                )
         if cluster.key_ring is not None:
             nursery.start_soon(_send_withdrawn_keys, cluster, record, nursery)
         nursery.start_soon(_change_configuration, cluster, record, seconds)
@@ -232,11 +255,11 @@
     await connection.close()
 
 
-def _headers(request_id, credential):
+def _headers(request_id, credential, deadline_ms=DEADLINE_MS):
     headers = {
         'host': clusters.HOST_NAME,
         'pumicestand-request-id': request_id,
-        'pumicestand-deadline-ms': str(DEADLINE_MS),
+        'pumicestand-deadline-ms': str(deadline_ms),
     }
     if credential is None:
         return headers
@@ -248,7 +271,28 @@
     }
 
 
-async def _send_calls(node, client_name, record, rng, key_ring):
+def _draw_call(rng, node):
+    """Return kind, method, path and deadline in ms of a call."""
+    kind, method, path, _ = rng.choices(
+        _CALL_MIX, [weight for *_, weight in _CALL_MIX]
+    )[0]
+    return kind, method, path + 'x', DEADLINE_MS
+
+
+def _draw_long_call(rng, node):
+    """Return the same of a long call, which ends late if the node stops."""
+    work_s = rng.uniform(*LONG_WORK_S)
+    end_s = rng.uniform(*LATE_ENDS_S)
+    to_stop_s = node.stop_at - trio.current_time()
+    if -clusters.ACCEPT_AFTER_STOP_S < to_stop_s < faults.PREPARATION_S:
+        work_s = to_stop_s + end_s
+    path = f'/l/x?work_s={work_s:.3f}'
+    return records.CallKind.LONG, 'POST', path, LONG_DEADLINE_MS
+
+
+async def _send_calls(
+    node, client_name, record, rng, key_ring, draw_call=_draw_call
+):
     """Send calls one after the other, on one connection if possible.
 
     Calls are spaced by random times with the mean `MEAN_THINK_TIME_S`.
@@ -259,9 +303,7 @@
         await trio.sleep(rng.expovariate(1 / MEAN_THINK_TIME_S))
         number += 1
         request_id = f'{client_name}x{number}'
-        kind, method, path, _ = rng.choices(
-            _CALL_MIX, [weight for *_, weight in _CALL_MIX]
-        )[0]
+        kind, method, path, deadline_ms = draw_call(rng, node)
         body = b'u' * UPLOAD_BYTES if kind is records.CallKind.UPLOAD else b''
         sent_at = trio.current_time()
         credential = key_ring and key_ring.choose()
@@ -270,14 +312,15 @@
                 credential.key, credential.organisation, sent_at
             )
         response = await connection.call(
-            method, path + 'x', _headers(request_id, credential), body
+            method, path, _headers(request_id, credential, deadline_ms), body
         )
         if not response.was_connected:
             await trio.sleep(MEAN_THINK_TIME_S)
             continue
+        is_of_target = 'pumicestand-server-stamp' in response.headers
         is_correct = (
             response.body == mesh_target.expected_body(request_id)
-            and 'pumicestand-server-stamp' in response.headers
+            and is_of_target
         )
         record.calls.append(
             records.Call(
@@ -288,5 +331,6 @@
                 trio.current_time(),
                 response.status,
                 is_correct,
+                is_of_target,
             )
         )
--- a/soak/records.py
+++ b/soak/records.py
@@ -14,6 +14,7 @@
     ONCE = 'once'
     UPLOAD = 'upload'
     PROBE = 'probe'
+    LONG = 'long'
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -24,6 +25,7 @@
     :param status: 0 if there was no complete response
     :param is_correct: whether a successful response had the body that belongs
         to the request and the stamp of the target
+    :param is_of_target: whether the response had the stamp of the target
     """
 
     request_id: str
@@ -33,6 +35,7 @@
     ended_at: float
     status: int
     is_correct: bool = True
+    is_of_target: bool = True
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -74,7 +77,8 @@
     With `TARGET_COLD` a target turns cold and bears only a few calls. During
     `ZONE_EVACUATED` nothing may be sent to the targets of a zone, and with
     `KEY_WITHDRAWN` a key becomes invalid while a third of the nodes can't
-    reach the store.
+    reach the store. `STOP_UNDER_CALLS` stops a node in order while long calls
+    run, and changes its settings and the configuration meanwhile.
     """
 
     KILL = 'kill'
@@ -104,12 +108,14 @@
     TARGET_COLD = 'target-cold'
     ZONE_EVACUATED = 'zone-evacuated'
     KEY_WITHDRAWN = 'key-withdrawn'
+    STOP_UNDER_CALLS = 'stop-under-calls'
 
 
-PROCESS_FAULTS = frozenset((Fault.KILL, Fault.PAUSE, Fault.STOP))
+STOPS = frozenset((Fault.STOP, Fault.STOP_UNDER_CALLS))
+PROCESS_FAULTS = frozenset((Fault.KILL, Fault.PAUSE)) | STOPS
 # Orders of the operators, which excuse nothing.
 ORDERS = frozenset((Fault.ZONE_EVACUATED, Fault.KEY_WITHDRAWN))
-PLANNED_FAULTS = frozenset((Fault.STOP, Fault.HANGUP)) | ORDERS
+PLANNED_FAULTS = frozenset((Fault.HANGUP,)) | STOPS | ORDERS
 STORE_FAULTS = frozenset(f for f in Fault if f.value.startswith('store-'))
 TARGET_FAULTS = frozenset(f for f in Fault if f.value.startswith('target-'))
 # Faults in which the store can't be reached by all nodes, or by one.
@@ -141,6 +147,7 @@
     COLD = 'cold'
     EVACUATION = 'evacuation'
     KEYS = 'keys'
+    STOPS = 'stops'
 
 
 # The fault of each part; those of one part are drawn apart from all others.
@@ -148,6 +155,7 @@
     Part.COLD: Fault.TARGET_COLD,
     Part.EVACUATION: Fault.ZONE_EVACUATED,
     Part.KEYS: Fault.KEY_WITHDRAWN,
+    Part.STOPS: Fault.STOP_UNDER_CALLS,
 }
 FIRST_FAULTS = tuple(
     f for f in Fault if f not in (*LATER_FAULTS, *PART_FAULTS.values())
@@ -170,6 +178,18 @@
     until: float
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class Stop:
+    """A stop in order.
+
+    :param node: name of the node
+    :param at: time before its SIGTERM
+    """
+
+    node: str
+    at: float
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class Evacuation:
     """A period during which nothing may be sent to a zone's targets.
@@ -222,6 +242,9 @@
     """Everything that one soak recorded.
 
     :param runs: the `mesh_target.Run`s of all targets
+    :param run_ends: time at which each run ended, finished or cut, by request
+        id and instance
+    :param target_nodes: name of the node of each target, by the target's name
     :param departures: the `mesh_target.Departure`s of all targets
     :param limits: (name of the node, `mesh_target.LimitPeriod`) of all targets
     :param cold_crashes: the `mesh_target.ColdCrash`es of all targets
@@ -232,7 +255,10 @@
     probes: list = dataclasses.field(default_factory=list)
     changes: list = dataclasses.field(default_factory=list)
     disruptions: list = dataclasses.field(default_factory=list)
+    stops: list = dataclasses.field(default_factory=list)
     runs: list = dataclasses.field(default_factory=list)
+    run_ends: dict = dataclasses.field(default_factory=dict)
+    target_nodes: dict = dataclasses.field(default_factory=dict)
     departures: list = dataclasses.field(default_factory=list)
     limits: list = dataclasses.field(default_factory=list)
     cold_crashes: list = dataclasses.field(default_factory=list)
--- a/tests/pumicestand_standins/test_mesh_target.py
+++ b/tests/pumicestand_standins/test_mesh_target.py
@@ -91,6 +91,34 @@
     run_with_target(test)
 
 
+def test_query_tells_the_time_that_a_run_takes():
+    async def test(target, node, connection):
+        with trio.move_on_after(0.2):
+            await connection.call(
+                'GET', '/?work_s=60', {'pumicestand-request-id': 'x'}
+            )
+        assert [run.work_s for run in target.ledger] == [60.0]
+        assert target.ended_at == {}
+        # The run is cut with its connection.
+        await connection.close()
+        while not target.ended_at:
+            await trio.sleep(0.01)
+        assert list(target.ended_at) == [('x', 't-1')]
+
+    run_with_target(test, nested_path_prefix='/i/')
+
+
+def test_run_with_a_time_of_its_own_makes_no_nested_call():
+    async def test(target, node, connection):
+        response = await connection.call(
+            'GET', '/?work_s=0.001', {'pumicestand-request-id': 'x'}
+        )
+        assert response.status == 200
+        assert [run.request_id for run in target.ledger] == ['x']
+
+    run_with_target(test, nested_path_prefix='/i/')
+
+
 def test_request_for_other_instance_is_not_run():
     async def test(target, node, connection):
         headers = {'pumicestand-expect-instance': 'other'}
--- a/tests/soak/test_checks.py
+++ b/tests/soak/test_checks.py
@@ -71,6 +71,103 @@
         assert broken_promises(record) == ['only unplanned faults cut calls']
 
 
+def make_stopped_record(
+    ended_at, run_end, stopped='n', status=504, kind=CallKind.LONG, **fields
+):
+    """Return the record of a call at `n`, whose node is stopped at 10 s.
+
+    Its target `t` is beside the node `m`.
+
+    :param ended_at: when the client got the node's own response
+    :param run_end: when the target ended the run
+    """
+    run = mesh_target.Run('a1', 't-1', 9.1, work_s=5.8)
+    call = make_call(
+        kind=kind,
+        status=status,
+        sent_at=9.0,
+        ended_at=ended_at,
+        **{'is_of_target': False, **fields},
+    )
+    return records.Record(
+        calls=[call],
+        runs=[run],
+        run_ends={('a1', 't-1'): run_end},
+        target_nodes={'t': 'm'},
+        stops=[records.Stop(stopped, 10.0)],
+    )
+
+
+STOP_PROMISE = 'a stopping node answers what it has taken'
+
+
+@pytest.mark.parametrize('stopped', ['n', 'm'])
+def test_call_given_up_before_the_last_sixth_of_the_grace_is_found(stopped):
+    record = make_stopped_record(14.85, 14.84, stopped)
+    assert broken_promises(record) == [STOP_PROMISE]
+    record = make_stopped_record(15.02, 15.01, stopped)
+    assert broken_promises(record) == []
+    # The target had answered in time.
+    record = make_stopped_record(15.02, 14.9, stopped)
+    assert broken_promises(record) == [STOP_PROMISE]
+    record = make_stopped_record(14.9, 14.9, stopped, is_of_target=True)
+    assert broken_promises(record) == []
+    record = make_stopped_record(14.85, 14.84, 'other')
+    assert broken_promises(record) == []
+
+
+def test_call_without_response_at_stopping_node_is_found():
+    promises = [STOP_PROMISE, 'only unplanned faults cut calls']
+    record = make_stopped_record(14.85, 14.84, status=0)
+    assert sorted(broken_promises(record)) == promises
+    record = make_stopped_record(15.02, 15.01, status=0)
+    assert broken_promises(record) == []
+    # The grace of an earlier stop excuses nothing.
+    record.stops = [records.Stop('n', -10.0)]
+    assert broken_promises(record) == ['only unplanned faults cut calls']
+
+
+def test_call_at_its_time_limit_is_no_finding_during_a_stop():
+    record = make_stopped_record(10.55, 10.54, kind=CallKind.ONCE)
+    assert broken_promises(record) == []
+    record = make_stopped_record(10.35, 10.34, kind=CallKind.ONCE)
+    assert broken_promises(record) == [STOP_PROMISE]
+
+
+def test_call_that_was_not_run_or_sent_late_is_no_finding_during_a_stop():
+    record = make_stopped_record(12.4, 12.3, status=503)
+    record.runs = []
+    assert broken_promises(record) == []
+    record = make_stopped_record(14.85, 14.84)
+    record.stops = [records.Stop('n', 5.5)]
+    assert broken_promises(record) == []
+
+
+@pytest.mark.parametrize(
+    ('fault', 'node', 'excuses'),
+    [
+        (Fault.KILL, 'n', True),
+        (Fault.PAUSE, 'm', True),
+        (Fault.TARGET_CRASH, 'm', True),
+        (Fault.TARGET_CRASH, 'n', False),
+        (Fault.KILL, 'other', False),
+        (Fault.TARGET_SLOW, 'm', False),
+        (Fault.HANGUP, 'n', False),
+        (Fault.STORE_DOWN, '', False),
+    ],
+)
+def test_unplanned_fault_excuses_call_during_a_stop(fault, node, excuses):
+    record = make_stopped_record(14.85, 14.84)
+    record.disruptions = [make_disruption(fault, node, 11.0, 12.0)]
+    assert broken_promises(record) == ([] if excuses else [STOP_PROMISE])
+
+
+def test_crash_of_cold_target_excuses_call_during_a_stop():
+    record = make_stopped_record(14.85, 14.84)
+    record.cold_crashes = [mesh_target.ColdCrash('t-1', 14.8, 18, False)]
+    assert STOP_PROMISE not in broken_promises(record)
+
+
 def test_cut_of_unread_request_is_no_finding():
     unread = make_call(status=0, sent_at=10.0, ended_at=10.01)
     assert broken_promises(records.Record(calls=[unread])) == []
--- a/tests/soak/test_play.py
+++ b/tests/soak/test_play.py
@@ -22,3 +22,5 @@
     verdict, record, _ = trio.run(play.run_soak, 1, 3, 8.0, False, None, parts)
     assert verdict.findings == ()
     assert any(run.organisation for run in record.runs)
+    kinds = {call.kind for call in record.calls}
+    assert records.CallKind.LONG in kinds
