Find cut calls on new connections, excuse late ones at stopping nodes

The logs show two kinds of calls without a response that the check took for unread, because they were cut within 0.2 s:

- Uploads on a new connection to a process that has just started.
This is a fault of the node.
- Calls sent to a stopping node just before it closes its connections.
The sampled run queues show processes that were ready to run but did not for up to 1.86 s, and the soak itself for 0.45 s, so 0.2 s says nothing there.

Change: a call without a response on a new connection is a finding however soon it was cut, unless the node was stopping. A call that did not run, sent to a stopping node over 3 s after its SIGTERM, is none however late it was cut; the node promises to read what is sent before. All else is as before.

The node is not changed here.

--- a/soak/checks.py
+++ b/soak/checks.py
@@ -118,8 +118,7 @@
 def check_interruptions(record):
     """Yield findings for calls that were cut without an unplanned fault.
 
-    A node may close an idle connection while a request is on its way to it;
-    it does not read such a request, which is then no finding.
+    A request that the node has not read is no finding, see `_may_be_unread`.
     """
     last_runs = {run.request_id: run for run in record.runs}
     ignored_faults = (
@@ -128,8 +127,7 @@
     for call in record.calls:
         if call.status:
             continue
-        may_have_been_read = call.ended_at - call.sent_at > UNREAD_LIMIT_S
-        if call.request_id not in last_runs and not may_have_been_read:
+        if call.request_id not in last_runs and _may_be_unread(record, call):
             continue
         run = last_runs.get(call.request_id)
         if run is not None and any(
@@ -151,6 +149,20 @@
             )
 
 
+def _may_be_unread(record, call):
+    """Return whether the node may have closed the connection of a call unread.
+
+    A node may close an idle connection while a request is on its way to it,
+    and any connection while it stops; what is sent to it later than `TAKEN_S`
+    after its SIGTERM it need not read, however long it takes to close.
+    """
+    is_short = call.ended_at - call.sent_at <= UNREAD_LIMIT_S
+    for stop in record.stops:
+        if stop.node == call.node and stop.at <= call.sent_at <= stop.ended_at:
+            return is_short or call.sent_at > stop.at + TAKEN_S
+    return is_short and not call.used_new_connection
+
+
 def check_stops(record):
     """Yield findings for calls without the answer of their target.
 
--- a/soak/faults.py
+++ b/soak/faults.py
@@ -207,9 +207,9 @@
                 await trio.sleep(entry.duration_s)
                 node.process.send_signal(signal.SIGCONT)
             case Fault.STOP:
-                self._terminate(node)
+                at = self._terminate(node)
                 await self._wait_for_exit(
-                    node, clusters.GRACE_S + clusters.EXIT_MARGIN_S
+                    node, at, clusters.GRACE_S + clusters.EXIT_MARGIN_S
                 )
                 await node.start_process()
             case Fault.STOP_UNDER_CALLS:
@@ -222,11 +222,24 @@
         node.process.send_signal(signal.SIGHUP)
 
     def _terminate(self, node):
-        self._record.stops.append(records.Stop(node.name, trio.current_time()))
+        """Send SIGTERM to a node; return the time."""
+        at = trio.current_time()
         node.process.terminate()
+        return at
+
+    async def _wait_for_exit(self, node, at, limit_s):
+        """Wait for a node to stop and record it.
 
-    async def _wait_for_exit(self, node, limit_s):
-        if not await node.wait_for_exit(limit_s):
+        :param at: time of its SIGTERM, in seconds of trio's clock
+        :param limit_s: seconds from then until it is killed
+        """
+        has_ended = await node.wait_for_exit(
+            at + limit_s - trio.current_time()
+        )
+        self._record.stops.append(
+            records.Stop(node.name, at, trio.current_time())
+        )
+        if not has_ended:
             self.findings.append(
                 records.Finding(
                     'nodes stop within the grace period',
@@ -243,9 +256,8 @@
         rng = random.Random(f'{entry.offset_s}')
         nodes = self._cluster.nodes
         next_node = nodes[(entry.node_index + 1) % len(nodes)]
-        at = trio.current_time()
         self._hang_up(entry, next_node)
-        self._terminate(node)
+        at = self._terminate(node)
         await trio.sleep(rng.uniform(0.0, clusters.GRACE_S / 2))
         generation = self._cluster.accept_next_configuration()
         self._record.changes.append(
@@ -253,9 +265,7 @@
         )
         if node.process.is_running:
             self._hang_up(entry, node)
-        await self._wait_for_exit(
-            node, at + clusters.GRACE_S - trio.current_time()
-        )
+        await self._wait_for_exit(node, at, clusters.GRACE_S)
         await node.start_process()
 
     async def _inject_store_fault(self, entry, node):
--- a/soak/play.py
+++ b/soak/play.py
@@ -332,5 +332,6 @@
                 response.status,
                 is_correct,
                 is_of_target,
+                response.used_new_connection,
             )
         )
--- a/soak/records.py
+++ b/soak/records.py
@@ -26,6 +26,7 @@
     :param is_correct: whether a successful response had the body that belongs
         to the request and the stamp of the target
     :param is_of_target: whether the response had the stamp of the target
+    :param used_new_connection: whether it was the first call on its connection
     """
 
     request_id: str
@@ -36,6 +37,7 @@
     status: int
     is_correct: bool = True
     is_of_target: bool = True
+    used_new_connection: bool = False
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -184,10 +186,12 @@
 
     :param node: name of the node
     :param at: time before its SIGTERM
+    :param ended_at: time after its end
     """
 
     node: str
     at: float
+    ended_at: float
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
