Leave judging of stops to runs that time can't spoil

Cause in the soak: the part `stops` kills a node after 6 s and took a process that was still there for one that does not stop; other stops allow it 2 s more. node-5 had ended its calls and logged "stopped" after 5.06 s. In the 0.9 s until it was killed the sampled run queue shows it ready to run and waiting for nearly all of the time.

Change: a stop of the part still kills after 6 s and no longer judges the exit; the other stops do, with their margin as before. The check of answers during stops depends on time as well, so it is off in the short soak of `make test`, as the other checks with a time limit.

--- a/soak/checks.py
+++ b/soak/checks.py
@@ -63,13 +63,13 @@
         *check_not_run(record),
         *check_responses(record),
         *check_interruptions(record),
-        *check_stops(record),
         *check_regressions(record),
         *check_withdrawals(record),
         *check_organisations(record),
     ]
     if checks_timing:
         findings += [
+            *check_stops(record),
             *check_departures(record),
             *check_apply_times(record),
             *check_limits(record),
--- a/soak/faults.py
+++ b/soak/faults.py
@@ -207,10 +207,16 @@
                 await trio.sleep(entry.duration_s)
                 node.process.send_signal(signal.SIGCONT)
             case Fault.STOP:
+                limit_s = clusters.GRACE_S + clusters.EXIT_MARGIN_S
                 at = self._terminate(node)
-                await self._wait_for_exit(
-                    node, at, clusters.GRACE_S + clusters.EXIT_MARGIN_S
-                )
+                if not await self._wait_for_exit(node, at, limit_s):
+                    self.findings.append(
+                        records.Finding(
+                            'nodes stop within the grace period',
+                            f'{node.name} was still running after '
+                            f'{limit_s:g} s',
+                        )
+                    )
                 await node.start_process()
             case Fault.STOP_UNDER_CALLS:
                 await self._stop_under_calls(entry, node)
@@ -228,7 +234,7 @@
         return at
 
     async def _wait_for_exit(self, node, at, limit_s):
-        """Wait for a node to stop and record it.
+        """Wait for a node to stop; return whether it did by itself.
 
         :param at: time of its SIGTERM, in seconds of trio's clock
         :param limit_s: seconds from then until it is killed
@@ -239,17 +245,13 @@
         self._record.stops.append(
             records.Stop(node.name, at, trio.current_time())
         )
-        if not has_ended:
-            self.findings.append(
-                records.Finding(
-                    'nodes stop within the grace period',
-                    f'{node.name} was still running after {limit_s:g} s',
-                )
-            )
+        return has_ended
 
     async def _stop_under_calls(self, entry, node):
-        """Stop a node, as the platform kills it at the end of the grace.
+        """Stop a node, and kill it at the end of the grace like the platform.
 
+        A process that a busy machine keeps from running is killed too, so
+        only the other stops tell whether nodes stop in time.
         Meanwhile the configuration changes, and the node and the next one
         read their settings again.
         """
--- a/tests/soak/test_checks.py
+++ b/tests/soak/test_checks.py
@@ -105,6 +105,7 @@
 def test_call_given_up_before_the_last_sixth_of_the_grace_is_found(stopped):
     record = make_stopped_record(14.85, 14.84, stopped)
     assert broken_promises(record) == [STOP_PROMISE]
+    assert broken_promises(record, checks_timing=False) == []
     record = make_stopped_record(15.02, 15.01, stopped)
     assert broken_promises(record) == []
     # The target had answered in time.
