--- a/soak/play.py
+++ b/soak/play.py
@@ -21,6 +21,13 @@
 CLIENTS_PER_NODE = 2
 MEAN_THINK_TIME_S = 0.06
 DEADLINE_MS = 1500
+# With `records.Part.STOPS`: clients per node that send long calls, and the
+# seconds that these take. Near a stop, they end at the given seconds after
+# its SIGTERM, on both sides of the time from which a node may give them up.
+LONG_CLIENTS_PER_NODE = 2
+LONG_DEADLINE_MS = 9000
+LONG_WORK_S = (0.5, 3.0)
+LATE_ENDS_S = (4.4, 5.1)
 UPLOAD_BYTES = 200_000
 CHANGE_PERIOD_S = 2.5
 PROBE_PERIOD_S = 0.3
@@ -67,7 +74,8 @@
     The start time is in seconds of trio's clock.
 
     :param seed: determines faults and calls
-    :param seconds: duration without the start of the nodes
+    :param seconds: duration without the start of the nodes; the soak lasts
+        longer if the last fault is over too late
     :param checks_timing: see `checks.check`
     :param logs: folder in which the nodes' logs are kept, None to delete them
     :param parts: the `records.Part`s to play
@@ -89,20 +97,23 @@
                 await cluster.start(nursery)
                 start_time = trio.current_time()
                 injector_findings = await _run_load_and_faults(
-                    cluster, schedule, record, seconds, rng
+                    cluster, schedule, record, seconds, rng, seed
                 )
+                end = trio.current_time()
                 nursery.cancel_scope.cancel()
         finally:
             with trio.CancelScope(shield=True):
                 await cluster.close()
     for node in cluster.nodes:
         record.runs += node.target.ledger
+        record.run_ends |= node.target.ended_at
+        record.target_nodes[node.target.name] = node.name
         record.departures += node.target.departures
         record.cold_crashes += node.target.cold_crashes
         record.limits += [(node.name, p) for p in node.target.limit_periods]
     findings = [*injector_findings, *checks.check(record, checks_timing)]
     if checks_timing:
-        findings += check_recovery(record, start_time + seconds)
+        findings += check_recovery(record, end)
     status_counts = collections.Counter(call.status for call in record.calls)
     fault_counts = collections.Counter(
         d.fault.value for d in record.disruptions
@@ -133,6 +144,7 @@
         call
         for call in record.calls
         if call.sent_at > end - FINAL_WINDOW_S
+        and call.kind is not records.CallKind.LONG
         and call.request_id not in refused_ids
     ]
     served = sum(call.status == 200 for call in final_calls)
@@ -147,7 +159,7 @@
     ]
 
 
-async def _run_load_and_faults(cluster, schedule, record, seconds, rng):
+async def _run_load_and_faults(cluster, schedule, record, seconds, rng, seed):
     async with trio.open_nursery() as nursery:
         for node in cluster.nodes:
             nursery.start_soon(_send_probes, node, cluster, record)
@@ -162,13 +174,28 @@
                     client_rng,
                     cluster.key_ring,
                 )
+            if not cluster.has_long_calls:
+                continue
+            for number in range(LONG_CLIENTS_PER_NODE):
+                client_name = f'{node.name}l{number}'
+                nursery.start_soon(
+                    _send_calls,
+                    node,
+                    client_name,
+                    record,
+                    random.Random(f'{client_name} {seed}'),
+                    cluster.key_ring,
+                    _draw_long_call,
+                )
         if cluster.key_ring is not None:
             nursery.start_soon(_send_withdrawn_keys, cluster, record, nursery)
         nursery.start_soon(_change_configuration, cluster, record, seconds)
         injector = faults.FaultInjector(cluster, record, nursery)
         end = trio.current_time() + seconds
         await injector.run(schedule)
-        await trio.sleep_until(end)
+        # A node that was stopped last may start after the last fault was due.
+        calm_end = trio.current_time() + faults.FAULT_FREE_S
+        await trio.sleep_until(max(end, calm_end))
         nursery.cancel_scope.cancel()
     return injector.findings
 
@@ -232,11 +259,11 @@
     await connection.close()
 
 
-def _headers(request_id, credential):
+def _headers(request_id, credential, deadline_ms=DEADLINE_MS):
     headers = {
         'host': clusters.HOST_NAME,
         'pumicestand-request-id': request_id,
-        'pumicestand-deadline-ms': str(DEADLINE_MS),
+        'pumicestand-deadline-ms': str(deadline_ms),
     }
     if credential is None:
         return headers
@@ -248,7 +275,28 @@
     }
 
 
-async def _send_calls(node, client_name, record, rng, key_ring):
+def _draw_call(rng, node):
+    """Return kind, method, path and deadline in ms of a call."""
+    kind, method, path, _ = rng.choices(
+        _CALL_MIX, [weight for *_, weight in _CALL_MIX]
+    )[0]
+    return kind, method, path + 'x', DEADLINE_MS
+
+
+def _draw_long_call(rng, node):
+    """Return the same of a long call, which ends late if the node stops."""
+    work_s = rng.uniform(*LONG_WORK_S)
+    end_s = rng.uniform(*LATE_ENDS_S)
+    to_stop_s = node.stop_at - trio.current_time()
+    if -clusters.ACCEPT_AFTER_STOP_S < to_stop_s < faults.PREPARATION_S:
+        work_s = to_stop_s + end_s
+    path = f'/l/x?work_s={work_s:.3f}'
+    return records.CallKind.LONG, 'POST', path, LONG_DEADLINE_MS
+
+
+async def _send_calls(
+    node, client_name, record, rng, key_ring, draw_call=_draw_call
+):
     """Send calls one after the other, on one connection if possible.
 
     Calls are spaced by random times with the mean `MEAN_THINK_TIME_S`.
@@ -259,9 +307,7 @@
         await trio.sleep(rng.expovariate(1 / MEAN_THINK_TIME_S))
         number += 1
         request_id = f'{client_name}x{number}'
-        kind, method, path, _ = rng.choices(
-            _CALL_MIX, [weight for *_, weight in _CALL_MIX]
-        )[0]
+        kind, method, path, deadline_ms = draw_call(rng, node)
         body = b'u' * UPLOAD_BYTES if kind is records.CallKind.UPLOAD else b''
         sent_at = trio.current_time()
         credential = key_ring and key_ring.choose()
@@ -270,14 +316,15 @@
                 credential.key, credential.organisation, sent_at
             )
         response = await connection.call(
-            method, path + 'x', _headers(request_id, credential), body
+            method, path, _headers(request_id, credential, deadline_ms), body
         )
         if not response.was_connected:
             await trio.sleep(MEAN_THINK_TIME_S)
             continue
+        is_of_target = 'pumicestand-server-stamp' in response.headers
         is_correct = (
             response.body == mesh_target.expected_body(request_id)
-            and 'pumicestand-server-stamp' in response.headers
+            and is_of_target
         )
         record.calls.append(
             records.Call(
@@ -288,5 +335,7 @@
                 trio.current_time(),
                 response.status,
                 is_correct,
+                is_of_target,
+                response.used_new_connection,
             )
         )
