Wait for what other nodes still send and get before a node stops

What callers saw: a stopping node closed its links as soon as no call ran at its target. A body that was still arriving was cut, so that the node that sent it answered 502 for an upload that no target had had; a large result that was still being written was lost likewise. Cause: the calls in flight were counted by the target's queue alone. Change: the stop also waits, within its schedule, for calls whose bodies arrive and for frames that are not written. A grace period of a second leaves time for the exit, too.

--- a/packages/pumicestand-node/pumicestand_node/frame_streams.py
+++ b/packages/pumicestand-node/pumicestand_node/frame_streams.py
@@ -51,6 +51,13 @@
         self.is_closed = False
         self.is_cross_zone = False
 
+    @property
+    def has_unsent(self):
+        """Whether frames wait to be written."""
+        return not self.is_closed and (
+            self._is_writing or self._backlog_bytes > 0
+        )
+
     def send(self, message):
         """Send a message or queue it.
 
--- a/packages/pumicestand-node/pumicestand_node/link_server.py
+++ b/packages/pumicestand-node/pumicestand_node/link_server.py
@@ -47,6 +47,11 @@
         self.is_cross_zone = False
         self.last_call_at = float('-inf')
 
+    @property
+    def has_unfinished(self):
+        """Whether calls still arrive or results are still sent."""
+        return bool(self._received_at) or self.frames.has_unsent
+
     async def run(self):
         """Serve the link until it ends, then cancel its calls."""
         async with trio.open_nursery() as nursery:
--- a/packages/pumicestand-node/pumicestand_node/mesh_links.py
+++ b/packages/pumicestand-node/pumicestand_node/mesh_links.py
@@ -84,6 +84,11 @@
             if (peer := fleet.get(name)) is not None
         )
 
+    @property
+    def has_unfinished(self):
+        """Whether other nodes still send calls or get results."""
+        return any(server.has_unfinished for server in self._link_servers)
+
     async def start(self, nursery):
         """Start to send reports in a nursery, which also runs the links."""
         self._nursery = nursery
--- a/packages/pumicestand-node/pumicestand_node/mesh_node.py
+++ b/packages/pumicestand-node/pumicestand_node/mesh_node.py
@@ -253,9 +253,7 @@
         self._target_calls.refuse_all()
         self._links.schedule_report()
         await trio.sleep(LINK_FLUSH_S)
-        while self._clock() < schedule.close_at and (
-            self._target_calls.in_flight or self._outbound_calls.in_flight
-        ):
+        while self._clock() < schedule.close_at and self._has_work():
             await trio.sleep(0.02)
         self._outbound_scope.cancel()
         self._client_port.close_when_idle()
@@ -270,6 +268,14 @@
         await self._target_calls.close()
         self._nursery.cancel_scope.cancel()
 
+    def _has_work(self):
+        """Return whether calls or what belongs to them are under way."""
+        return (
+            self._target_calls.in_flight > 0
+            or self._outbound_calls.in_flight > 0
+            or self._links.has_unfinished
+        )
+
     def _schedule_report(self):
         self._links.schedule_report()
 
--- a/packages/pumicestand/pumicestand/shutdown.py
+++ b/packages/pumicestand/pumicestand/shutdown.py
@@ -8,8 +8,10 @@
 import dataclasses
 
 # Time for which a stopping node still accepts calls: the platform redirects
-# clients only after two failed readiness checks, one second apart.
+# clients only after two failed readiness checks, one second apart. A short
+# grace period leaves no time for that.
 ACCEPT_AFTER_STOP_S = 2.3
+MAX_ACCEPT_SHARE = 0.4
 # Share of the grace period, and most seconds, that are left when the calls
 # end: for their last responses and the exit of the process, which may get
 # SIGTERM late.
@@ -48,7 +50,7 @@
     calls_end_at = now + grace - exit_time
     targets_end_at = calls_end_at - TARGETS_END_SHARE * exit_time
     return Schedule(
-        accept_until=min(now + ACCEPT_AFTER_STOP_S, targets_end_at),
+        accept_until=now + min(ACCEPT_AFTER_STOP_S, MAX_ACCEPT_SHARE * grace),
         targets_end_at=targets_end_at,
         calls_end_at=calls_end_at,
         close_at=calls_end_at + LAST_RESPONSES_SHARE * exit_time,
--- /dev/null
+++ b/tests/pumicestand_node/test_node_stop.py
@@ -0,0 +1,364 @@
+"""Tests of calls that a stop of a node meets at an awkward moment."""
+
+import dataclasses
+
+import pytest
+import trio
+import trio.testing
+
+from pumicestand import body_transfers
+from pumicestand import fleet as fleets
+from pumicestand import hop_messages
+from pumicestand import link_meter
+from pumicestand import shutdown
+from pumicestand_node import body_receiver
+from pumicestand_node import frame_streams
+from pumicestand_node import link_server
+from pumicestand_node import links
+from pumicestand_node import mesh_node
+from tests import mock_clock
+from tests.pumicestand import mesh_fakes
+from tests.pumicestand_node import test_mesh_calls
+from tests.pumicestand_node import test_mesh_node
+
+Outcome = hop_messages.Outcome
+make_node = test_mesh_node.make_node
+
+
+class SlowWriteStream(trio.abc.HalfCloseableStream):
+    """A stream whose writes take a while, as to a client that reads late."""
+
+    def __init__(self, stream, write_s):
+        self._stream = stream
+        self._write_s = write_s
+
+    async def send_all(self, data):
+        await trio.sleep(self._write_s)
+        await self._stream.send_all(data)
+
+    async def wait_send_all_might_not_block(self):
+        await self._stream.wait_send_all_might_not_block()
+
+    async def send_eof(self):
+        await self._stream.send_eof()
+
+    async def receive_some(self, max_bytes=None):
+        return await self._stream.receive_some(max_bytes)
+
+    async def aclose(self):
+        await self._stream.aclose()
+
+
+def test_a_call_that_is_queued_when_the_stop_ends_is_refused_as_not_run(
+    monkeypatch,
+):
+    """No target has it, so its client may send it again."""
+
+    async def main():
+        async with trio.open_nursery() as nursery:
+            harness = test_mesh_calls.CallHarness(
+                nursery, test_mesh_calls.TargetScript([])
+            )
+            link_harness = TwoNodes(nursery, monkeypatch, harness.targets)
+            await trio.sleep(0.01)
+            harness.mesh.send_call = lambda peer, call: (
+                link_harness.link.send_call(call)
+            )
+            harness.targets._queue.set_slots(1)
+            harness.script.hangs_on_request_id = b'first'
+            nursery.start_soon(harness.send_request, '/o/0', 'POST', 'first')
+            await trio.sleep(0.01)
+            now = trio.current_time()
+            harness.outbound.finish_by(
+                shutdown.Schedule(now, now + 0.15, now + 0.2, now + 0.25)
+            )
+            status, _ = await harness.send_request('/o/1', 'POST', 'second')
+            assert harness.script.run_request_ids == [b'first']
+            assert status == 503
+            nursery.cancel_scope.cancel()
+
+    mock_clock.run(main)
+
+
+class TwoNodes:
+    """A link from one node to another, which has the given target."""
+
+    def __init__(self, nursery, monkeypatch, targets, rate=0.0):
+        self.nursery = nursery
+        self.targets = targets
+        clock = trio.current_time
+        self.bodies = body_receiver.BodyReceiver(
+            body_transfers.BodyTransfers(rate), clock
+        )
+        self._rate = rate
+        self._fleet = fleets.Fleet('own')
+        self.peer = self._fleet.get_or_add('peer', '10.0.0.1', 7000, 0.0)
+        self.link = links.Link(
+            self.peer,
+            lambda: hop_messages.Hello(mesh_fakes.make_report('own')),
+            lambda peer, message: self._fleet.apply_report(message, clock()),
+            clock,
+            mesh_node.random.Random(1),
+            link_meter.LinkMeter(0.0),
+        )
+        monkeypatch.setattr(links.tcp_streams, 'open_stream', self._connect)
+        monkeypatch.setattr(links, 'set_tcp_user_timeout', lambda stream: None)
+        nursery.start_soon(self.link.run)
+
+    async def _connect(self, host, port):
+        own, other = trio.testing.memory_stream_pair()
+        self.nursery.start_soon(self._serve, other)
+        return own
+
+    async def _serve(self, stream):
+        clock = trio.current_time
+        await link_server.LinkServer(
+            frame_streams.FrameStream(
+                stream, 'test', link_meter.LinkMeter(0.0), clock
+            ),
+            self.targets,
+            self.bodies,
+            mesh_fakes.make_mesh('peer'),
+            lambda server, message: server.frames.send(
+                mesh_fakes.make_report('peer', link_rate=self._rate)
+            ),
+            clock,
+        ).run()
+
+
+def test_no_call_is_placed_again_that_the_stop_breaks_off_at_once(
+    monkeypatch, make_node
+):
+    """Refusing it as not run lets its client send it again."""
+
+    async def test(stopping):
+        run_ids = []
+        remaining_ms = []
+
+        async def run_call(peer, call):
+            run_ids.append(peer.name)
+            remaining_ms.append(call.remaining_ms)
+            if len(run_ids) == 1:
+                await trio.sleep_until(1.0 + 5.06)
+                return hop_messages.Result(
+                    call.id, Outcome.NOT_HANDED_ON, 'other-version'
+                )
+            return await trio.sleep_forever()
+
+        mesh = stopping._mesh
+        mesh.send_call = run_call
+        peer = mesh.fleet.get_or_add('other2', '10.0.0.3', 7000, 0.0)
+        report = dataclasses.replace(
+            mesh.new_report(hop_messages.Load(slots=9), (), 0.0),
+            name='other2',
+            target=mesh_fakes.make_target('t2'),
+        )
+        mesh.fleet.apply_report(report, 0.0)
+        peer.is_linked = True
+        status, _ = await stopping.send_request(2.2, 'i1', 20.0)
+        assert len(run_ids) == 1, remaining_ms
+        assert status == 503
+
+    test_mesh_node.run_stopping_node(monkeypatch, make_node, 6.0, test)
+
+
+class InboundLink:
+    """The other node's end of a link to a node that is then stopped.
+
+    :param nursery: runs both ends of the link
+    :param node: the `mesh_node.MeshNode`
+    :param write_s: time that the node takes for each write to the link
+    """
+
+    def __init__(self, nursery, node, write_s=0.0):
+        own, other = trio.testing.memory_stream_pair()
+        self.received = []
+        self.frames = frame_streams.FrameStream(
+            own, 'test', link_meter.LinkMeter(0.0), trio.current_time
+        )
+        # The link ends with the node.
+        node._nursery.start_soon(
+            node._links.serve, SlowWriteStream(other, write_s)
+        )
+        nursery.start_soon(self.frames.run, self.received.append)
+        self.frames.send(hop_messages.Hello(mesh_fakes.make_report('sender')))
+
+    def outcomes(self):
+        return [
+            message.outcome
+            for message in self.received
+            if isinstance(message, hop_messages.Result)
+        ]
+
+
+def run_inbound(monkeypatch, make_node, test, write_s=0.0):
+    """Run a test with a node and an `InboundLink` on the mock clock."""
+
+    async def run_node(node, task_status=trio.TASK_STATUS_IGNORED):
+        async with trio.open_nursery() as nursery:
+            node._nursery = nursery
+            nursery.start_soon(trio.sleep_forever)
+            task_status.started()
+
+    async def main():
+        async with trio.open_nursery() as nursery:
+            node = make_node(is_strict=False)
+            await nursery.start(run_node, node)
+            link = InboundLink(nursery, node, write_s)
+            await trio.sleep(0.1)
+            nursery.start_soon(node.close)
+            await test(node, link)
+            nursery.cancel_scope.cancel()
+
+    monkeypatch.setattr(mesh_node, 'boot_clock', trio.current_time)
+    monkeypatch.setattr(links, 'set_tcp_user_timeout', lambda stream: None)
+    mock_clock.run(main)
+
+
+LARGE_CALL = hop_messages.Call(
+    id=1,
+    service='s',
+    version='',
+    instance='',
+    method='POST',
+    url=b'/',
+    headers=b'',
+    remaining_ms=4000,
+    objective_remaining_ms=4000,
+    priority=1,
+    route='r',
+    request_id='i1',
+    is_idempotent=False,
+    body=b'x' * 200_000,
+)
+
+
+def test_a_stopping_node_answers_calls_whose_bodies_still_arrive(
+    monkeypatch, make_node
+):
+    """Else their senders take them to have run, though no target had them."""
+
+    async def test(node, link):
+        await trio.sleep(1.0)
+        size = frame_streams.MAX_PART_BYTES
+        body = LARGE_CALL.body
+        link.frames.send(
+            dataclasses.replace(
+                LARGE_CALL,
+                body=body[:size],
+                remaining_bytes=len(body) - size,
+            )
+        )
+        # The rest has arrived 2.9 s after the stop, 3.1 s before its end.
+        await trio.sleep(1.9)
+        frame_streams.send_parts(link.frames, 1, body[size:])
+        await trio.sleep(0.05)
+        assert link.outcomes() == [Outcome.NOT_HANDED_ON]
+
+    run_inbound(monkeypatch, make_node, test)
+
+
+def test_a_stopping_node_sends_large_results_before_it_closes_its_links(
+    monkeypatch, make_node
+):
+    """A target has run the call; its response must not be lost."""
+
+    async def test(node, link):
+        async def run(call):
+            await trio.sleep(2.35)
+            return hop_messages.Result(
+                call.id,
+                Outcome.ANSWERED,
+                status=200,
+                body=b'x' * 1_000_000,
+                load=hop_messages.Load(slots=9),
+            )
+
+        monkeypatch.setattr(node._target_calls, 'run', run)
+        link.frames.send(dataclasses.replace(LARGE_CALL, body=b''))
+        await trio.sleep(5.0)
+        parts = [
+            message
+            for message in link.received
+            if isinstance(message, hop_messages.Part)
+        ]
+        assert link.outcomes() == [Outcome.ANSWERED]
+        assert [part.is_last for part in parts][-1:] == [True]
+
+    # The link carries 32 KiB in 0.03 s, so that the result takes one second.
+    run_inbound(monkeypatch, make_node, test, write_s=0.03)
+
+
+def test_a_call_that_waits_at_a_node_that_closes_is_refused_at_once():
+    """It would be refused once a slot is free, too late for other nodes."""
+
+    async def test(harness):
+        harness.targets._queue.set_slots(1)
+        harness.script.hangs_on_request_id = b'first'
+        harness.nursery.start_soon(
+            harness.send_request, '/o/0', 'POST', 'first'
+        )
+        await trio.sleep(0.01)
+        results = []
+
+        async def run_second():
+            call = dataclasses.replace(
+                LARGE_CALL, body=b'', remaining_ms=700, request_id='second'
+            )
+            results.append(await harness.targets.run(call))
+
+        harness.nursery.start_soon(run_second)
+        await trio.sleep(0.01)
+        assert harness.targets.in_flight == 2
+        harness.targets.refuse_all()
+        await trio.sleep(0.05)
+        assert [result.code for result in results] == ['stopping']
+
+    test_mesh_calls.run_with_target(test)
+
+
+@pytest.mark.parametrize('grace', (1.0, 2.0, 3.0, 6.0, 10.0))
+def test_a_stop_with_calls_that_do_not_end_leaves_time_for_the_exit(
+    monkeypatch, make_node, grace
+):
+    """The process is killed at the end of the grace period."""
+
+    async def test(stopping):
+        stopping.answered_at['i1'] = 100.0
+        await stopping.send_request(0.1, 'i1', 20.0)
+
+    ended_at = []
+    close = mesh_node.MeshNode.close
+
+    async def timed_close(self):
+        started_at = trio.current_time()
+        await close(self)
+        ended_at.append(trio.current_time() - started_at)
+
+    monkeypatch.setattr(mesh_node.MeshNode, 'close', timed_close)
+    test_mesh_node.run_stopping_node(monkeypatch, make_node, grace, test)
+    assert ended_at[0] < grace, ended_at
+
+
+def test_a_nested_call_that_ends_soon_runs_although_its_parent_may_not(
+    monkeypatch, make_node
+):
+    """Refusing it fails its parent, which would have ended in time."""
+
+    async def test(stopping):
+        parent = dataclasses.replace(LARGE_CALL, request_id='parent')
+        monkeypatch.setitem(
+            stopping._node._target_calls._running_calls, 'parent', parent
+        )
+        # Keeps the node from closing before the nested call arrives.
+        stopping.answered_at.update({'other': 100.0, 'parent.1': 3.6})
+
+        async def send_other():
+            await stopping.send_request(2.0, 'other', 20.0)
+
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(send_other)
+            status, _ = await stopping.send_request(2.5, 'parent.1', 8.0)
+            assert status == 200
+
+    test_mesh_node.run_stopping_node(monkeypatch, make_node, 10.0, test)
