Suspect a silent link by its measured round trip

What callers saw: with calls on a silent link resumed on another connection, they still waited 0.5 s for the ping, 0.2 s for its answer, and up to 0.4 s for each of the two checks, as a node that was idle looks at its links each 0.4 s. A latency objective is missed by then.

Cause: fixed times, chosen for closing a link, where a mistake costs all its calls. A mistaken suspicion costs one connection.

Ruled out: a ping with each call on an idle link (a frame for nearly each call that takes 50 ms, and frames cost narrow nodes more than they gain); the whole backlog of a narrow link as the bound (1.6 s at 5 Mbit/s, also when it is idle).

Change: a link with pending calls is pinged after 0.15 s, rarer while pings bring nothing but their answers. An answer is overdue after the mean round trip and four deviations, within 0.1 to 0.5 s, and after the part of the backlog that the use of both links makes likely. It must be found overdue twice, so a node that was held up reads first. MeshLinks checks links with pending calls each 0.05 s and sleeps without any. While a link is suspected, other nodes are preferred. A link is given up no sooner than before: 1.3 s of silence and 0.8 s after a ping.

Evidence: on the mock clock a call that a silent link swallowed is reported as not started within 0.6 s with the checks of an idle node; the test fails without the prompt checks. Each of the parts taken out makes a test fail: recheck, round trips, numbers of pings, delay of busy links, rarer pings, the least silence, the preference for other nodes. Tests of pumicestand and pumicestand_node pass.

Not done: to send a safe call elsewhere while its link is suspected. The quota of retries is asked after a result, so a call that gets none would have to go back to waiting.

--- a/packages/pumicestand-node/pumicestand_node/links.py
+++ b/packages/pumicestand-node/pumicestand_node/links.py
@@ -31,6 +31,9 @@
 # Share of the delay before a connection is opened anew while calls wait for
 # it.
 RESUME_DELAY_RATIO = 0.1
+# Time for which other nodes are preferred to one whose link is suspected,
+# unless it has answered before.
+AVOID_SUSPECTED_S = 0.5
 # Time for which sent data may stay unacknowledged before the kernel closes
 # the connection.
 TCP_USER_TIMEOUT_MS = 2_000
@@ -52,14 +55,14 @@
 
     :param number: number in the `hop_messages.Hello` sent on it
     :param frames: `frame_streams.FrameStream`
-    :param now: monotonic seconds
+    :param watch: `link_resumption.LinkWatch`
     """
 
-    def __init__(self, number, frames, now):
+    def __init__(self, number, frames, watch):
         self.number = number
         self.frames = frames
         self.assembler = frame_streams.BodyAssembler()
-        self.watch = link_resumption.LinkWatch(now)
+        self.watch = watch
         self.peer_incarnation = 0
         self.is_answered = trio.Event()
 
@@ -119,6 +122,7 @@
         self._clock = clock
         self._rng = rng
         self._meter = meter
+        self._round_trips = link_resumption.RoundTrips()
         self._current = None
         self._candidate = None
         # Connections that were replaced and may still bring results.
@@ -130,6 +134,11 @@
         self._scope = trio.CancelScope()
         self._is_closed = False
 
+    @property
+    def has_calls(self):
+        """Whether calls are pending on the link."""
+        return bool(self._pending)
+
     def stop(self):
         """Close the link and do not reopen it."""
         self._end_calls(self._pending.values())
@@ -206,7 +215,11 @@
         hello = self._make_hello()
         frames.is_cross_zone = self._peer.zone not in ('', hello.report.zone)
         frames.send(hello)
-        connection = _Connection(hello.connection, frames, self._clock())
+        connection = _Connection(
+            hello.connection,
+            frames,
+            link_resumption.LinkWatch(self._clock(), self._round_trips),
+        )
         if self._current is None:
             self._current = connection
         else:
@@ -295,12 +308,17 @@
 
     def _handle_message(self, connection, message):
         """Handle a message from the peer."""
-        connection.watch.record_received(self._clock())
+        match message:
+            case hop_messages.Pong(number):
+                connection.watch.record_received(self._clock(), number)
+            case _:
+                connection.watch.record_received(self._clock())
         if connection is self._current and self._candidate is not None:
             log.logger.bind(event='link-trusted').info(
                 'link to {} was slow and is used further', self._peer.name
             )
             self._drop_candidate()
+            self._peer.avoided_until = self._clock()
         match message:
             case hop_messages.Result():
                 self._complete_call(connection.assembler.add_first(message))
@@ -345,6 +363,7 @@
             self._replaced.add(self._current)
             self._current = connection
             self._has_found_silence = True
+            self._peer.avoided_until = self._clock()
         self._request_outcomes(connection)
 
     def _request_outcomes(self, connection):
@@ -459,6 +478,7 @@
         if connection is None:
             return _not_handed_on('no-link')
         id_ = call.id
+        connection.watch.record_call(self._clock(), not self._pending)
         holds_body = self._holds_body(call)
         pending = self._pending[id_] = _PendingCall(
             id_, connection, call.body if holds_body else None
@@ -516,8 +536,8 @@
 
     def ping(self, now):
         """Send a ping; `check_liveness` acts if there is no response."""
-        self._current.watch.record_ping(now)
-        self._current.frames.send(hop_messages.Ping(1))
+        number = self._current.watch.record_ping(now)
+        self._current.frames.send(hop_messages.Ping(number))
 
     def check_liveness(self, now):
         """Ping the peer of a silent link that calls are pending on.
@@ -533,7 +553,10 @@
         if self._current is not None:
             self._carry_out(
                 self._current.watch.decide(
-                    now, bool(self._pending), self._backlog_s()
+                    now,
+                    self.has_calls,
+                    self._backlog_s(),
+                    self._expected_delay_s(now),
                 ),
                 now,
             )
@@ -555,6 +578,7 @@
                     silence_s,
                     len(self._pending),
                 )
+                self._peer.avoided_until = now + AVOID_SUSPECTED_S
                 self._wake.set()
             case link_resumption.GiveUp(silence_s):
                 log.logger.bind(event='link-given-up').warning(
@@ -579,6 +603,18 @@
             self._meter.rate, report.link_rate if report else 0.0
         )
 
+    def _expected_delay_s(self, now):
+        """Return how long other traffic is likely to delay a frame now.
+
+        It depends on how busy the links of both VMs are.
+
+        :param now: monotonic seconds
+        """
+        utilisation = max(
+            self._meter.utilisation(now), self._peer.load.link_utilisation
+        )
+        return self._backlog_s() * utilisation
+
 
 def _not_handed_on(code):
     """Return the result of a call that certainly has not run."""
--- a/packages/pumicestand-node/pumicestand_node/mesh_links.py
+++ b/packages/pumicestand-node/pumicestand_node/mesh_links.py
@@ -35,6 +35,9 @@
 # Time without calls after which a link that is no longer selected is closed,
 # in seconds.
 CLOSE_UNUSED_AFTER_S = 10.0
+# Period at which the links with pending calls are checked, in seconds: a part
+# of the time after which a silent link is pinged.
+CALL_CHECK_PERIOD_S = 0.05
 
 
 class MeshLinks:
@@ -75,6 +78,7 @@
         self._selected_at = float('-inf')
         self._fetch_planner = fetches.FetchPlanner(mesh.identity.zone, rng)
         self._probe_selector = link_probes.ProbeSelector()
+        self._call_sent = trio.Event()
         self._report_requested = trio.Event()
         self._report_selector = reporting.ReportSelector()
         self._summary_sequence = 0
@@ -102,7 +106,11 @@
         own.is_linked = True
         own.unreachable_since = None
         self.refresh_own_peer()
-        for task in (self._send_reports, self._send_summaries):
+        for task in (
+            self._send_reports,
+            self._send_summaries,
+            self._watch_calls,
+        ):
             nursery.start_soon(supervision.supervise, task.__name__, task)
 
     async def send_call(self, peer, call):
@@ -121,6 +129,7 @@
             return hop_messages.Result(
                 0, hop_messages.Outcome.NOT_HANDED_ON, 'no-link'
             )
+        self._call_sent.set()
         return await link.send_call(call)
 
     def add_peers(self, records):
@@ -137,9 +146,7 @@
 
         :param now: monotonic seconds
         """
-        for link in self._links.values():
-            if not link.check_liveness(now):
-                self._probe_selector.record_dead_link()
+        self._check_liveness(self._links.values(), now)
         self._probe_silent_links(now)
         for name in self._mesh.fleet.remove_unreachable(now):
             self._mesh.suspects.set_reported(name, ())
@@ -150,6 +157,22 @@
         self._update_selection(now)
         self._fetch_configuration(now)
 
+    def _check_liveness(self, checked_links, now):
+        for link in checked_links:
+            if not link.check_liveness(now):
+                self._probe_selector.record_dead_link()
+
+    async def _watch_calls(self):
+        """Check the links with pending calls often, while there are any."""
+        while True:
+            await self._call_sent.wait()
+            while busy_links := [
+                link for link in self._links.values() if link.has_calls
+            ]:
+                self._check_liveness(busy_links, self._clock())
+                await trio.sleep(CALL_CHECK_PERIOD_S)
+            self._call_sent = trio.Event()
+
     def _probe_silent_links(self, now):
         """Check links without calls that have been silent for long."""
         silences = {
--- a/packages/pumicestand/pumicestand/link_resumption.py
+++ b/packages/pumicestand/pumicestand/link_resumption.py
@@ -12,12 +12,30 @@
 from pumicestand import hop_messages
 
 # Silence after which the node pings the peer of a link with pending calls.
-PING_AFTER_SILENCE_S = 0.5
-# Time without an answer to a ping after which another connection is opened.
-SUSPECT_AFTER_S = 0.2
+# Most calls are answered sooner, so that few cost a ping. While a ping brings
+# nothing but its answer, the next one waits twice as long, up to the maximum.
+PING_AFTER_SILENCE_S = 0.15
+MAX_PING_AFTER_SILENCE_S = 0.5
+# Bounds of the time without an answer to a ping after which another
+# connection is opened: a busy node of half a core is held up for some 0.1 s,
+# and a resumed call must be in time elsewhere. Without a measured round trip
+# it is the default.
+MIN_SUSPECT_AFTER_S = 0.1
+MAX_SUSPECT_AFTER_S = 0.5
+DEFAULT_SUSPECT_AFTER_S = 0.2
+# Weights of one round trip in the averages of round trips and of their
+# deviations, and deviations that are allowed, as in TCP (RFC 6298).
+RTT_WEIGHT = 1 / 8
+RTT_DEVIATION_WEIGHT = 1 / 4
+RTT_DEVIATIONS = 4
+# Least time between two decisions that find an answer overdue, so that what
+# arrived while this node was held up is read before it suspects the peer.
+RECHECK_S = 0.03
 # Silence after which a link is closed and the outcome of its pending calls
-# is unknown. Narrow links are allowed more.
+# is unknown, and least time for the answer to a ping before that. Narrow links
+# are allowed more.
 MAX_SILENCE_S = 1.3
+GIVE_UP_AFTER_PING_S = 0.8
 # Time for which results are kept that the other node may not have received,
 # and calls go on whose connection has ended. A node that has a link to resume
 # asks within about `MAX_SILENCE_S`, on a link of 5 Mbit/s within 2.9 s.
@@ -55,17 +73,52 @@
     silence_s: float
 
 
+class RoundTrips:
+    """The measured round trips of pings on a link."""
+
+    def __init__(self):
+        self._mean_s = None
+        self._deviation_s = 0.0
+
+    @property
+    def suspect_after_s(self):
+        """Seconds after which an answer to a ping is overdue."""
+        if self._mean_s is None:
+            return DEFAULT_SUSPECT_AFTER_S
+        bound_s = self._mean_s + RTT_DEVIATIONS * self._deviation_s
+        return min(MAX_SUSPECT_AFTER_S, max(MIN_SUSPECT_AFTER_S, bound_s))
+
+    def record(self, round_trip_s):
+        """Record the seconds between a ping and its answer."""
+        if self._mean_s is None:
+            self._mean_s = round_trip_s
+            self._deviation_s = round_trip_s / 2
+            return
+        error_s = round_trip_s - self._mean_s
+        self._deviation_s += RTT_DEVIATION_WEIGHT * (
+            abs(error_s) - self._deviation_s
+        )
+        self._mean_s += RTT_WEIGHT * error_s
+
+
 class LinkWatch:
     """Decides whether one connection to a peer is alive.
 
     ``is_suspected`` is whether another connection is wanted.
 
     :param now: monotonic seconds
+    :param round_trips: `RoundTrips` of the link
     """
 
-    def __init__(self, now):
+    def __init__(self, now, round_trips):
+        self._round_trips = round_trips
         self._last_received_at = now
+        self._awaiting_since = now
+        self._ping_after_s = PING_AFTER_SILENCE_S
         self._pinged_at = None
+        self._ping_number = 0
+        # Kind of the action that is due, and since when.
+        self._due = (None, now)
         self.is_suspected = False
 
     @property
@@ -77,44 +130,83 @@
         """Return the seconds since something was received."""
         return now - self._last_received_at
 
-    def record_received(self, now):
-        """Record that something was received."""
+    def record_call(self, now, is_first):
+        """Record that a call is sent.
+
+        :param is_first: whether no other call is pending on the link
+        """
+        self._ping_after_s = PING_AFTER_SILENCE_S
+        if is_first:
+            self._awaiting_since = now
+
+    def record_received(self, now, pong_number=None):
+        """Record that something was received.
+
+        :param pong_number: number of the answer to a ping, None for anything
+            else
+        """
+        if pong_number is None:
+            self._ping_after_s = PING_AFTER_SILENCE_S
+        elif self._pinged_at is not None and pong_number == self._ping_number:
+            self._round_trips.record(now - self._pinged_at)
+            self._ping_after_s = min(
+                MAX_PING_AFTER_SILENCE_S, 2 * self._ping_after_s
+            )
         self._last_received_at = now
         self._pinged_at = None
         self.is_suspected = False
 
     def record_ping(self, now):
-        """Record that a ping was sent."""
+        """Record that a ping is sent, and return its number."""
         self._pinged_at = now
+        self._ping_number += 1
+        return self._ping_number
 
     def left_s(self, now, backlog_s):
-        """Return the seconds until the connection is given up, unless pinged.
+        """Return the seconds until the connection is given up.
 
         :param backlog_s: see `decide`
         """
-        asked_at = now if self._pinged_at is None else self._pinged_at
-        return (
-            asked_at + MAX_SILENCE_S - PING_AFTER_SILENCE_S + backlog_s - now
+        pinged_at = now if self._pinged_at is None else self._pinged_at
+        give_up_at = max(
+            self._last_received_at + MAX_SILENCE_S,
+            pinged_at + GIVE_UP_AFTER_PING_S,
         )
+        return give_up_at + backlog_s - now
 
-    def decide(self, now, has_calls, backlog_s):
+    def decide(self, now, has_calls, backlog_s, delay_s):
         """Return `Ping`, `Suspect`, `GiveUp` or None.
 
         :param now: monotonic seconds
         :param has_calls: whether calls are pending on the link
-        :param backlog_s: seconds for which other traffic may delay a ping
+        :param backlog_s: seconds for which other traffic may delay a ping at
+            most
+        :param delay_s: seconds for which it is likely to delay one now
         """
+        action = self._due_action(now, has_calls, backlog_s, delay_s)
+        kind, since = self._due
+        if type(action) is not kind:
+            since = now
+            self._due = (type(action), now)
+        match action:
+            case Suspect() | GiveUp() if now - since < RECHECK_S:
+                return None
+            case Suspect():
+                self.is_suspected = True
+        return action
+
+    def _due_action(self, now, has_calls, backlog_s, delay_s):
         silence_s = self.silence_s(now)
         if self._pinged_at is None:
-            if has_calls and silence_s >= PING_AFTER_SILENCE_S:
+            quiet_s = min(silence_s, now - self._awaiting_since)
+            if has_calls and quiet_s >= self._ping_after_s:
                 return Ping()
             return None
-        waited_s = now - self._pinged_at
         if self.left_s(now, backlog_s) < 0:
             return GiveUp(silence_s)
-        if self.is_suspected or waited_s <= SUSPECT_AFTER_S + backlog_s:
+        overdue_s = self._round_trips.suspect_after_s + delay_s
+        if self.is_suspected or now - self._pinged_at <= overdue_s:
             return None
-        self.is_suspected = True
         return Suspect(silence_s)
 
 
--- a/tests/pumicestand/test_link_resumption.py
+++ b/tests/pumicestand/test_link_resumption.py
@@ -97,3 +97,91 @@
         Await(2),
         Disclaim(3),
     ]
+
+
+class Checks:
+    """A pinged connection that is checked each 0.05 s from time 100 on."""
+
+    def __init__(self):
+        self.round_trips = link_resumption.RoundTrips()
+        self.watch = link_resumption.LinkWatch(0.0, self.round_trips)
+        self.watch.record_call(100.0, is_first=True)
+
+    def times(self, delay_s=0.0, backlog_s=0.0, until=110.0):
+        """Return when each kind of action is taken, after time 100."""
+        times = {}
+        now = 100.0
+        while now < until:
+            action = self.watch.decide(now, True, backlog_s, delay_s)
+            if isinstance(action, link_resumption.Ping):
+                self.watch.record_ping(now)
+            if action is not None:
+                times.setdefault(type(action).__name__, now - 100.0)
+            now += 0.05
+        return times
+
+
+def test_silent_link_is_pinged_then_suspected_then_given_up():
+    assert Checks().times() == pytest.approx(
+        {'Ping': 0.15, 'Suspect': 0.45, 'GiveUp': 1.05}, abs=0.051
+    )
+
+
+def test_link_that_was_used_just_now_is_given_up_no_sooner_than_before():
+    checks = Checks()
+    checks.watch.record_received(100.0)
+    assert checks.times()['GiveUp'] >= link_resumption.MAX_SILENCE_S
+
+
+@pytest.mark.parametrize(
+    ('round_trips_s', 'suspect_at_s'),
+    [((0.001,) * 20, 0.35), ((0.2, 0.05) * 20, 0.75), ((2.0,), 0.75)],
+)
+def test_suspicion_depends_on_the_measured_round_trips(
+    round_trips_s, suspect_at_s
+):
+    checks = Checks()
+    for round_trip_s in round_trips_s:
+        number = checks.watch.record_ping(90.0)
+        checks.watch.record_received(90.0 + round_trip_s, number)
+    checks.watch.record_call(100.0, is_first=True)
+    suspected_at_s = checks.times()['Suspect']
+    assert suspected_at_s == pytest.approx(suspect_at_s, abs=0.11)
+
+
+def test_busy_narrow_link_is_suspected_later():
+    times = Checks().times(delay_s=0.8, backlog_s=1.6)
+    assert times['Suspect'] >= 0.15 + 0.2 + 0.8
+    assert times['GiveUp'] >= 0.15 + 0.8 + 1.6
+
+
+def test_answer_that_arrived_while_this_node_was_frozen_counts():
+    checks = Checks()
+    checks.times(until=100.2)
+    assert checks.watch.decide(130.0, True, 0.0, 0.0) is None
+    checks.watch.record_received(130.001, pong_number=1)
+    assert checks.watch.decide(130.05, True, 0.0, 0.0) is None
+    assert not checks.watch.is_suspected
+
+
+def test_long_calls_cost_few_pings():
+    checks = Checks()
+    pings = 0
+    for tick in range(200):
+        now = 100.0 + tick * 0.05
+        if checks.watch.decide(now, True, 0.0, 0.0) is not None:
+            pings += 1
+            number = checks.watch.record_ping(now)
+            checks.watch.record_received(now + 0.001, number)
+    assert pings <= 22
+
+
+def test_answer_to_an_earlier_ping_is_no_round_trip():
+    checks = Checks()
+    earlier = checks.watch.record_ping(100.0)
+    checks.watch.record_received(100.1)
+    checks.watch.record_ping(101.0)
+    checks.watch.record_received(101.001, earlier)
+    assert checks.round_trips.suspect_after_s == (
+        link_resumption.DEFAULT_SUSPECT_AFTER_S
+    )
--- a/tests/pumicestand_node/test_mesh_links.py
+++ b/tests/pumicestand_node/test_mesh_links.py
@@ -19,6 +19,7 @@
 from pumicestand_node import mesh_node
 from tests import mock_clock
 from tests.pumicestand import mesh_fakes
+from tests.pumicestand import test_hop
 
 # Time after a disruption from which a node must act on the newest
 # configuration again, in seconds.
@@ -144,6 +145,8 @@
                 frames.send(dataclasses.replace(report, host=self._host))
             case hop_messages.Ping(number):
                 frames.send(hop_messages.Pong(number))
+            case hop_messages.Resume(connection, _, ids):
+                frames.send(hop_messages.Resumed(connection, ids))
 
 
 class LinkedHarness:
@@ -225,6 +228,32 @@
     run_linked(test, [f'n{number}' for number in range(count)])
 
 
+def test_silent_link_is_replaced_soon_after_a_call_is_sent(
+    run_linked, monkeypatch
+):
+    """Links without calls are not checked more often for that."""
+    checks = []
+    check_liveness = links.Link.check_liveness
+
+    def count_check(link, now):
+        checks.append(now)
+        return check_liveness(link, now)
+
+    async def test(harness):
+        harness.silence_links()
+        call = dataclasses.replace(test_hop.CALL, remaining_bytes=0)
+        peer = harness.mesh.fleet.get('n0')
+        with trio.fail_after(0.6):
+            result = await harness.links.send_call(peer, call)
+        assert result.outcome is hop_messages.Outcome.NOT_HANDED_ON
+        await trio.sleep(0.1)
+        monkeypatch.setattr(links.Link, 'check_liveness', count_check)
+        await trio.sleep(10 * mesh_node.IDLE_PERIOD_S)
+        assert len(checks) <= 11
+
+    run_linked(test, ['n0'])
+
+
 def message_types(messages):
     return [type(message).__name__ for message in messages]
 
