Keep results by connection and not in one table

What callers saw: nothing. Cause: each result was entered in an ordered table by connection and id, and the end of a connection searched the whole table.

Change: each connection holds its results by id; the node has a queue of their sizes and times. The test of a discarded connection checks that its calls count as possibly run, as before a call that is not known counts as not received.

--- a/packages/pumicestand/pumicestand/link_resumption.py
+++ b/packages/pumicestand/pumicestand/link_resumption.py
@@ -272,43 +272,31 @@
     """
 
     def __init__(self):
-        # (calls, id) to (time until which it is kept, size, result), in the
-        # order of the times.
-        self._entries = collections.OrderedDict()
+        # (Time until which it is kept, size, calls, id), oldest first.
+        self._entries = collections.deque()
         self._bytes = 0
 
     def add(self, calls, result, now):
-        """Keep a result.
+        """Let a connection keep a result until `ReceivedCalls.forget`.
 
-        :param calls: `ReceivedCalls` to tell when it is no longer kept
+        :param calls: `ReceivedCalls`
+        :returns: whether the result is small enough to be kept
         """
         size = _RESULT_OVERHEAD_BYTES + len(result.headers) + len(result.body)
         if size > MAX_KEPT_RESULT_BYTES:
-            calls.forget(result.id)
-            return
-        self._entries[(calls, result.id)] = (now + KEEP_S, size, result)
+            return False
+        self._entries.append((now + KEEP_S, size, calls, result.id))
         self._bytes += size
-        self._remove_surplus(now)
-
-    def get(self, calls, id_, now):
-        """Return the result of a call, None if it is not kept."""
-        self._remove_surplus(now)
-        entry = self._entries.get((calls, id_))
-        return entry[2] if entry is not None else None
-
-    def discard(self, calls):
-        """Remove the results of a connection that can't be resumed."""
-        for key in [key for key in self._entries if key[0] is calls]:
-            self._bytes -= self._entries.pop(key)[1]
-
-    def _remove_surplus(self, now):
-        while self._entries:
-            (calls, id_), (kept_until, size, _) = next(
-                iter(self._entries.items())
-            )
-            if now <= kept_until and self._bytes <= MAX_KEPT_BYTES:
-                return
-            del self._entries[(calls, id_)]
+        self.remove_surplus(now)
+        return True
+
+    def remove_surplus(self, now):
+        """Have the oldest results forgotten that are not kept any longer."""
+        entries = self._entries
+        while entries and (
+            now > entries[0][0] or self._bytes > MAX_KEPT_BYTES
+        ):
+            _, size, calls, id_ = entries.popleft()
             self._bytes -= size
             calls.forget(id_)
 
@@ -320,9 +308,10 @@
     """
 
     def __init__(self, results):
-        self._results = results
+        self._kept_results = results
         # Id to whether the call was passed on to run.
         self._is_started = {}
+        self._results = {}
         # Highest id of the calls that may have run and are forgotten. Calls
         # are sent in the order of their ids, so one that was not received
         # has a higher id.
@@ -339,7 +328,9 @@
     def record_result(self, result, now):
         """Record that a call has ended, and keep its result."""
         self._is_started.pop(result.id, None)
-        self._results.add(self, result, now)
+        self._results[result.id] = result
+        if not self._kept_results.add(self, result, now):
+            self.forget(result.id)
 
     def record_end(self, id_):
         """Record that a call has ended without a result."""
@@ -348,11 +339,13 @@
 
     def forget(self, id_):
         """Record that a call may have run and has no result here."""
+        self._results.pop(id_, None)
         self._forgotten_id = max(self._forgotten_id, id_)
 
     def discard(self):
-        """Remove the results, as the connection can't be resumed."""
-        self._results.discard(self)
+        """Forget the results, as the connection can't be resumed."""
+        for id_ in list(self._results):
+            self.forget(id_)
 
     def resume(self, ids, now):
         """Return what to do as the sender asks for some of the calls.
@@ -364,11 +357,12 @@
         :returns: a `Refuse`, `Await`, `Deliver` or `Disclaim` for each of
             them and an `Abort` for each other one
         """
+        self._kept_results.remove_surplus(now)
         wanted = set(ids)
         actions = [Abort(id_) for id_ in self._is_started.keys() - wanted]
         for id_ in ids:
             is_started = self._is_started.get(id_)
-            result = self._results.get(self, id_, now)
+            result = self._results.get(id_)
             if is_started:
                 actions.append(Await(id_))
             elif is_started is False:
--- a/tests/pumicestand/test_link_resumption.py
+++ b/tests/pumicestand/test_link_resumption.py
@@ -87,7 +87,7 @@
     calls = link_resumption.ReceivedCalls(results)
     calls.record_result(make_result(1), 0.0)
     calls.discard()
-    assert results.get(calls, 1, 0.0) is None
+    assert calls.resume((1,), 0.0) == [Disclaim(1)]
 
 
 def test_calls_that_the_answer_does_not_name_may_have_run():
