End calls at once when a new connection is closed unanswered

What callers saw: when a node's process had ended behind something that still accepts its connections, calls waited 0.5 s for a resume before their outcome was unknown; before links were resumed they ended at once.

Cause: only a refused connection counted as the end of the peer.

Change: a connection that ends before the peer has reported counts, too, where it was opened for a broken one.

Evidence: the new test fails without the change; tests of pumicestand and pumicestand_node pass.

--- a/packages/pumicestand-node/pumicestand_node/links.py
+++ b/packages/pumicestand-node/pumicestand_node/links.py
@@ -187,6 +187,9 @@
                 await trio.aclose_forcefully(stream)
                 continue
             await self._open(stream)
+            if self._current is None:
+                # It was closed unanswered: the peer has ended.
+                self._end_calls(self._uncarried_calls())
             if self._needs_connection():
                 await trio.sleep(self._reconnect_delay_s())
 
--- a/tests/pumicestand_node/test_link_resume.py
+++ b/tests/pumicestand_node/test_link_resume.py
@@ -143,6 +143,7 @@
         self.results = {}
         self.incarnation = 1
         self.is_frozen = False
+        self.has_ended = False
         # Connections from this number on are silent once the peer reported.
         self.silent_from = None
         self.start_peer(incarnation=1)
@@ -174,7 +175,9 @@
     async def _connect(self, host, port):
         own, other = trio.testing.memory_stream_pair()
         self.streams.append(Stream(own))
-        if not self.is_frozen:
+        if self.has_ended:
+            await other.aclose()
+        elif not self.is_frozen:
             self.nursery.start_soon(self.far.serve, other)
         return self.streams[-1]
 
@@ -376,6 +379,21 @@
     run_test(test)
 
 
+def test_calls_at_a_peer_that_has_ended_do_not_wait_for_it(run_test):
+    """What accepts connections for it closes them at once."""
+
+    async def test(nodes):
+        nodes.targets.work_s = 1.0
+        nodes.nursery.start_soon(nodes.call, 1)
+        await trio.sleep(0.2)
+        nodes.has_ended = True
+        await nodes.streams[0].reset()
+        await trio.sleep(0.1)
+        assert nodes.results == {1: None}
+
+    run_test(test)
+
+
 def test_suspicion_of_a_slow_peer_costs_one_connection(run_test):
     async def test(nodes):
         nodes.is_frozen = True
