--- a/packages/pumicestand-node/pumicestand_node/client_connections.py
+++ b/packages/pumicestand-node/pumicestand_node/client_connections.py
@@ -6,11 +6,14 @@
 """
 
 import collections
+import enum
+import itertools
 
 import httptools
 import trio
 
 from pumicestand import documents
+from pumicestand import log
 from pumicestand import refusals
 from pumicestand_node import heads
 from pumicestand_node import socket_io
@@ -25,6 +28,27 @@
 BODY_STALL_TIMEOUT_S = 30.0
 # Time for the client to read the last response before the connection closes.
 CLOSE_LINGER_S = 1.0
+# Time for the first request on a new connection of a node that stops.
+FIRST_REQUEST_S = 1.0
+
+
+class _State(enum.Enum):
+    """What a connection does with the bytes that it receives."""
+
+    # Requests are read and served.
+    OPEN = enum.auto()
+    # Requests are read and served; the connection ends once it is idle after
+    # a request.
+    DRAINING = enum.auto()
+    # Bytes are discarded. Requests that were read before are still served.
+    LAST = enum.auto()
+    # Bytes are discarded until the client closes or the linger time is over.
+    CLOSING = enum.auto()
+
+
+_ACCEPTING = (_State.OPEN, _State.DRAINING)
+# Responses with these first bytes are followed by the final one.
+_INTERIM_RESPONSE = b'HTTP/1.1 1'
 
 
 class IncompleteRequestError(Exception):
@@ -105,9 +129,10 @@
 class _RequestParser:
     """Callbacks of httptools for the requests of one connection."""
 
-    def __init__(self, on_request, on_body_read):
+    def __init__(self, on_request, on_body_read, on_last_request):
         self._on_request = on_request
         self._on_body_read = on_body_read
+        self._on_last_request = on_last_request
         self._url = b''
         self._headers = []
         self._request = None
@@ -163,7 +188,10 @@
 
     def on_message_complete(self):
         self._request.end_body()
+        keep_alive = self._request.head.keep_alive
         self._request = None
+        if not keep_alive:
+            self._on_last_request()
 
 
 class PendingResponse:
@@ -172,6 +200,10 @@
     Responses are sent in the order of the requests, although the requests may
     be served concurrently.
 
+    ``has_begun`` is true once any of the final response was sent. Whoever
+    serves the request may set ``may_have_run`` to false while it has certainly
+    not been sent to a target: it tells what the client learns after an error.
+
     :param connection: the `ClientConnection`
     :param request: the `Request`
     :param previous: event set once the previous response is sent, None if
@@ -182,13 +214,21 @@
         self._connection = connection
         self._previous = previous
         self.request = request
+        self.has_begun = False
+        self.may_have_run = True
         self.finished = trio.Event()
         self.cancel_scope = trio.CancelScope()
 
-    @property
-    def has_later_request(self):
-        """Whether a later request on the connection is being served."""
-        return self._connection.has_later_request(self)
+    def decide_keep_alive(self, is_stopping):
+        """Return whether the connection is kept after this response.
+
+        If it is not, it accepts no further request from now on, so this must
+        be the turn of the response and the decision its last.
+
+        :param is_stopping: whether to keep it only for requests that were
+            already received
+        """
+        return self._connection.decide_keep_alive(self, is_stopping)
 
     async def wait_for_turn(self):
         """Wait until all earlier responses are sent."""
@@ -198,6 +238,8 @@
     async def send(self, data):
         """Send bytes of the response once all earlier ones are sent."""
         await self.wait_for_turn()
+        if not self.has_begun:
+            self.has_begun = not data.startswith(_INTERIM_RESPONSE)
         await self._connection.send(data)
 
 
@@ -210,9 +252,18 @@
         kept
     :param clock: returns monotonic seconds
     :param limits: the `documents.ClientLimits` in force when it was opened
+    :param on_refusal: called with the `refusals.Refusal` of a request that
+        could not be read, or whose serving failed
     """
 
-    def __init__(self, stream, serve, clock, limits=DEFAULT_LIMITS):
+    def __init__(
+        self,
+        stream,
+        serve,
+        clock,
+        limits=DEFAULT_LIMITS,
+        on_refusal=lambda refusal: None,
+    ):
         self._stream = stream
         self._serve = serve
         self._clock = clock
@@ -220,11 +271,15 @@
         self._room_available = trio.Event()
         self._cancel_scope = trio.CancelScope()
         self._limits = limits
-        self._parser = _RequestParser(self._start_request, self._signal_room)
+        self._on_refusal = on_refusal
+        self._parser = _RequestParser(
+            self._start_request, self._signal_room, self._accept_no_more
+        )
         self._refusal = None
+        self._rejected_response = None
         self._nursery = None
-        self._is_ending = False
-        self.is_closing = False
+        self._has_served = False
+        self._state = _State.OPEN
         self.last_progress_at = clock()
 
     async def run(self):
@@ -234,45 +289,109 @@
                 async with trio.open_nursery() as nursery:
                     self._nursery = nursery
                     await self._read()
-                    await self._finish_responses()
-                    nursery.cancel_scope.cancel()
         finally:
+            if self._state is _State.CLOSING:
+                socket_io.discard_received(self._stream)
             await trio.aclose_forcefully(self._stream)
 
     def close_when_idle(self):
-        """Close the connection once no request is being served on it."""
-        self.is_closing = True
-        if not self._pending_responses:
-            self._cancel_scope.cancel()
+        """Close the connection once no request is received or served on it.
+
+        A connection on which no request has begun yet gets `FIRST_REQUEST_S`
+        for it; `enforce_timeouts` ends that time.
+        """
+        if self._state is _State.OPEN:
+            self._state = _State.DRAINING
+        self._close_if_drained()
 
-    def has_later_request(self, pending_response):
-        """Return whether a request after this one is being served."""
-        return self._pending_responses[-1] is not pending_response
+    def decide_keep_alive(self, pending_response, is_stopping):
+        """Return whether to keep the connection after a response.
+
+        See `PendingResponse.decide_keep_alive`.
+        """
+        request = pending_response.request
+        is_open = self._state is _State.OPEN and not is_stopping
+        keep_alive = (
+            request.head.keep_alive
+            and request.is_complete
+            and (is_open or self._has_later_request(pending_response))
+        )
+        if not keep_alive:
+            self._accept_no_more()
+        return keep_alive
 
     def enforce_timeouts(self, now):
         """End the connection if a time limit for the client has passed.
 
+        Requests that were read before are still served.
+
         :param now: monotonic seconds
         """
         idle_s = now - self.last_progress_at
-        if self._parser.is_in_head:
-            if idle_s > self._limits.head_timeout:
-                self._cancel_scope.cancel()
+        limit_s = self._idle_limit_s()
+        if idle_s <= limit_s:
+            return
+        if self._state is _State.CLOSING:
+            self._cancel_scope.cancel()
+            return
+        if socket_io.is_readable(self._stream):
+            # Bytes that are not read yet are progress of the client.
             return
         if self._parser.request is not None:
-            if idle_s > BODY_STALL_TIMEOUT_S:
-                self._cancel_scope.cancel()
+            self._reject(
+                refusals.bad_request(
+                    refusals.CallCode.MALFORMED,
+                    f'no more of the body was received for {limit_s:g} s',
+                    status=408,
+                )
+            )
             return
-        if not self._pending_responses and idle_s > self._limits.idle_timeout:
+        if not self._pending_responses:
             self._cancel_scope.cancel()
+            return
+        self._accept_no_more()
+
+    def _idle_limit_s(self):
+        """Return for how many seconds the client may make no progress."""
+        if self._state in _ACCEPTING:
+            if self._parser.is_in_head:
+                return self._limits.head_timeout
+            if self._parser.request is not None:
+                return BODY_STALL_TIMEOUT_S
+        if self._pending_responses:
+            return float('inf')
+        if self._state is _State.DRAINING:
+            return FIRST_REQUEST_S
+        return self._limits.idle_timeout
 
     async def send(self, data):
         """Send bytes of a response."""
-        await socket_io.send_all(self._stream, data)
+        try:
+            await socket_io.send_all(self._stream, data)
+        except (trio.BrokenResourceError, trio.ClosedResourceError):
+            # The client has disconnected; the responses are not needed.
+            self._cancel_scope.cancel()
+            raise
+
+    def _has_later_request(self, pending_response):
+        """Return whether a request after this one was received in part."""
+        return (
+            self._pending_responses[-1] is not pending_response
+            or self._refusal is not None
+            or self._has_begun_request()
+        )
+
+    def _has_begun_request(self):
+        """Return whether a request has arrived in part, read or not."""
+        return self._state in _ACCEPTING and (
+            self._parser.is_in_head
+            or self._parser.request is not None
+            or socket_io.is_readable(self._stream)
+        )
 
     def _start_request(self, request):
-        """Start a task for a request unless the connection is ending."""
-        if self._is_ending:
+        """Start a task for a request if the connection accepts it."""
+        if self._state not in _ACCEPTING:
             return
         previous = (
             self._pending_responses[-1].finished
@@ -283,17 +402,50 @@
         self._pending_responses.append(pending_response)
         self._nursery.start_soon(self._serve_request, pending_response)
 
+    def _accept_no_more(self):
+        """Discard from now on what the client sends."""
+        if self._state in _ACCEPTING:
+            self._state = _State.LAST
+        self._signal_room()
+
+    def _close_after_last(self):
+        """Start to close if no request is accepted or served any more."""
+        if self._state is _State.LAST and not self._pending_responses:
+            self._state = _State.CLOSING
+            self._nursery.start_soon(self._close)
+
+    def _close_if_drained(self):
+        """Close a draining connection that is idle after a request.
+
+        A request that crosses the close stays unread, which tells the client
+        that it can be sent again.
+        """
+        if (
+            self._state is _State.DRAINING
+            and self._has_served
+            and not self._pending_responses
+            and not self._has_begun_request()
+        ):
+            self._cancel_scope.cancel()
+
     def _signal_room(self):
         self._room_available.set()
 
     def _is_full(self):
+        if self._state not in _ACCEPTING:
+            return False
         request = self._parser.request
         if request is not None and request.is_buffer_full:
             return True
         return len(self._pending_responses) > MAX_PIPELINED_REQUESTS
 
     async def _read(self):
-        while not self._is_ending:
+        """Read until the client closes its connection.
+
+        Bytes that are not parsed are read as well: if they stayed unread, the
+        close would be a reset, which could lose the last response.
+        """
+        while True:
             while self._is_full():
                 self._room_available = trio.Event()
                 await self._room_available.wait()
@@ -303,25 +455,22 @@
                 data = b''
             if not data:
                 # The client has disconnected; the responses are not needed.
-                self._is_ending = True
                 self._cancel_scope.cancel()
                 return
-            self.last_progress_at = self._clock()
-            if self._is_ending:
-                # Discard bytes after the last request; if they stayed unread,
-                # the close would be a reset that could lose its response.
-                continue
-            if not self._parse(data):
-                return
+            if self._state in _ACCEPTING:
+                self.last_progress_at = self._clock()
+                self._parse(data)
+                self._close_if_drained()
 
     def _parse(self, data):
-        """Parse bytes and return whether to continue reading."""
+        """Parse bytes, or refuse the request that they belong to."""
         parser = self._parser
         try:
             parser.parser.feed_data(data)
         except (httptools.HttpParserError, httptools.HttpParserUpgrade) as e:
-            self._reject(parser.refusal or _malformed(e))
-            return False
+            if self._state in _ACCEPTING:
+                self._reject(parser.refusal or _malformed(e))
+            return
         if parser.is_in_head:
             parser.head_bytes += len(data)
             if parser.head_bytes > self._limits.head_bytes:
@@ -332,10 +481,10 @@
                         status=431,
                     )
                 )
-                return False
+                return
         request = parser.request
         if request is None:
-            return True
+            return
         max_body_bytes = self._limits.body_bytes
         if (
             max(request.received_bytes, request.head.body_length or 0)
@@ -348,16 +497,17 @@
                     status=413,
                 )
             )
-            return False
-        return True
 
     def _reject(self, refusal):
         """Refuse a request that breaks the protocol and accept no more.
 
         If the request is already being served, its call is cancelled: the
         target has not received the whole body and must not take it as whole.
+        A response that has begun is not cut, and no refusal follows it.
         """
         self._refusal = refusal
+        self._on_refusal(refusal)
+        self._accept_no_more()
         rejected_request = self._parser.request
         if rejected_request is not None:
             rejected_request.end_body(is_broken=True)
@@ -365,8 +515,11 @@
                 self._pending_responses
                 and self._pending_responses[-1].request is rejected_request
             ):
-                self._pending_responses[-1].cancel_scope.cancel()
-        self._is_ending = True
+                rejected_response = self._pending_responses[-1]
+                self._rejected_response = rejected_response
+                if not rejected_response.has_begun:
+                    rejected_response.cancel_scope.cancel()
+        self._close_after_last()
 
     async def _serve_request(self, pending_response):
         """Serve one request and close the connection if it is the last."""
@@ -376,64 +529,110 @@
                 await pending_response.wait_for_turn()
             # The request may have been rejected before this task ran.
             await trio.lowlevel.checkpoint_if_cancelled()
-            try:
-                keep_alive = await self._serve(
-                    pending_response.request, pending_response
-                )
-            except (
-                trio.BrokenResourceError,
-                trio.ClosedResourceError,
-                IncompleteRequestError,
-            ):
-                keep_alive = False
+            keep_alive = await self._respond(pending_response)
             # Even without a response of its own, a request lets later ones
             # respond only after all earlier ones have.
             await pending_response.wait_for_turn()
+        if not keep_alive:
+            self._cut_after(pending_response)
         self._pending_responses.remove(pending_response)
         pending_response.finished.set()
         self._signal_room()
         self.last_progress_at = self._clock()
-        if self._refusal is not None:
-            return
-        if not keep_alive or (self.is_closing and not self._pending_responses):
-            await self._close()
+        self._has_served = True
+        self._close_if_drained()
+        self._close_after_last()
+
+    async def _respond(self, pending_response):
+        """Respond to a request and return whether to keep the connection.
+
+        A request that is not served because of an error is refused, so that
+        the error does not end the connection with all of its requests.
+        """
+        request = pending_response.request
+        try:
+            keep_alive = await self._serve(request, pending_response)
+            if pending_response.has_begun or request.is_broken:
+                return keep_alive
+            _log_failure(request, None)
+        except IncompleteRequestError:
+            return False
+        except Exception as error:
+            if self._cancel_scope.cancel_called:
+                # The client has disconnected.
+                return False
+            _log_failure(request, error)
+        if pending_response.has_begun:
+            # It may be incomplete.
+            return False
+        return await self._refuse_failed(pending_response)
+
+    async def _refuse_failed(self, pending_response):
+        """Refuse a request whose serving failed; return as `_respond`."""
+        detail = 'an unexpected error in the node'
+        if pending_response.may_have_run:
+            refusal = refusals.unknown(refusals.CallCode.ANSWER_LOST, detail)
+        else:
+            refusal = refusals.not_run(refusals.CallCode.NO_TARGET, detail)
+        self._on_refusal(refusal)
+        await pending_response.wait_for_turn()
+        keep_alive = pending_response.decide_keep_alive(is_stopping=False)
+        with_body = pending_response.request.head.method != 'HEAD'
+        try:
+            await pending_response.send(
+                heads.format_refusal(refusal, keep_alive, with_body)
+            )
+        except (trio.BrokenResourceError, trio.ClosedResourceError):
+            return False
+        return keep_alive
+
+    def _cut_after(self, pending_response):
+        """Accept no more and send no response after this one.
+
+        It may be incomplete, so that the client would take a later one for a
+        part of it. There are no later ones if the connection was not kept by
+        `decide_keep_alive`.
+        """
+        self._accept_no_more()
+        position = self._pending_responses.index(pending_response)
+        for later_response in itertools.islice(
+            self._pending_responses, position + 1, None
+        ):
+            later_response.cancel_scope.cancel()
 
     async def _close(self):
-        """Close the connection after the response that was sent last."""
-        self._is_ending = True
-        for pending_response in self._pending_responses:
-            pending_response.cancel_scope.cancel()
-        await self._linger()
-        self._cancel_scope.cancel()
+        """Send the refusal, if there is one, and the end of the stream.
 
-    async def _linger(self):
-        """Give the client time to read; a reset could lose the response."""
+        Then give the client time to read and to close.
+        """
         try:
-            await self._stream.send_eof()
+            rejected_response = self._rejected_response
+            if self._refusal is not None and (
+                rejected_response is None or not rejected_response.has_begun
+            ):
+                await self.send(
+                    heads.format_refusal(self._refusal, keep_alive=False)
+                )
+            with trio.move_on_after(CLOSE_LINGER_S):
+                await self._stream.send_eof()
+                await trio.sleep_forever()
         except (trio.BrokenResourceError, trio.ClosedResourceError):
-            return
-        except trio.BusyResourceError:
-            return
-        await trio.sleep(CLOSE_LINGER_S)
+            # The client has disconnected.
+            pass
+        self._cancel_scope.cancel()
 
-    async def _finish_responses(self):
-        """Wait for all responses, then send the refusal, if there is one."""
-        while self._pending_responses:
-            await self._pending_responses[-1].finished.wait()
-        if self._refusal is None:
-            return
-        with trio.move_on_after(CLOSE_LINGER_S):
-            await self.send(
-                heads.format_refusal(self._refusal, keep_alive=False)
-            )
-            await self._stream.send_eof()
-            while await self._stream.receive_some(READ_BYTES):
-                pass
 
-    @property
-    def refusal(self):
-        """The `refusals.Refusal` that ended the connection, or None."""
-        return self._refusal
+def _log_failure(request, error):
+    """Log why a request got no response from the function that serves it.
+
+    :param error: the exception, None if the function has returned
+    """
+    log.logger.opt(exception=error).bind(event='request-failed').error(
+        'request {} {} failed: {!r}',
+        request.head.method,
+        request.head.path,
+        error or 'no response',
+    )
 
 
 def _malformed(error):
--- a/packages/pumicestand-node/pumicestand_node/outbound_calls.py
+++ b/packages/pumicestand-node/pumicestand_node/outbound_calls.py
@@ -84,7 +84,6 @@
     ):
         self._mesh = mesh
         self._headers = headers
-        self._find_running = find_running
         self._service_name = service.encode()
         self._clock = clock
         self._record_nested = record_nested
@@ -96,8 +95,9 @@
         self._mean_response_bytes = {}
         self._mean_work_ms = {}
         self._max_timeout_s = collections.defaultdict(float)
-        self._call_scopes = set()
-        self._stop_at = float('inf')
+        # Cancel scope of each call that is being sent.
+        self._scopes = {}
+        self._schedule = None
         self._replaced_headers = frozenset(
             (
                 headers.deadline_ms,
@@ -113,15 +113,25 @@
         self.counts = collections.Counter()
         self.durations = latencies.Latencies()
 
-    def finish_by(self, stop_at):
-        """End every call by a time; calls without a response are refused.
+    def finish_by(self, schedule):
+        """End every call in time for the stop of the node.
 
-        :param stop_at: monotonic seconds
+        :param schedule: `shutdown.Schedule`
         """
-        self._stop_at = stop_at
-        scope_deadline = trio.current_time() + stop_at - self._clock()
-        for scope in self._call_scopes:
-            scope.deadline = min(scope.deadline, scope_deadline)
+        self._schedule = schedule
+        end_in_s = schedule.calls_end_at - self._clock()
+        for call, scope in self._scopes.items():
+            self._limit(call)
+            if call.ends_with_node:
+                scope.deadline = trio.current_time() + end_in_s
+
+    def _limit(self, call):
+        """Have a call's target end it before this node gives it up."""
+        if self._schedule is None:
+            return
+        if self._schedule.targets_end_at < call.deadline:
+            call.deadline = self._schedule.targets_end_at
+            call.ends_with_node = True
 
     async def serve(self, request, connection):
         """Respond to a request and return whether to keep the connection."""
@@ -132,6 +142,7 @@
             self.in_flight -= 1
 
     async def _serve(self, request, connection):
+        connection.may_have_run = False
         started_at = self._clock()
         configuration = self._mesh.configuration
         if configuration is None:
@@ -312,14 +323,6 @@
         value = head.header(self._headers.deadline_ms)
         return _parse_int(value, DEFAULT_TIMEOUT_S * 1000) / 1000
 
-    def _find_parent(self, configuration, request_id):
-        """Return the call at the target on this VM that has made a call."""
-        if self.access.needs_keys(configuration):
-            return self.access.find_parent(request_id)
-        return self._find_running(
-            request_id.partition(call_access.PARENT_SEPARATOR)[0]
-        )
-
     def _create_call(
         self, head, body, route, started_at, configuration, organisation
     ):
@@ -327,7 +330,7 @@
         max_timeout_s = max(self._max_timeout_s[route.name], client_timeout_s)
         self._max_timeout_s[route.name] = max_timeout_s
         request_id = self._request_id(head)
-        parent = self._find_parent(configuration, request_id)
+        parent = self.access.find_parent(configuration, head, request_id)
         # A client that retries has less time left than at its first attempt.
         is_client_retry = (
             parent is None
@@ -343,7 +346,7 @@
             self._record_nested(service)
         if parent is not None and parent.is_retry:
             quota.record_retry(service, started_at)
-        return outbound_call.OutboundCall(
+        call = outbound_call.OutboundCall(
             head=head,
             body=body,
             request_id=request_id,
@@ -362,6 +365,8 @@
             configuration=configuration,
             organisation=organisation,
         )
+        self._limit(call)
+        return call
 
     def _format_target_headers(self, head, configuration, organisation):
         lines = bytearray()
@@ -376,16 +381,16 @@
         return bytes(lines)
 
     async def _execute(self, call, request, connection):
+        connection.may_have_run = True
         result = None
-        remaining_s = min(call.deadline, self._stop_at) - self._clock()
+        remaining_s = self._give_up_at(call) - self._clock()
         if remaining_s > 0:
             with trio.move_on_after(remaining_s) as scope:
-                self._call_scopes.add(scope)
+                self._scopes[call] = scope
                 try:
                     result = await self._send_until_answered(call)
                 finally:
-                    self._call_scopes.discard(scope)
-        call.deadline = min(call.deadline, self._stop_at)
+                    del self._scopes[call]
         if result is None or result.outcome is not Outcome.ANSWERED:
             # A target's failure tells the client more than a refusal.
             result = call.failure_response or result
@@ -398,6 +403,12 @@
         self._log_call(call, refusal.status, refusal.code, result)
         return await self._send_refusal(request, connection, refusal)
 
+    def _give_up_at(self, call):
+        """Return when a call without a result gets a response of the node."""
+        if call.ends_with_node:
+            return self._schedule.calls_end_at
+        return call.deadline
+
     async def _send_until_answered(self, call):
         """Send the call to nodes until it gets a response or can't be retried.
 
@@ -625,15 +636,11 @@
         return keep_alive
 
     def _may_keep_alive(self, request, connection):
-        """Return whether to keep the connection.
+        """Decide in the response's turn whether to keep the connection.
 
         A node that is stopping closes it after the last request received.
         """
-        return (
-            request.head.keep_alive
-            and request.is_complete
-            and (connection.has_later_request or not self._mesh.is_stopping)
-        )
+        return connection.decide_keep_alive(self._mesh.is_stopping)
 
     async def _send_refusal(self, request, connection, refusal):
         self.counts[('refused', refusal.code.value, refusal.status)] += 1
--- a/packages/pumicestand-node/pumicestand_node/target_calls.py
+++ b/packages/pumicestand-node/pumicestand_node/target_calls.py
@@ -31,6 +31,7 @@
 MISDIRECTED_STATUS = 421
 # Code of calls that are refused since the target's zone is evacuated.
 EVACUATED = 'zone-evacuated'
+STOPPING = refusals.CallCode.STOPPING.value
 # Seconds for which no call is sent after the target refused a connection or
 # said that a call was meant for another instance. The target comes back after
 # some seconds or not at all.
@@ -105,6 +106,7 @@
         self._cold_limit = (None, 0.0)
         self._is_cold = False
         self._is_evacuated = False
+        self._targets_end_at = float('inf')
         self.cold_periods = 0
         self.is_closed = False
         self.on_leaving = None
@@ -135,6 +137,25 @@
         """The `hop_messages.Evidence` of each route and version."""
         return tuple(self._evidence.values())
 
+    def finish_by(self, targets_end_at):
+        """Have the target end further calls in time for the node's stop.
+
+        :param targets_end_at: monotonic seconds
+        """
+        self._targets_end_at = targets_end_at
+
+    def refuse_all(self):
+        """Refuse the calls that wait, and all later ones, as the node stops.
+
+        Other nodes may still run them in time. Calls that run go on.
+        """
+        self.is_closed = True
+        self._refuse_waiting()
+
+    def _refuse_waiting(self):
+        for ticket in self._queue.refuse_all():
+            self._resume_waiter(ticket, False)
+
     def find_running(self, request_id):
         """Return the call with this id if it runs at the target, or None."""
         return self._running_calls.get(request_id)
@@ -209,8 +230,7 @@
         """
         self._is_evacuated = is_evacuated
         if is_evacuated:
-            for ticket in self._queue.refuse_all():
-                self._resume_waiter(ticket, False)
+            self._refuse_waiting()
         self._on_change()
 
     def _set_cold(self, is_cold, rate):
@@ -246,8 +266,7 @@
         self._unreachable_until = 0.0
         if target.state is target_states.TargetState.SERVING:
             return
-        for ticket in self._queue.refuse_all():
-            self._resume_waiter(ticket, False)
+        self._refuse_waiting()
 
     def _refusal_code(self):
         target = self._target_watch.target
@@ -256,7 +275,7 @@
         if target.state is not target_states.TargetState.SERVING:
             return 'target-leaving'
         if self.is_closed:
-            return 'stopping'
+            return STOPPING
         if self._is_evacuated:
             return EVACUATED
         if self._clock() < self._unreachable_until:
@@ -291,6 +310,7 @@
         """Run a call at the target and return its `hop_messages.Result`."""
         self.update_coldness()
         now = self._clock()
+        ticket = self._make_ticket(call, now)
         code = self._refusal_code() or self._mismatch_code(call)
         if code is not None:
             return self._make_result(call, Outcome.NOT_HANDED_ON, code)
@@ -298,7 +318,6 @@
             self._call_observer.record_client(
                 call.priority, call.objective_remaining_ms, now
             )
-        ticket = _make_ticket(call, now)
         match self._queue.offer(ticket, now):
             case target_queue.Refuse() if call.is_probe:
                 return self._make_result(
@@ -324,13 +343,12 @@
         :param call: `hop_messages.Call` whose body has not arrived
         :param arrival_s: seconds until the body is expected to have arrived
         """
+        now = self._clock()
+        ticket = self._make_ticket(call, now)
         code = self._refusal_code() or self._mismatch_code(call)
         if code is not None:
             return self._make_result(call, Outcome.NOT_HANDED_ON, code)
-        now = self._clock()
-        refusal = self._queue.refuse_late(
-            _make_ticket(call, now), now, arrival_s
-        )
+        refusal = self._queue.refuse_late(ticket, now, arrival_s)
         if refusal is None:
             return None
         return self._make_result(
@@ -342,7 +360,7 @@
 
         :returns: monotonic seconds
         """
-        return self._queue.overdue_at(_make_ticket(call, self._clock()))
+        return self._queue.overdue_at(self._make_ticket(call, self._clock()))
 
     def refuse_overdue(self, call):
         """Return the result that refuses a call whose body is too late."""
@@ -360,6 +378,8 @@
         """Return the result of a call that waited in vain."""
         if self._is_evacuated:
             return self._make_result(call, Outcome.NOT_HANDED_ON, EVACUATED)
+        if self.is_closed:
+            return self._make_result(call, Outcome.NOT_HANDED_ON, STOPPING)
         retry_after_s = 0.0
         if self._is_cold:
             retry_after_s = self._queue.retry_after_s(ticket, self._clock())
@@ -419,7 +439,7 @@
     async def _run_in_slot(self, call, ticket):
         code = self._refusal_code() or self._mismatch_code(call)
         if code is not None:
-            # The target changed while the call waited.
+            # The target or this node changed while the call waited.
             self._release_slot(ticket, False)
             return self._make_result(call, Outcome.NOT_HANDED_ON, code)
         is_answered = False
@@ -690,20 +710,20 @@
             work_ms=previous.work_ms + (work_s * 1000 if is_timed else 0.0),
         )
 
+    def _make_ticket(self, call, now):
+        """Return the `target_queue.Ticket` of a call that has arrived now."""
+        deadline = now + call.remaining_ms / 1000
+        return target_queue.Ticket(
+            priority=call.priority,
+            is_nested=call.is_nested,
+            is_client_retry=call.is_client_retry,
+            deadline=min(deadline, self._targets_end_at),
+            objective_at=now + call.objective_remaining_ms / 1000,
+            route=call.route,
+            is_probe=call.is_probe,
+            organisation=call.organisation,
+        )
+
     async def close(self):
         """Close the idle connections to the target."""
         await self._pool.close_idle()
-
-
-def _make_ticket(call, now):
-    """Return the `target_queue.Ticket` of a call that has arrived now."""
-    return target_queue.Ticket(
-        priority=call.priority,
-        is_nested=call.is_nested,
-        is_client_retry=call.is_client_retry,
-        deadline=now + call.remaining_ms / 1000,
-        objective_at=now + call.objective_remaining_ms / 1000,
-        route=call.route,
-        is_probe=call.is_probe,
-        organisation=call.organisation,
-    )
--- a/tests/pumicestand_node/test_mesh_calls.py
+++ b/tests/pumicestand_node/test_mesh_calls.py
@@ -13,6 +13,7 @@
 from pumicestand import decision_log
 from pumicestand import documents
 from pumicestand import hop_messages
+from pumicestand import shutdown
 from pumicestand import target_states
 from pumicestand import targets
 from pumicestand_node import client_connections
@@ -445,6 +446,20 @@
     run_with_target(test)
 
 
+def test_a_stopping_node_serves_the_calls_of_a_nested_call_of_its_target():
+    """Their ids have two suffixes; the call that made them runs here."""
+
+    async def test(harness):
+        harness.mesh.is_leaving = True
+        harness.targets._running_calls['parent.child'] = hop_messages.Call(
+            1, 's', '', '', 'GET', b'/', b'', 1, 1, 1, 'r', 'parent', True
+        )
+        got, _ = await harness.send_request(request_id='parent.child.other')
+        assert got == 200
+
+    run_with_target(test)
+
+
 def test_a_call_that_displaces_urgent_calls_is_refused_on_arrival():
     """Its nested calls would take the slots that urgent calls wait for."""
 
@@ -484,6 +499,26 @@
     run_with_target(test)
 
 
+@pytest.mark.parametrize(
+    ('step', 'status'), [('access', 503), ('send_call', 502)]
+)
+def test_an_error_before_the_call_is_sent_tells_that_it_has_not_run(
+    step, status
+):
+    async def test(harness):
+        def fail(*args):
+            raise ValueError('bug')
+
+        if step == 'access':
+            harness.outbound.access.decide = fail
+        else:
+            harness.mesh.send_call = fail
+        got, _ = await harness.send_request('/o/1', 'POST')
+        assert got == status
+
+    run_with_target(test)
+
+
 def test_a_call_in_flight_when_the_node_stops_gets_a_response():
     """The stop must not cut a call that outlasts the grace period."""
 
@@ -501,11 +536,27 @@
 
     async def stop_later(harness):
         await trio.sleep(0.1)
-        harness.outbound.finish_by(trio.current_time() + 0.1)
+        now = trio.current_time()
+        harness.outbound.finish_by(
+            shutdown.Schedule(now, now + 0.08, now + 0.1, now + 0.12)
+        )
 
     run_with_target(test, 'hang')
 
 
+def test_a_stopping_node_has_its_target_end_calls_in_time():
+    """The node would have to break off a call that ends later."""
+
+    async def test(harness):
+        harness.targets.finish_by(trio.current_time() + 0.5)
+        await harness.send_request('/o/1', 'POST')
+        head = harness.script.request_heads[0].lower()
+        remaining_ms = head.partition(b'deadline-ms: ')[2].split(b'\r\n')[0]
+        assert 400 < int(remaining_ms) <= 500
+
+    run_with_target(test)
+
+
 def test_a_call_queued_behind_calls_that_hang_is_refused_as_not_run():
     """No call ends, so only the time tells that it can't be in time."""
 
--- a/tests/pumicestand_platform/test_start_modules.py
+++ b/tests/pumicestand_platform/test_start_modules.py
@@ -21,7 +21,7 @@
 OWN = """
 pumicestand pumicestand.admission_by_room
 pumicestand.body_transfers pumicestand.call_headers
-pumicestand.coldness pumicestand.decision_log
+pumicestand.coldness pumicestand.connection_trust pumicestand.decision_log
 pumicestand.evacuations pumicestand.fair_shares
 pumicestand.documents pumicestand.errors pumicestand.fetches
 pumicestand.field_reading pumicestand.fingerprints pumicestand.fleet
@@ -37,7 +37,8 @@
 pumicestand.ranking pumicestand.rate_limits
 pumicestand.refusals pumicestand.regressions pumicestand.reporting
 pumicestand.response_buffers pumicestand.retry_quota pumicestand.rollouts
-pumicestand.routing pumicestand.store_calls pumicestand.stored_objects
+pumicestand.routing pumicestand.shutdown
+pumicestand.store_calls pumicestand.stored_objects
 pumicestand.suspects pumicestand.target_queue pumicestand.target_states
 pumicestand.targets pumicestand.tcp_options pumicestand.tcp_streams
 pumicestand.zone_roles pumicestand.zone_summaries
