Let calls of an ended link go on for one second only

Cause: a link that ends by itself kept its calls running for 3 s, the time for which results are kept. If the opener has died, its targets work that long for callers that are gone. Evidence: the tests of resumption pass; the time has no effect in them. Conclusion: the bound is the time in which an opener can ask.

--- a/packages/pumicestand-node/pumicestand_node/link_server.py
+++ b/packages/pumicestand-node/pumicestand_node/link_server.py
@@ -112,13 +112,13 @@
         if self._is_detached:
             return
         self._is_detached = True
-        self._extend()
+        self._extend(link_resumption.KEEP_UNASKED_S)
         self.frames.stop()
         for id_ in list(self._received_at):
             self._discard_unstarted(id_)
 
-    def _extend(self):
-        self._keep_until = self._clock() + link_resumption.KEEP_S
+    def _extend(self, seconds=link_resumption.KEEP_S):
+        self._keep_until = self._clock() + seconds
 
     def _set_carrier(self, carrier):
         """Send the results of the calls on another server's connection."""
--- a/packages/pumicestand/pumicestand/link_resumption.py
+++ b/packages/pumicestand/pumicestand/link_resumption.py
@@ -36,10 +36,13 @@
 # are allowed more.
 MAX_SILENCE_S = 1.3
 GIVE_UP_AFTER_PING_S = 0.8
-# Time for which results are kept that the other node may not have received,
-# and calls go on whose connection has ended. A node that has a link to resume
+# Time for which results are kept that the other node may not have received. A
+# node that has a link to resume
 # asks within about `MAX_SILENCE_S`, on a link of 5 Mbit/s within 2.9 s.
 KEEP_S = 3.0
+# Time for which calls go on after their connection has ended by itself. An
+# opener that still runs asks for them on another connection at once.
+KEEP_UNASKED_S = 1.0
 # Largest total of the kept results of a node: the memory of nodes is priced.
 MAX_KEPT_BYTES = 2_000_000
 # Largest result that is kept, so that one does not displace all others.
