--- a/packages/pumicestand-node/pumicestand_node/mesh_links.py
+++ b/packages/pumicestand-node/pumicestand_node/mesh_links.py
@@ -8,6 +8,7 @@
 
 import collections
 import functools
+import itertools
 
 import trio
 
@@ -15,7 +16,9 @@
 from pumicestand import hop
 from pumicestand import hop_messages
 from pumicestand import link_probes
+from pumicestand import link_resumption
 from pumicestand import link_selection
+from pumicestand import log
 from pumicestand import reporting
 from pumicestand import zone_summaries
 from pumicestand_node import body_receiver
@@ -32,6 +35,9 @@
 # Time without calls after which a link that is no longer selected is closed,
 # in seconds.
 CLOSE_UNUSED_AFTER_S = 10.0
+# Period at which the links with pending calls are checked, in seconds: a part
+# of the time after which a silent link is pinged.
+CALL_CHECK_PERIOD_S = 0.05
 
 
 class MeshLinks:
@@ -57,6 +63,11 @@
         self._rng = rng
         self._links = {}
         self._link_servers = set()
+        # (Name and incarnation of the opener, number of the connection) to
+        # its server, from the hello until its calls can't be resumed.
+        self._resumable_servers = {}
+        self._connection_numbers = itertools.count(1)
+        self._kept_results = link_resumption.KeptResults()
         self._bodies = body_receiver.BodyReceiver(mesh.body_transfers, clock)
         self._selector = link_selection.LinkSelector(
             mesh.identity.name, mesh.identity.zone
@@ -67,6 +78,7 @@
         self._selected_at = float('-inf')
         self._fetch_planner = fetches.FetchPlanner(mesh.identity.zone, rng)
         self._probe_selector = link_probes.ProbeSelector()
+        self._call_sent = trio.Event()
         self._report_requested = trio.Event()
         self._report_selector = reporting.ReportSelector()
         self._summary_sequence = 0
@@ -99,7 +111,11 @@
         own.is_linked = True
         own.unreachable_since = None
         self.refresh_own_peer()
-        for task in (self._send_reports, self._send_summaries):
+        for task in (
+            self._send_reports,
+            self._send_summaries,
+            self._watch_calls,
+        ):
             nursery.start_soon(supervision.supervise, task.__name__, task)
 
     async def send_call(self, peer, call):
@@ -118,6 +134,7 @@
             return hop_messages.Result(
                 0, hop_messages.Outcome.NOT_HANDED_ON, 'no-link'
             )
+        self._call_sent.set()
         return await link.send_call(call)
 
     def add_peers(self, records):
@@ -134,9 +151,7 @@
 
         :param now: monotonic seconds
         """
-        for link in self._links.values():
-            if not link.check_liveness(now):
-                self._probe_selector.record_dead_link()
+        self._check_liveness(self._links.values(), now)
         self._probe_silent_links(now)
         for name in self._mesh.fleet.remove_unreachable(now):
             self._mesh.suspects.set_reported(name, ())
@@ -147,6 +162,22 @@
         self._update_selection(now)
         self._fetch_configuration(now)
 
+    def _check_liveness(self, checked_links, now):
+        for link in checked_links:
+            if not link.check_liveness(now):
+                self._probe_selector.record_dead_link()
+
+    async def _watch_calls(self):
+        """Check the links with pending calls often, while there are any."""
+        while True:
+            await self._call_sent.wait()
+            while busy_links := [
+                link for link in self._links.values() if link.has_calls
+            ]:
+                self._check_liveness(busy_links, self._clock())
+                await trio.sleep(CALL_CHECK_PERIOD_S)
+            self._call_sent = trio.Event()
+
     def _probe_silent_links(self, now):
         """Check links without calls that have been silent for long."""
         silences = {
@@ -227,15 +258,60 @@
             self._mesh,
             self._handle_opener_message,
             self._clock,
+            self._kept_results,
         )
         self._link_servers.add(server)
         try:
-            await server.run()
+            await server.run(lambda: self._link_servers.discard(server))
         finally:
             self._link_servers.discard(server)
+            if self._resumable_servers.get(_key(server)) is server:
+                del self._resumable_servers[_key(server)]
 
     def _make_hello(self):
-        return hop_messages.Hello(self._new_report().without_evidence)
+        return hop_messages.Hello(
+            self._new_report().without_evidence, next(self._connection_numbers)
+        )
+
+    def _add_resumable(self, server):
+        """Add the server of a connection whose opener has identified itself.
+
+        Calls of an earlier process of the opener are no longer waited for.
+        """
+        for other in list(self._resumable_servers.values()):
+            if (
+                other.peer_name == server.peer_name
+                and other.peer_incarnation != server.peer_incarnation
+            ):
+                other.end()
+        if server.connection:
+            self._resumable_servers.setdefault(_key(server), server)
+
+    def _resume(self, server, request):
+        """Answer what became of calls on an earlier connection.
+
+        :param server: `link_server.LinkServer` of the new connection
+        :param request: `hop_messages.Resume`
+        """
+        previous = self._resumable_servers.get(
+            (server.peer_name, server.peer_incarnation, request.connection)
+        )
+        if (
+            request.incarnation == self._mesh.incarnation
+            and previous is not None
+            and previous.connection < server.connection
+        ):
+            previous.resume(request, server)
+            self._link_servers.discard(previous)
+            return
+        log.logger.bind(event='link-not-resumed').info(
+            'node {} asked for {} calls of connection {}, which is not known '
+            'in this process',
+            server.peer_name,
+            len(request.ids),
+            request.connection,
+        )
+        server.frames.send(hop_messages.Resumed(request.connection))
 
     def _new_report(self):
         return self._mesh.new_report(
@@ -248,8 +324,11 @@
         """Handle a message on a link that another node opened."""
         match message:
             case hop_messages.Hello(report):
+                self._add_resumable(server)
                 server.frames.send(self._new_report().without_evidence)
                 self._apply_report(report)
+            case hop_messages.Resume():
+                self._resume(server, message)
             case hop_messages.Relay() | hop_messages.ZoneSummary():
                 self._handle_relayed(message, server.is_cross_zone)
             case hop_messages.GenerationUpdate(generation):
@@ -528,3 +607,8 @@
             # By turns, so that a frozen contact does not hide them all.
             name = names[self._summary_sequence % len(names)]
             self._links[name].send(summary)
+
+
+def _key(server):
+    """Return what identifies the connection of a server in the fleet."""
+    return (server.peer_name, server.peer_incarnation, server.connection)
--- a/tests/pumicestand/test_layers.py
+++ b/tests/pumicestand/test_layers.py
@@ -31,6 +31,7 @@
     'gossip',
     'hop_messages',
     'link_probes',
+    'link_resumption',
     'membership',
     'moves',
     'organisations',
--- a/tests/pumicestand_node/test_node_stop.py
+++ b/tests/pumicestand_node/test_node_stop.py
@@ -289,6 +289,35 @@
     run_inbound(monkeypatch, make_node, test, write_s=0.03)
 
 
+def test_a_call_that_is_cancelled_on_arrival_is_not_run(monkeypatch):
+    """The call and its cancellation may be read at once."""
+
+    async def main():
+        async with trio.open_nursery() as nursery:
+            targets = RecordingTargetCalls()
+            harness = TwoNodes(nursery, monkeypatch, targets)
+            await trio.sleep(0.01)
+            call = dataclasses.replace(LARGE_CALL, body=b'')
+            harness.link.send(call)
+            harness.link.send(hop_messages.Cancel(call.id))
+            await trio.sleep(0.01)
+            assert targets.calls == []
+            nursery.cancel_scope.cancel()
+
+    mock_clock.run(main)
+
+
+class RecordingTargetCalls:
+    """Records the calls that it is given before it first waits."""
+
+    def __init__(self):
+        self.calls = []
+
+    async def run(self, call):
+        self.calls.append(call)
+        await trio.sleep_forever()
+
+
 def test_a_call_that_waits_at_a_node_that_closes_is_refused_at_once():
     """It would be refused once a slot is free, too late for other nodes."""
 
