Refuse calls whose bodies still arrive when a node closes

Cause: nothing told the bodies' senders that the node takes no more calls. Change: with the calls that wait at the target, those whose bodies have not arrived are refused as not handed on. Conclusion: a closing node does not wait for what it refuses.

--- a/packages/pumicestand-node/pumicestand_node/link_server.py
+++ b/packages/pumicestand-node/pumicestand_node/link_server.py
@@ -7,6 +7,7 @@
 from pumicestand import hop_messages
 from pumicestand import link_resumption
 from pumicestand import log
+from pumicestand import refusals
 from pumicestand_node import frame_streams
 
 # Period at which a server without a connection checks whether its calls have
@@ -273,15 +274,25 @@
         if call is not None:
             self._target_calls.withdraw(call)
             return
-        if self._received_at.pop(id_, None) is None:
-            # Its result is on the way.
-            return
+        if id_ in self._received_at:
+            self._refuse_arriving(id_, 'deadline-before-run')
+        # Else its result is on the way.
+
+    def refuse_arriving(self):
+        """Refuse the calls whose bodies have not arrived, as the node stops.
+
+        Other nodes may still run them in time.
+        """
+        for id_ in list(self._received_at):
+            self._refuse_arriving(id_, refusals.CallCode.STOPPING.value)
+
+    def _refuse_arriving(self, id_, code):
         self._discard_unstarted(id_)
         self._send_result(
             hop_messages.Result(
                 id_,
                 hop_messages.Outcome.NOT_HANDED_ON,
-                'deadline-before-run',
+                code,
                 load=self._target_calls.load(),
             )
         )
--- a/packages/pumicestand-node/pumicestand_node/mesh_links.py
+++ b/packages/pumicestand-node/pumicestand_node/mesh_links.py
@@ -101,6 +101,11 @@
         """Whether other nodes still send calls or get results."""
         return any(server.has_unfinished for server in self._link_servers)
 
+    def refuse_arriving(self):
+        """Refuse calls of other nodes whose bodies have not arrived."""
+        for server in self._link_servers:
+            server.refuse_arriving()
+
     async def start(self, nursery):
         """Start to send reports in a nursery, which also runs the links."""
         self._nursery = nursery
--- a/packages/pumicestand-node/pumicestand_node/mesh_node.py
+++ b/packages/pumicestand-node/pumicestand_node/mesh_node.py
@@ -251,6 +251,7 @@
         self._client_port.close_when_idle()
         mesh.is_leaving = True
         self._target_calls.refuse_all()
+        self._links.refuse_arriving()
         self._links.schedule_report()
         await trio.sleep(LINK_FLUSH_S)
         while self._clock() < schedule.close_at and self._has_work():
--- a/tests/pumicestand_node/test_node_stop.py
+++ b/tests/pumicestand_node/test_node_stop.py
@@ -233,10 +233,10 @@
 )
 
 
-def test_a_stopping_node_answers_calls_whose_bodies_still_arrive(
+def test_a_stopping_node_refuses_calls_whose_bodies_still_arrive_at_once(
     monkeypatch, make_node
 ):
-    """Else their senders take them to have run, though no target had them."""
+    """Their senders would take them to have run, or find no node in time."""
 
     async def test(node, link):
         await trio.sleep(1.0)
@@ -249,8 +249,8 @@
                 remaining_bytes=len(body) - size,
             )
         )
-        # The rest has arrived 2.9 s after the stop, 3.1 s before its end.
-        await trio.sleep(1.9)
+        await trio.sleep(1.35)
+        assert link.outcomes() == [Outcome.NOT_HANDED_ON]
         frame_streams.send_parts(link.frames, 1, body[size:])
         await trio.sleep(0.05)
         assert link.outcomes() == [Outcome.NOT_HANDED_ON]
