Acknowledge that a target leaves only once the store has it

Cause: the node acknowledged a departure after 0.5 s although the store refused its record; it was killed, and its next process took the target to serve from the record until the next heartbeat. A repeated heartbeat was acknowledged at once, whether the record was written or not. Ruled out: calls queued before the departure; they are refused with it. Change: while a target leaves, the node answers 503 until the store has the node's record as it is. The target's calls end as before, and it repeats its heartbeat. Evidence: test_a_departure_is_acknowledged_only_once_the_store_has_it fails without the change. Conclusion: what is acknowledged outlasts the process that acknowledged it.

--- a/packages/pumicestand-node/pumicestand_node/mesh_node.py
+++ b/packages/pumicestand-node/pumicestand_node/mesh_node.py
@@ -428,9 +428,17 @@
         is_changed = watch.apply(control, self._clock())
         if isinstance(control, targets.Heartbeat):
             self._target_calls.on_heartbeat(control)
-        if not is_changed:
-            return plain_http.PlainResponse(200, b'{}', plain_http.JSON)
-        self._on_target_changed()
-        if before is None or before.state is not watch.target.state:
-            await self._store.save_own_record()
+        target = watch.target
+        if is_changed:
+            self._on_target_changed()
+        is_leaving = target is not None and target.is_leaving
+        if is_leaving or (is_changed and _has_new_state(before, target)):
+            is_saved = await self._store.save_own_record()
+            if is_leaving and not is_saved:
+                # The next process would take the target to serve.
+                return plain_http.PlainResponse(503, b'not recorded\n')
         return plain_http.PlainResponse(200, b'{}', plain_http.JSON)
+
+
+def _has_new_state(before, target):
+    return before is None or before.state is not target.state
--- a/packages/pumicestand-node/pumicestand_node/mesh_records.py
+++ b/packages/pumicestand-node/pumicestand_node/mesh_records.py
@@ -225,11 +225,18 @@
 
         Returns after `RECORD_WRITE_TIMEOUT_S` at the latest; the write is
         then retried in the background.
+
+        :returns: whether the store has the record as it is now
         """
-        done = self._write_done
-        self._write_requested.set()
-        with trio.move_on_after(RECORD_WRITE_TIMEOUT_S):
-            await done.wait()
+        if not self._is_saved():
+            done = self._write_done
+            self._write_requested.set()
+            with trio.move_on_after(RECORD_WRITE_TIMEOUT_S):
+                await done.wait()
+        return self._is_saved()
+
+    def _is_saved(self):
+        return self.has_joined and self._own_record() == self._written_record
 
     async def _maintain_own_record(self):
         """Write this node's record on each request, until it succeeds."""
--- a/packages/pumicestand-node/pumicestand_node/mesh_store.py
+++ b/packages/pumicestand-node/pumicestand_node/mesh_store.py
@@ -135,7 +135,7 @@
 
         See `mesh_records.MeshRecords.save_own`.
         """
-        await self._records.save_own()
+        return await self._records.save_own()
 
     def is_watcher(self):
         """Return whether this node should watch the store."""
--- a/packages/pumicestand/pumicestand/hop_messages.py
+++ b/packages/pumicestand/pumicestand/hop_messages.py
@@ -41,6 +41,11 @@
     state: target_states.TargetState = target_states.TargetState.SERVING
     started_ms: int = 0
 
+    @property
+    def is_leaving(self):
+        """Whether the target has said that it gets no more calls."""
+        return self.state is not target_states.TargetState.SERVING
+
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Load:
--- a/tests/pumicestand_node/test_mesh_node.py
+++ b/tests/pumicestand_node/test_mesh_node.py
@@ -8,6 +8,7 @@
 
 from pumicestand import documents
 from pumicestand import hop_messages
+from pumicestand import targets
 from pumicestand_node import mesh_node
 from pumicestand_platform import main
 from pumicestand_platform import settings
@@ -52,6 +53,34 @@
     assert node._links.on_freshness is None
 
 
+def test_a_departure_is_acknowledged_only_once_the_store_has_it(
+    monkeypatch, make_node
+):
+    """A process that restarts before would use the target again."""
+    node = make_node(is_strict=False)
+    watch = node._mesh.target_watch
+    watch.apply(targets.Heartbeat(mesh_fakes.make_target('t'), 1), 0.0)
+    is_saved = False
+
+    async def save_own_record():
+        return is_saved
+
+    monkeypatch.setattr(node._store, 'save_own_record', save_own_record)
+
+    async def deregister():
+        response = await node._handle_control(
+            'POST', '/instances/i-t/deregister', b'{}'
+        )
+        return response.status
+
+    assert trio.run(deregister) == 503
+    assert watch.target.is_leaving
+    # The target repeats it, although nothing has changed for the node.
+    assert trio.run(deregister) == 503
+    is_saved = True
+    assert trio.run(deregister) == 200
+
+
 GRACE_PERIODS_S = (6.0, 10.0)
 CALL_TIMEOUT_S = 30.0
 
--- a/tests/pumicestand_node/test_mesh_store.py
+++ b/tests/pumicestand_node/test_mesh_store.py
@@ -320,11 +320,12 @@
             target = mesh_fakes.make_target('t', started_ms=2)
             node.mesh.target_watch.apply(targets.Heartbeat(target, 1), 0.0)
             before = trio.current_time()
-            await node.mesh_store.save_own_record()
+            assert not await node.mesh_store.save_own_record()
             waited = trio.current_time() - before
             assert waited <= mesh_records.RECORD_WRITE_TIMEOUT_S
             store.faults.silent = False
             await trio.sleep(4)
+            assert await node.mesh_store.save_own_record()
             record = store.get(node_records.KIND, 'a')['spec']
             assert record['target']['instance'] == 'i-t'
 
