--- a/packages/pumicestand-node/pumicestand_node/target_calls.py
+++ b/packages/pumicestand-node/pumicestand_node/target_calls.py
@@ -310,7 +310,6 @@
         """Run a call at the target and return its `hop_messages.Result`."""
         self.update_coldness()
         now = self._clock()
-        ticket = self._make_ticket(call, now)
         code = self._refusal_code() or self._mismatch_code(call)
         if code is not None:
             return self._make_result(call, Outcome.NOT_HANDED_ON, code)
@@ -318,6 +317,7 @@
             self._call_observer.record_client(
                 call.priority, call.objective_remaining_ms, now
             )
+        ticket = self._make_ticket(call, now)
         match self._queue.offer(ticket, now):
             case target_queue.Refuse() if call.is_probe:
                 return self._make_result(
@@ -343,12 +343,13 @@
         :param call: `hop_messages.Call` whose body has not arrived
         :param arrival_s: seconds until the body is expected to have arrived
         """
-        now = self._clock()
-        ticket = self._make_ticket(call, now)
         code = self._refusal_code() or self._mismatch_code(call)
         if code is not None:
             return self._make_result(call, Outcome.NOT_HANDED_ON, code)
-        refusal = self._queue.refuse_late(ticket, now, arrival_s)
+        now = self._clock()
+        refusal = self._queue.refuse_late(
+            self._make_ticket(call, now), now, arrival_s
+        )
         if refusal is None:
             return None
         return self._make_result(
@@ -439,7 +440,7 @@
     async def _run_in_slot(self, call, ticket):
         code = self._refusal_code() or self._mismatch_code(call)
         if code is not None:
-            # The target or this node changed while the call waited.
+            # The target changed while the call waited.
             self._release_slot(ticket, False)
             return self._make_result(call, Outcome.NOT_HANDED_ON, code)
         is_answered = False
