Answer pipelined requests in the product's own call path when a node stops

What callers saw: behind a response that said close because the node was leaving, requests that had been read were cut. Change: the connection decides in the turn, as on the platform. Evidence: test_stopping_node_answers_pipelined_requests_before_it_closes fails without the change; tests of the call path, the soak and the benchmarks pass. Conclusion: both call paths decide by the same rule.

--- a/packages/pumicestand-node/pumicestand_node/calls.py
+++ b/packages/pumicestand-node/pumicestand_node/calls.py
@@ -66,6 +66,7 @@
     :param may_have_run: whether a failed attempt may have run at its target
     :param has_begun_response: whether a part of the response was sent to the
         client
+    :param keep_alive: whether the connection is kept after the response
     :param status: status of the target's response
     """
 
@@ -84,6 +85,7 @@
     was_sent: bool = False
     may_have_run: bool = False
     has_begun_response: bool = False
+    keep_alive: bool = False
     status: int = 0
 
 
@@ -197,7 +199,7 @@
         refusal = _correct_not_run(call, refusal)
         if refusal is None:
             self._report_finished(call)
-            return self._may_keep_alive(call.request)
+            return call.keep_alive
         if call.has_begun_response:
             # A part of the response was sent, so that only closing the
             # connection tells the client that it is incomplete.
@@ -205,13 +207,10 @@
             return False
         return await self._refuse(call.request, call.connection, refusal)
 
-    def _may_keep_alive(self, request):
-        """Return whether to keep the client's connection."""
-        return (
-            request.head.keep_alive
-            and request.is_complete
-            and not self._board.is_leaving
-        )
+    async def _decide_keep_alive(self, connection):
+        """Decide in the response's turn whether to keep the connection."""
+        await connection.wait_for_turn()
+        return connection.decide_keep_alive(self._board.is_leaving)
 
     def _report_finished(self, call):
         finished = FinishedCall(
@@ -226,7 +225,7 @@
 
     async def _refuse(self, request, connection, refusal):
         signals.call_refused.send(self, refusal=refusal)
-        keep_alive = self._may_keep_alive(request)
+        keep_alive = await self._decide_keep_alive(connection)
         with_body = request.head.method != 'HEAD'
         await connection.send(
             heads.format_refusal(refusal, keep_alive, with_body)
@@ -505,9 +504,9 @@
             call.has_begun_response = True
             await call.connection.send(data)
 
-        keep_alive = self._may_keep_alive(call.request)
+        call.keep_alive = await self._decide_keep_alive(call.connection)
         await relaying.forward_response(
-            head, response, connection, keep_alive, send
+            head, response, connection, call.keep_alive, send
         )
 
     async def _send_and_read_head(self, call, connection):
--- a/tests/pumicestand_node/test_calls.py
+++ b/tests/pumicestand_node/test_calls.py
@@ -751,6 +751,24 @@
     assert remaining_data == b''
 
 
+def test_stopping_node_answers_pipelined_requests_before_it_closes():
+    """The response to the first one must not end the connection."""
+
+    async def main(harness):
+        stream = await harness.connect()
+        await stream.send_all(SALE + SALE)
+        await trio.sleep(0.1)
+        harness.board.is_leaving = True
+        received = b''
+        while more := await stream.receive_some(65536):
+            received += more
+        return received
+
+    _, received = run(main, ['late'])
+    assert received.count(b'sold') == 2
+    assert received.lower().count(b'connection: close') == 1
+
+
 def test_invalid_chunk_within_an_upload_is_a_bad_request():
     async def main(harness):
         stream = await harness.connect()
