--- a/packages/pumicestand-node/pumicestand_node/calls.py
+++ b/packages/pumicestand-node/pumicestand_node/calls.py
@@ -12,6 +12,7 @@
 from pumicestand import routers
 from pumicestand import signals
 from pumicestand_node import client_connections
+from pumicestand_node import client_requests
 from pumicestand_node import heads
 from pumicestand_node import relaying
 from pumicestand_node import target_connections
@@ -70,7 +71,7 @@
     :param status: status of the target's response
     """
 
-    request: client_connections.Request
+    request: client_requests.Request
     connection: client_connections.ClientConnection
     choice: routers.Choice
     started_at: float
@@ -127,7 +128,7 @@
     async def serve(self, request, connection):
         """Respond to one request; return whether to keep the connection.
 
-        :param request: the `client_connections.Request`
+        :param request: the `client_requests.Request`
         :param connection: the `client_connections.ClientConnection`
         """
         self.in_flight += 1
--- /dev/null
+++ b/packages/pumicestand-node/pumicestand_node/client_requests.py
@@ -0,0 +1,162 @@
+"""Requests of clients: parsed strictly, with bodies that may still arrive."""
+
+import collections
+
+import httptools
+import trio
+
+from pumicestand import refusals
+from pumicestand_node import heads
+
+MAX_BUFFERED_BODY_BYTES = 131_072
+
+
+class IncompleteRequestError(Exception):
+    """The rest of a request's body will not be received."""
+
+
+class Request:
+    """A request whose body may still be incomplete.
+
+    :param head: the `heads.RequestHead`
+    :param on_body_read: called after a chunk of the body was taken
+    """
+
+    def __init__(self, head, on_body_read):
+        self.head = head
+        self.is_complete = False
+        self.is_broken = False
+        self._chunks = collections.deque()
+        self._buffered_bytes = 0
+        self.received_bytes = 0
+        self._body_changed = None
+        self._on_body_read = on_body_read
+        self.expects_continue = False
+
+    @property
+    def is_buffer_full(self):
+        """Whether reading must pause until buffered chunks are taken."""
+        return self._buffered_bytes >= MAX_BUFFERED_BODY_BYTES
+
+    def add_body(self, data):
+        """Buffer a chunk of the body."""
+        self._chunks.append(data)
+        self._buffered_bytes += len(data)
+        self.received_bytes += len(data)
+        self._wake_reader()
+
+    def end_body(self, is_broken=False):
+        """Mark the body as complete, or as broken off."""
+        self.is_complete = not is_broken
+        self.is_broken = is_broken
+        self._wake_reader()
+
+    def _wake_reader(self):
+        if self._body_changed is not None:
+            self._body_changed.set()
+            self._body_changed = None
+
+    async def read(self):
+        """Return the next chunk of the body, empty at its end.
+
+        :raises IncompleteRequestError: if the body was broken off
+        """
+        while not self._chunks:
+            if self.is_complete:
+                return b''
+            if self.is_broken:
+                raise IncompleteRequestError
+            self._body_changed = trio.Event()
+            await self._body_changed.wait()
+        data = self._chunks.popleft()
+        self._buffered_bytes -= len(data)
+        self._on_body_read()
+        return data
+
+    async def read_all(self):
+        """Return the rest of the body.
+
+        :raises IncompleteRequestError: if the body was broken off
+        """
+        if self.is_complete and not self._chunks:
+            return b''
+        parts = []
+        while data := await self.read():
+            parts.append(data)
+        return b''.join(parts)
+
+
+class RequestParser:
+    """Callbacks of httptools for the requests of one connection.
+
+    ``refusal`` is the `refusals.Refusal` of a head that is not accepted,
+    ``head_bytes`` the size of the head that is being read.
+
+    :param on_request: called with each `Request` whose head has been read
+    :param on_body_read: called after a chunk of a body was taken
+    :param on_last_request: called after a request that ends the connection
+    """
+
+    def __init__(self, on_request, on_body_read, on_last_request):
+        self._on_request = on_request
+        self._on_body_read = on_body_read
+        self._on_last_request = on_last_request
+        self._url = b''
+        self._headers = []
+        self._request = None
+        self.refusal = None
+        self.head_bytes = 0
+        self.is_in_head = False
+        self.parser = httptools.HttpRequestParser(self)
+
+    @property
+    def request(self):
+        """The `Request` whose body is being read, or None."""
+        return self._request
+
+    def on_message_begin(self):
+        self._url = b''
+        self._headers = []
+        self.is_in_head = True
+        self.head_bytes = 0
+
+    def on_url(self, url):
+        self._url += url
+
+    def on_header(self, name, value):
+        if self.is_in_head:
+            self._headers.append((name.lower(), value))
+
+    def on_headers_complete(self):
+        self.is_in_head = False
+        body_length = heads.parse_body_length(self._headers)
+        if isinstance(body_length, refusals.Refusal):
+            self.refusal = body_length
+            raise ValueError(body_length.detail)
+        head = heads.RequestHead(
+            method=self.parser.get_method().decode(),
+            url=self._url,
+            version=self.parser.get_http_version(),
+            headers=self._headers,
+            body_length=body_length,
+            keep_alive=self.parser.should_keep_alive(),
+        )
+        self.refusal = heads.validate_request(head)
+        if self.refusal is not None:
+            raise ValueError(self.refusal.detail)
+        self._request = Request(head, self._on_body_read)
+        expect = head.header(b'expect')
+        self._request.expects_continue = (
+            expect is not None and expect.lower() == b'100-continue'
+        )
+        self._on_request(self._request)
+
+    def on_body(self, data):
+        self._request.add_body(data)
+
+    def on_message_complete(self):
+        self._request.end_body()
+        keep_alive = self._request.head.keep_alive
+        self._request = None
+        if not keep_alive:
+            self._on_last_request()
--- a/packages/pumicestand-node/pumicestand_node/relaying.py
+++ b/packages/pumicestand-node/pumicestand_node/relaying.py
@@ -2,7 +2,7 @@
 
 import trio
 
-from pumicestand_node import client_connections
+from pumicestand_node import client_requests
 from pumicestand_node import heads
 from pumicestand_node import target_connections
 
@@ -23,7 +23,7 @@
 
     The target may respond before it has read the whole body.
 
-    :param request: a `client_connections.Request` whose head is already sent
+    :param request: a `client_requests.Request` whose head is already sent
     :param connection: the `target_connections.TargetConnection`
     :returns: the `target_connections.ResponseHead`
     """
@@ -55,7 +55,7 @@
     except (trio.BrokenResourceError, trio.ClosedResourceError):
         # The target stopped reading; its response, if any, says why.
         return
-    except client_connections.IncompleteRequestError:
+    except client_requests.IncompleteRequestError:
         # Truncates the request, so that the target never takes it as whole.
         await connection.close()
 
