Use one name for a leaving target and one harness for a stopping node

The read-through found checks of a target's state beside the property that says the same, two methods of a link server with nearly one name, and the tasks of a stopped node written twice in the tests. Behaviour and assertions are unchanged.

--- a/packages/pumicestand-node/pumicestand_node/link_server.py
+++ b/packages/pumicestand-node/pumicestand_node/link_server.py
@@ -275,7 +275,7 @@
             self._target_calls.withdraw(call)
             return
         if id_ in self._received_at:
-            self._refuse_arriving(id_, 'deadline-before-run')
+            self._refuse_unstarted(id_, 'deadline-before-run')
         # Else its result is on the way.
 
     def refuse_arriving(self):
@@ -284,9 +284,9 @@
         Other nodes may still run them in time.
         """
         for id_ in list(self._received_at):
-            self._refuse_arriving(id_, refusals.CallCode.STOPPING.value)
+            self._refuse_unstarted(id_, refusals.CallCode.STOPPING.value)
 
-    def _refuse_arriving(self, id_, code):
+    def _refuse_unstarted(self, id_, code):
         self._discard_unstarted(id_)
         self._send_result(
             hop_messages.Result(
--- a/packages/pumicestand-node/pumicestand_node/target_calls.py
+++ b/packages/pumicestand-node/pumicestand_node/target_calls.py
@@ -19,7 +19,6 @@
 from pumicestand import rate_limits
 from pumicestand import refusals
 from pumicestand import target_queue
-from pumicestand import target_states
 from pumicestand import targets
 from pumicestand import tcp_streams
 from pumicestand_node import target_exchange
@@ -264,7 +263,7 @@
         self._target_start = target_start
         self._queue.set_slots(target.slots)
         self._unreachable_until = 0.0
-        if target.state is target_states.TargetState.SERVING:
+        if not target.is_leaving:
             return
         self._refuse_waiting()
 
@@ -272,7 +271,7 @@
         target = self._target_watch.target
         if target is None:
             return 'no-target'
-        if target.state is not target_states.TargetState.SERVING:
+        if target.is_leaving:
             return 'target-leaving'
         if self.is_closed:
             return STOPPING
--- a/tests/pumicestand_node/test_mesh_node.py
+++ b/tests/pumicestand_node/test_mesh_node.py
@@ -174,15 +174,17 @@
         return status, trio.current_time() - self.stopped_at
 
 
+async def run_node(node, task_status=trio.TASK_STATUS_IGNORED):
+    """Run the tasks of a node until it has stopped."""
+    async with trio.open_nursery() as nursery:
+        node._nursery = nursery
+        nursery.start_soon(trio.sleep_forever)
+        task_status.started()
+
+
 def run_stopping_node(monkeypatch, make_node, grace, test):
     """Run a test with a `StoppingNode` on the mock clock."""
 
-    async def run_node(node, task_status=trio.TASK_STATUS_IGNORED):
-        async with trio.open_nursery() as nursery:
-            node._nursery = nursery
-            nursery.start_soon(trio.sleep_forever)
-            task_status.started()
-
     async def main():
         async with trio.open_nursery() as nursery:
             node = make_node(is_strict=False, grace=grace)
--- a/tests/pumicestand_node/test_node_stop.py
+++ b/tests/pumicestand_node/test_node_stop.py
@@ -1,6 +1,7 @@
 """Tests of calls that a stop of a node meets at an awkward moment."""
 
 import dataclasses
+import random
 
 import pytest
 import trio
@@ -98,7 +99,7 @@
             lambda: hop_messages.Hello(mesh_fakes.make_report('own')),
             lambda peer, message: self._fleet.apply_report(message, clock()),
             clock,
-            mesh_node.random.Random(1),
+            random.Random(1),
             link_meter.LinkMeter(0.0),
         )
         monkeypatch.setattr(links.tcp_streams, 'open_stream', self._connect)
@@ -194,16 +195,10 @@
 def run_inbound(monkeypatch, make_node, test, write_s=0.0):
     """Run a test with a node and an `InboundLink` on the mock clock."""
 
-    async def run_node(node, task_status=trio.TASK_STATUS_IGNORED):
-        async with trio.open_nursery() as nursery:
-            node._nursery = nursery
-            nursery.start_soon(trio.sleep_forever)
-            task_status.started()
-
     async def main():
         async with trio.open_nursery() as nursery:
             node = make_node(is_strict=False)
-            await nursery.start(run_node, node)
+            await nursery.start(test_mesh_node.run_node, node)
             link = InboundLink(nursery, node, write_s)
             await trio.sleep(0.1)
             nursery.start_soon(node.close)
