Merge what is heard of a target, so that a restart forgets no departure

Cause: TargetWatch took what came first for the truth. The record, heartbeats, departures and responses each knew only what was late within themselves; restore returned at once if a heartbeat had come. The same cause on related paths: a late heartbeat of an earlier start before the record of a later one, departures without a start time, departures of an unknown target or of another start (acknowledged although nothing was stored), and a record that an earlier process wrote late and that the conflict overwrote.

Change: all sources are merged by incarnation, the furthest state counts, and departures of other incarnations are part of the record. A departure is acknowledged only if the merged state reflects it and the store has it.

Why it works: the state after any set of messages no longer depends on their order, and what was acknowledged is in the record that every next process merges before it sends calls.

--- a/packages/pumicestand-node/pumicestand_node/mesh_links.py
+++ b/packages/pumicestand-node/pumicestand_node/mesh_links.py
@@ -7,6 +7,7 @@
 """
 
 import collections
+import dataclasses
 import functools
 import itertools
 
@@ -45,7 +46,8 @@
 
     ``on_store_era`` is called with a later era of the store that another node
     has reported, ``on_freshness`` with a message about freshness proofs and a
-    function that sends one back; both are optional.
+    function that sends one back; both are optional. ``on_target_restored`` is
+    called when another node has told what became of this node's target.
 
     :param mesh: `mesh_state.MeshState` of this node
     :param target_calls: `target_calls.TargetCalls` of this node
@@ -84,6 +86,7 @@
         self._summary_sequence = 0
         self.on_store_era = None
         self.on_freshness = None
+        self.on_target_restored = lambda: None
         self._nursery = None
 
     @property
@@ -415,6 +418,7 @@
                     return
             case hop_messages.Relay(report):
                 if report.name == self._mesh.identity.name:
+                    self._restore_target(report.target)
                     return
                 if not fleet.apply_relayed_report(report, now):
                     return
@@ -443,12 +447,31 @@
         """Apply a report that a node has sent itself, unless outdated."""
         if not self._mesh.fleet.apply_report(report, self._clock()):
             return
+        self._remind_of_target(report)
         self._apply_findings(report)
         self._fetch_planner.record_generation(
             report.name, report.zone, report.generation
         )
         self._fetch_configuration(self._clock())
 
+    def _remind_of_target(self, report):
+        """Tell a restarted node what it has reported of its target before.
+
+        :param report: the latest `hop_messages.Report` of the node
+        """
+        known = self._mesh.fleet.get(report.name).known_target
+        if report.name == self._mesh.identity.name or known == report.target:
+            return
+        self.send_to(
+            report.name,
+            hop_messages.Relay(dataclasses.replace(report, target=known)),
+        )
+
+    def _restore_target(self, target):
+        """Merge what a node remembers of the target beside this one."""
+        if target is not None and self._mesh.target_watch.restore(target):
+            self.on_target_restored()
+
     def _apply_findings(self, report):
         """Apply what a node has found out about requests and versions."""
         mesh = self._mesh
--- a/packages/pumicestand-node/pumicestand_node/mesh_node.py
+++ b/packages/pumicestand-node/pumicestand_node/mesh_node.py
@@ -127,6 +127,7 @@
             settings.is_first_start,
         )
         self._links.on_store_era = self._store.hear_era
+        self._links.on_target_restored = self._on_target_changed
         self._freshness = self._make_freshness_agent()
         self._metrics = None
         self._client_port = client_port.ClientPort(
@@ -393,6 +394,8 @@
     def _on_target_changed(self):
         """Apply and report a change of the target beside this node."""
         target = self._mesh.target_watch.target
+        if target is None:
+            return
         self._target_calls.on_target_changed()
         self._decisions.note(
             'target',
@@ -428,17 +431,25 @@
         is_changed = watch.apply(control, self._clock())
         if isinstance(control, targets.Heartbeat):
             self._target_calls.on_heartbeat(control)
-        target = watch.target
         if is_changed:
             self._on_target_changed()
-        is_leaving = target is not None and target.is_leaving
-        if is_leaving or (is_changed and _has_new_state(before, target)):
+        is_leave = _is_leave(control)
+        if is_leave or (is_changed and _has_new_state(before, watch.target)):
             is_saved = await self._store.save_own_record()
-            if is_leaving and not is_saved:
+            if is_leave and not (is_saved and watch.has_accepted(control)):
                 # The next process would take the target to serve.
                 return plain_http.PlainResponse(503, b'not recorded\n')
         return plain_http.PlainResponse(200, b'{}', plain_http.JSON)
 
 
+def _is_leave(control):
+    """Return whether the acknowledgement promises to send no more calls."""
+    match control:
+        case targets.Heartbeat(target):
+            return target.is_leaving
+        case targets.Departure():
+            return True
+
+
 def _has_new_state(before, target):
     return before is None or before.state is not target.state
--- a/packages/pumicestand-node/pumicestand_node/mesh_records.py
+++ b/packages/pumicestand-node/pumicestand_node/mesh_records.py
@@ -77,6 +77,7 @@
 
     def start(self, nursery):
         """Start the tasks in a nursery."""
+        self._mesh.target_watch.await_history()
         for task in (
             self._join,
             self._maintain_own_record,
@@ -106,9 +107,8 @@
             node_records.KIND, self._mesh.identity.name
         )
         self._own_position = stored.position if stored else None
-        self._written_record = (
-            node_records.from_json(stored.spec) if stored else None
-        )
+        record = node_records.from_json(stored.spec) if stored else None
+        self._apply_own_record(record)
 
     def _set_own_position(self, revision):
         """Set the position of the own record from a conflict's revision."""
@@ -151,6 +151,7 @@
     def _read_records(self, listing):
         """Return the records of the other nodes; apply this node's own."""
         records = []
+        own_record = None
         for item in listing.items:
             record = node_records.from_json(item.spec)
             if record is None:
@@ -162,11 +163,10 @@
                 continue
             if item.name == self._mesh.identity.name:
                 self._own_position = item.position
-                self._written_record = record
-                if record.target is not None:
-                    self._restore_target(record.target)
+                own_record = record
                 continue
             records.append(record)
+        self._apply_own_record(own_record)
         return records
 
     async def _search_nodes(self):
@@ -187,9 +187,18 @@
                 continue
             self._on_records(self._read_records(listing))
 
-    def _restore_target(self, target):
-        """Restore the target recorded by a previous process of this node."""
-        if self._mesh.target_watch.restore(target):
+    def _apply_own_record(self, record):
+        """Merge what a process of this node has recorded of the target.
+
+        :param record: `node_records.NodeRecord`, None if there is none
+        """
+        watch = self._mesh.target_watch
+        self._written_record = record
+        if record is None:
+            is_changed = watch.restore(None)
+        else:
+            is_changed = watch.restore(record.target, record.departed)
+        if is_changed:
             self._on_target_restored()
 
     async def _create_own_record(self):
@@ -197,7 +206,7 @@
         if self._own_position is not None:
             return
         with trio.move_on_after(TARGET_WAIT_S):
-            while self._mesh.target_watch.target is None:
+            while self._mesh.target_watch.known is None:
                 await trio.sleep(TARGET_CHECK_PERIOD_S)
         record = self._own_record()
         try:
@@ -212,12 +221,14 @@
 
     def _own_record(self):
         identity = self._mesh.identity
+        watch = self._mesh.target_watch
         return node_records.NodeRecord(
             name=identity.name,
             host=identity.host,
             port=identity.port,
             zone=identity.zone,
-            target=self._mesh.target_watch.target,
+            target=watch.known,
+            departed=watch.departed,
         )
 
     async def save_own(self):
--- a/packages/pumicestand/pumicestand/fleet.py
+++ b/packages/pumicestand/pumicestand/fleet.py
@@ -33,6 +33,8 @@
     :param host: address at which the peer accepts links
     :param port: port at which the peer accepts links
     :param report: the peer's latest report, None before the first
+    :param known_target: the target that the peer's processes have reported
+        last, in its furthest state; None if there is none
     :param load: the latest load of the peer's target
     :param is_linked: whether calls can be sent to the peer
     :param in_flight: calls sent from here that have no result yet
@@ -54,6 +56,7 @@
     host: str
     port: int
     report: hop_messages.Report | None = None
+    known_target: hop_messages.Target | None = None
     load: hop_messages.Load = hop_messages.Load()
     is_linked: bool = False
     in_flight: int = 0
@@ -105,20 +108,17 @@
         self.load_received_at = now
 
 
-def _keep_leaving(previous, report):
+def _keep_leaving(known, report):
     """Return a report in which a target that leaves does not come back.
 
     A restarted node may have forgotten that its target leaves.
 
-    :param previous: the node's earlier `hop_messages.Report`, or None
+    :param known: the node's earlier `hop_messages.Target`, or None
     """
-    if previous is None or previous.target is None or report.target is None:
+    target = report.target
+    if known is None or target is None:
         return report
-    known, target = previous.target, report.target
-    if (known.instance, known.started_ms) != (
-        target.instance,
-        target.started_ms,
-    ) or known.state <= target.state:
+    if known.incarnation != target.incarnation or known.state <= target.state:
         return report
     target = dataclasses.replace(target, state=known.state)
     return dataclasses.replace(report, target=target)
@@ -205,6 +205,7 @@
         elif (peer.host, peer.port) != (host, port):
             # Another VM runs the node of this name now.
             peer.host, peer.port = host, port
+            peer.known_target = None
             peer.is_linked = False
             peer.unreachable_since = now
             self._record_change()
@@ -235,6 +236,7 @@
                 port=record.port,
                 target=record.target,
             )
+            peer.known_target = record.target
             self._record_change()
 
     def apply_relayed_report(self, report, now):
@@ -296,7 +298,9 @@
         ):
             return False
         peer.accepts_any_report = False
-        report = _keep_leaving(previous, report)
+        report = _keep_leaving(peer.known_target, report)
+        if report.target is not None:
+            peer.known_target = report.target
         peer.report = report
         peer.heard_at = now
         if has_load:
--- a/packages/pumicestand/pumicestand/hop_messages.py
+++ b/packages/pumicestand/pumicestand/hop_messages.py
@@ -22,6 +22,29 @@
     ANSWERED = 3
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class Incarnation:
+    """One start of a target.
+
+    :param instance: name of the target's instance, not always unique
+    :param started_ms: time of the start, in milliseconds since the epoch; 0
+        if it is not known
+    """
+
+    instance: str
+    started_ms: int = 0
+
+    def is_until(self, other):
+        """Return whether it is another one or an earlier one of its name.
+
+        :param other: `Incarnation`
+        """
+        return (
+            self.instance == other.instance
+            and self.started_ms <= other.started_ms
+        )
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class Target:
     """The target beside a node, as the target announced itself.
@@ -41,6 +64,11 @@
     state: target_states.TargetState = target_states.TargetState.SERVING
     started_ms: int = 0
 
+    @property
+    def incarnation(self):
+        """The `Incarnation` of the target."""
+        return Incarnation(self.instance, self.started_ms)
+
     @property
     def is_leaving(self):
         """Whether the target has said that it gets no more calls."""
--- a/packages/pumicestand/pumicestand/node_records.py
+++ b/packages/pumicestand/pumicestand/node_records.py
@@ -11,13 +11,31 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class NodeRecord:
-    """The address at which a node accepts links, and its target."""
+    """The address at which a node accepts links, and its target.
+
+    :param departed: `hop_messages.Incarnation` objects of targets that have
+        announced that they stop
+    """
 
     name: str
     host: str
     port: int
     zone: str
     target: hop_messages.Target | None = None
+    departed: tuple[hop_messages.Incarnation, ...] = ()
+
+
+_READ_INCARNATIONS = field_reading.each(
+    field_reading.RecordReader(
+        hop_messages.Incarnation,
+        instance=field_reading.read_text,
+        started_ms=field_reading.read_integer,
+    ).read
+)
+
+
+def _read_departed(value):
+    return tuple(_READ_INCARNATIONS(value))
 
 
 _TARGET_READER = field_reading.RecordReader(
@@ -38,12 +56,14 @@
     port=field_reading.read_integer,
     zone=field_reading.read_text,
     target=field_reading.optional(_TARGET_READER.read),
+    departed=_read_departed,
 )
 
 
 def to_json(record):
     """Return a record as data for a JSON encoder."""
     data = dataclasses.asdict(record)
+    data['departed'] = list(data['departed'])
     if record.target is not None:
         data['target']['state'] = int(record.target.state)
     return data
--- a/tests/pumicestand_node/test_mesh_links.py
+++ b/tests/pumicestand_node/test_mesh_links.py
@@ -13,6 +13,8 @@
 from pumicestand import link_selection
 from pumicestand import node_records
 from pumicestand import reporting
+from pumicestand import target_states
+from pumicestand import targets
 from pumicestand_node import frame_streams
 from pumicestand_node import links
 from pumicestand_node import mesh_links
@@ -660,3 +662,45 @@
         assert 'far' in harness.links._selected_names
 
     run_test(test)
+
+
+def test_restarted_node_is_told_what_it_reported_of_its_target(run_test):
+    """Its own record may be out of reach."""
+
+    async def test(harness):
+        leaving = mesh_fakes.make_target(
+            'peer', state=target_states.TargetState.GONE
+        )
+        report = mesh_fakes.make_report('peer', target=leaving)
+        harness.links._apply_report(report)
+        assert 'Relay' not in message_types(harness.sent)
+        restarted = mesh_fakes.make_report('peer', incarnation=2, target=None)
+        harness.links._apply_report(restarted)
+        assert harness.sent[-1].report.target == leaving
+        serving = mesh_fakes.make_report('peer', incarnation=2, sequence=2)
+        harness.links._apply_report(serving)
+        assert harness.sent[-1].report.target == leaving
+        assert harness.mesh.fleet.get('peer').target == leaving
+
+    run_test(test)
+
+
+def test_what_another_node_remembers_ends_the_wait_for_the_record(run_test):
+    async def test(harness):
+        watch = harness.mesh.target_watch
+        watch.await_history()
+        target = mesh_fakes.make_target('own')
+        watch.apply(targets.Heartbeat(target, 4), 0.0)
+        restored = []
+        harness.links.on_target_restored = lambda: restored.append(
+            watch.target
+        )
+        gone = dataclasses.replace(
+            target, state=target_states.TargetState.GONE
+        )
+        relay = hop_messages.Relay(mesh_fakes.make_report('own', target=gone))
+        peer = harness.mesh.fleet.get_or_add('a-1', '10.0.0.2', 7000, 0.0)
+        harness.links._handle_message(peer, relay)
+        assert restored == [gone]
+
+    run_test(test)
--- a/tests/pumicestand_node/test_mesh_node.py
+++ b/tests/pumicestand_node/test_mesh_node.py
@@ -81,6 +81,48 @@
     assert trio.run(deregister) == 200
 
 
+async def send_control(node, path, body=b'{}'):
+    """Return the status that the target on the VM gets for a request."""
+    response = await node._handle_control('POST', f'/instances/{path}', body)
+    return response.status
+
+
+def test_departure_of_an_unknown_target_is_not_acknowledged(
+    monkeypatch, make_node
+):
+    """Nothing was stored, so that a restarted node would use the target."""
+    node = make_node(is_strict=False)
+    node._mesh.target_watch.await_history()
+
+    async def save_own_record():
+        return True
+
+    monkeypatch.setattr(node._store, 'save_own_record', save_own_record)
+    assert trio.run(send_control, node, 'i-t/deregister') == 503
+    watch = node._mesh.target_watch
+    watch.apply(targets.Heartbeat(mesh_fakes.make_target('t'), 1), 0.0)
+    assert trio.run(send_control, node, 'i-t/deregister') == 200
+    assert watch.target.is_leaving
+
+
+def test_departure_of_an_earlier_start_is_not_acknowledged(
+    monkeypatch, make_node
+):
+    """Calls go on to the later start under the same name."""
+    node = make_node(is_strict=False)
+    target = mesh_fakes.make_target('t', started_ms=200)
+    watch = node._mesh.target_watch
+    watch.apply(targets.Heartbeat(target, 1), node._clock())
+
+    async def save_own_record():
+        return True
+
+    monkeypatch.setattr(node._store, 'save_own_record', save_own_record)
+    body = b'{"born": 100}'
+    assert trio.run(send_control, node, 'i-t/deregister', body) == 503
+    assert not watch.target.is_leaving
+
+
 GRACE_PERIODS_S = (6.0, 10.0)
 CALL_TIMEOUT_S = 30.0
 
