Tell a repeated refusal of a target from the response to the next call

What callers would see: 503 with the promise that the call has not run, for a call that runs.

Cause, two ways. A connection was kept if no header of a further response was read; a copy of a refusal whose first packet ends in its status line left the parser there, and the next response was read as its rest: the status of the copy with the right id. And nested calls of a call that runs again have the ids that they had, so a copy of the refusal has the id of the second call.

Change: a connection is kept only if no byte of a further response was read, and does not carry a call again that was refused on it; after 64 refused calls it is closed.

--- a/packages/pumicestand-node/pumicestand_node/target_calls.py
+++ b/packages/pumicestand-node/pumicestand_node/target_calls.py
@@ -467,7 +467,7 @@
         connection = None
         is_released = False
         try:
-            connection = await self._pool.acquire(*address)
+            connection = await self._pool.acquire(*address, call.request_id)
             remaining_s = ticket.deadline - self._clock()
             if remaining_s <= 0:
                 await self._pool.close_idle()
@@ -484,6 +484,8 @@
             response = await connection.exchange(
                 head, call.body, self._make_response_matcher(call, connection)
             )
+            if self._is_refusal(response):
+                connection.record_refusal(call.request_id)
             is_released = True
             await self._pool.release(connection, response, address)
             return self._evaluate_response(call, ticket, target, response)
@@ -597,14 +599,18 @@
         )
         self.update_coldness()
 
+    def _is_refusal(self, response):
+        """Return whether the target says that it has not run the call."""
+        return (
+            response.header(self._headers.not_run) is not None
+            or response.status == MISDIRECTED_STATUS
+        )
+
     def _evaluate_response(self, call, ticket, target, response):
         header_names = self._headers
         self._coldness.record_response(ticket.started_at, self._clock())
         self._read_condition(target, response)
-        if (
-            response.header(header_names.not_run) is not None
-            or response.status == MISDIRECTED_STATUS
-        ):
+        if self._is_refusal(response):
             self._update_failure_ratio(1.0)
             if response.status == MISDIRECTED_STATUS:
                 self._unreachable_until = self._clock() + UNREACHABLE_PAUSE_S
--- a/packages/pumicestand-node/pumicestand_node/target_exchange.py
+++ b/packages/pumicestand-node/pumicestand_node/target_exchange.py
@@ -30,6 +30,9 @@
 # Larger bodies are sent while the response is already being read, since the
 # target may respond before it has read the whole body.
 MAX_SEQUENTIAL_BODY_BYTES = 32_768
+# Calls refused on one connection after which it is not reused: their ids are
+# remembered.
+MAX_REFUSED_CALLS = 64
 
 
 class ExchangeError(Exception):
@@ -60,6 +63,7 @@
         self._is_body_sent = False
         self._has_received = False
         self._has_foreign_response = False
+        self._refused_ids = set()
         self.is_clean = True
         self.idle_s = None
         self.idle_since = 0.0
@@ -70,6 +74,19 @@
         """Whether a reused connection broke before a byte was received."""
         return self.idle_s is not None and not self._has_received
 
+    def record_refusal(self, request_id):
+        """Record that the target has refused to run a call."""
+        self._refused_ids.add(request_id)
+        if len(self._refused_ids) >= MAX_REFUSED_CALLS:
+            self.is_clean = False
+
+    def has_refused(self, request_id):
+        """Return whether the target has refused a call with this id on it.
+
+        A late copy of the refusal would be taken for the next response.
+        """
+        return request_id in self._refused_ids
+
     def is_reusable(self, now, max_idle_s):
         """Return whether it is open, clean and not idle too long.
 
@@ -213,9 +230,11 @@
         self._max_idle_until = 0.0
         self.opened_count = 0
 
-    async def acquire(self, host, port):
+    async def acquire(self, host, port, request_id=''):
         """Return an idle connection or a new one.
 
+        :param request_id: id of the call, which the connection must not have
+            carried before if the target has refused it
         :raises ExchangeError: if the target can't be connected to
         """
         if self._address != (host, port):
@@ -224,7 +243,9 @@
         now = self._clock()
         while self._idle:
             connection = self._idle.pop()
-            if connection.is_reusable(now, self._current_max_idle_s(now)):
+            if connection.is_reusable(
+                now, self._current_max_idle_s(now)
+            ) and not connection.has_refused(request_id):
                 connection.idle_s = now - connection.idle_since
                 return connection
             await connection.close()
--- a/packages/pumicestand-node/pumicestand_node/target_responses.py
+++ b/packages/pumicestand-node/pumicestand_node/target_responses.py
@@ -48,6 +48,7 @@
     def __init__(self, buffers):
         self.responses = []
         self._response = Response()
+        self._is_in_response = False
         self._buffers = buffers
         self._received_bytes = 0
         self._head_bytes = 0
@@ -56,8 +57,8 @@
 
     @property
     def is_between_responses(self):
-        """Whether no response is partly read."""
-        return not self._response.has_head and not self._response.headers
+        """Whether no byte of a further response was read."""
+        return not self._is_in_response
 
     def feed(self, data):
         """Parse received bytes.
@@ -95,6 +96,9 @@
         if response.has_head and not response.is_framed:
             self.on_message_complete()
 
+    def on_message_begin(self):
+        self._is_in_response = True
+
     def on_status(self, reason):
         self._response.reason += reason
 
@@ -113,6 +117,7 @@
 
     def on_message_complete(self):
         response, self._response = self._response, Response()
+        self._is_in_response = False
         if 100 <= response.status < 200:
             # Interim responses are not forwarded.
             self._interim_count += 1
