Supervise the task of each link, so that an error costs only the link

Cause: the task of a link was the only background task of a node that was not supervised. What could not be encoded for one peer, its address or the hello with the node's own report, raised out of Link._open or Link._connect into the nursery of the process.

Change: the link's connections run under supervision; a failed start is logged and tried again after 0.1 to 5 s. Calls that wait on it end as on a broken link.

All other tasks that a node starts were read for the same: they are supervised, belong to one connection whose errors are caught, or are nested in a link.

--- a/packages/pumicestand-node/pumicestand_node/links.py
+++ b/packages/pumicestand-node/pumicestand_node/links.py
@@ -17,6 +17,7 @@
 from pumicestand import log
 from pumicestand import tcp_streams
 from pumicestand_node import frame_streams
+from pumicestand_node import supervision
 
 CONNECT_TIMEOUT_S = 1.0
 # Time for which a new connection beside a silent one may stay without the
@@ -159,12 +160,17 @@
     async def run(self):
         """Open the link and reopen it after each failure until stopped."""
         with self._scope:
-            try:
-                async with trio.open_nursery() as nursery:
-                    self._nursery = nursery
-                    await self._keep_connected()
-            finally:
-                self._end_calls(self._pending.values())
+            await supervision.supervise(
+                f'link to {self._peer.name}', self._run_connections
+            )
+
+    async def _run_connections(self):
+        try:
+            async with trio.open_nursery() as nursery:
+                self._nursery = nursery
+                await self._keep_connected()
+        finally:
+            self._end_calls(self._pending.values())
 
     async def _keep_connected(self):
         """Open a connection whenever there is none or it is suspected."""
@@ -215,7 +221,11 @@
         frames = frame_streams.FrameStream(
             stream, self._peer.name, self._meter, self._clock
         )
-        hello = self._make_hello()
+        try:
+            hello = self._make_hello()
+        except Exception:
+            await trio.aclose_forcefully(stream)
+            raise
         frames.is_cross_zone = self._peer.zone not in ('', hello.report.zone)
         frames.send(hello)
         connection = _Connection(
--- a/tests/pumicestand_node/test_links.py
+++ b/tests/pumicestand_node/test_links.py
@@ -454,6 +454,49 @@
     mock_clock.run(main)
 
 
+@pytest.mark.parametrize('step', ['connect', 'hello'])
+def test_error_in_opening_a_link_costs_only_the_link(
+    run_test, monkeypatch, step
+):
+    """One entry that could not be encoded ended all processes."""
+
+    async def test(harness):
+        opened_count = len(harness.remote_ends)
+        make_hello = harness.link._make_hello
+        fail_count = 3
+
+        def fail(result):
+            nonlocal fail_count
+            fail_count -= 1
+            if fail_count >= 0:
+                raise OverflowError('a value from another writer')
+            return result
+
+        async def connect(host, port):
+            return fail(await harness.connect(host, port))
+
+        if step == 'connect':
+            monkeypatch.setattr(links.tcp_streams, 'open_stream', connect)
+        else:
+            harness.link._make_hello = lambda: fail(make_hello())
+        harness.remote_ends[0].frames.stop()
+        await trio.sleep(0.05)
+        assert not harness.peer.is_linked
+        await trio.sleep(5)
+        assert harness.peer.is_linked
+        assert len(harness.remote_ends) == opened_count + 4
+        call = hop_messages.dataclasses.replace(
+            test_hop.CALL, id=1, remaining_bytes=0
+        )
+        remote = harness.remote_ends[-1]
+        remote.respond = lambda message: remote.frames.send(
+            hop_messages.Result(1, Outcome.ANSWERED, body=b'x')
+        )
+        assert (await harness.link.send_call(call)).body == b'x'
+
+    run_test(test)
+
+
 def test_message_that_raises_an_unexpected_error_costs_only_its_link(run_test):
     async def test(harness):
         harness.fails_once = True
