Read the other entries of a page in which one can't be decoded

Cause: a page of the store is decoded as a whole. A value nested too deeply (RecursionError), an integer of more than 4,300 digits or a byte that is not UTF-8 (ValueError) lost all entries of the page, on each try. Names of objects were not read at all: an unpaired surrogate in one can't be reported or asked for. A record was taken for that of the node that it names, whatever the name of its object.

Objects without a readable name are left out; a record must have its object's name.

The reference of read_text in test_field_reading rejects unpaired surrogates, which pydantic accepts outside of JSON: the check is stricter than it was.

--- a/packages/pumicestand-node/pumicestand_node/mesh_records.py
+++ b/packages/pumicestand-node/pumicestand_node/mesh_records.py
@@ -154,7 +154,7 @@
         own_record = None
         for item in listing.items:
             record = node_records.from_json(item.spec)
-            if record is None:
+            if record is None or record.name != item.name:
                 log.logger.warning(
                     'object {} of kind {} is not a valid node record',
                     item.name,
--- a/packages/pumicestand-node/pumicestand_node/mesh_store.py
+++ b/packages/pumicestand-node/pumicestand_node/mesh_store.py
@@ -13,6 +13,7 @@
 
 from pumicestand import errors
 from pumicestand import freshness
+from pumicestand import json_reading
 from pumicestand import log
 from pumicestand_node import mesh_records
 from pumicestand_node import store_access
@@ -303,7 +304,9 @@
             data = zlib.decompressobj().decompress(
                 configuration.content, self._translator.max_content_bytes
             )
-            parsed = self._translator.read_configuration(json.loads(data))
+            parsed = self._translator.read_configuration(
+                json_reading.decode(data)
+            )
         except (zlib.error, ValueError) as error:
             log.logger.error(
                 'configuration of generation {} from {} cannot be decoded: {}',
--- a/packages/pumicestand/pumicestand/field_reading.py
+++ b/packages/pumicestand/pumicestand/field_reading.py
@@ -1,9 +1,9 @@
 """Read data classes from decoded JSON that another writer sent.
 
 It accepts and rejects what pydantic's models do, in their lax and their
-strict mode, but for integers like ``0-5`` and ``0__5``, which it rejects. It
-takes a fiftieth of the time to import, and a node needs it before its first
-call.
+strict mode, but for integers like ``0-5`` and ``0__5`` and for unpaired
+surrogates, which it rejects. It takes a fiftieth of the time to import, and a
+node needs it before its first call.
 
 >>> Point = dataclasses.make_dataclass('Point', ['x', 'y'])
 >>> point = RecordReader(Point, x=read_integer, y=read_integer)
@@ -51,9 +51,14 @@
 
 
 def read_text(value):
-    """Return a value that has to be a string."""
+    """Return a value that has to be a string, without unpaired surrogates."""
     if type(value) is not str:
         raise FieldError('not a string')
+    if not value.isascii():
+        try:
+            value.encode()
+        except UnicodeEncodeError as error:
+            raise FieldError('not text in Unicode') from error
     return value
 
 
--- a/tests/pumicestand/test_field_reading.py
+++ b/tests/pumicestand/test_field_reading.py
@@ -22,7 +22,7 @@
     *('inf', 'Infinity', '-inf', '+inf', 'infin', 'nan', '-nan', 'NaN'),
     *('9' * 4300, '9' * 4301, '9' * 400, '1.' + '0' * 4300),
     *('true', 'TRUE', 'on', 'Off', 'y', 'N', 't', 'f', 'yes', ' true', 'ı'),
-    *('2', '10', 'running', 'Running'),
+    *('2', '10', 'running', 'Running', '\u00e9', '\ud800', 'x\udcff'),
 )
 
 
@@ -31,6 +31,18 @@
     HIGH = 1
 
 
+def check_encodable(text):
+    try:
+        text.encode()
+    except UnicodeEncodeError as error:
+        raise ValueError('not text') from error
+    return text
+
+
+# Pydantic accepts unpaired surrogates in strings that are not from JSON.
+Text = typing.Annotated[str, pydantic.AfterValidator(check_encodable)]
+
+
 def adapt(type_, **config):
     config = pydantic.ConfigDict(**config) if config else None
     return pydantic.TypeAdapter(type_, config=config).validate_python
@@ -54,7 +66,7 @@
 @pytest.mark.parametrize(
     ('read_value', 'reference'),
     [
-        (field_reading.read_text, adapt(str)),
+        (field_reading.read_text, adapt(Text)),
         (integer, adapt(int)),
         (number, adapt(float)),
         (field_reading.read_boolean, adapt(bool)),
--- a/tests/pumicestand_node/test_mesh_store.py
+++ b/tests/pumicestand_node/test_mesh_store.py
@@ -1,6 +1,7 @@
 """Tests of a node's use of the store, under faults of the stand-in store."""
 
 import contextlib
+import dataclasses
 import json
 import random
 import zlib
@@ -11,6 +12,7 @@
 
 from pumicestand import decision_log
 from pumicestand import freshness
+from pumicestand import hop
 from pumicestand import hop_messages
 from pumicestand import node_records
 from pumicestand import rollouts
@@ -158,6 +160,103 @@
     mock_clock.run(main)
 
 
+def replace_in_responses(client, old, new):
+    """Have a client receive other bytes than the store has sent."""
+    call = client._calls.call
+
+    async def call_and_replace(*args):
+        response = await call(*args)
+        content = response.content.replace(old, new)
+        return dataclasses.replace(response, content=content)
+
+    client._calls.call = call_and_replace
+
+
+@pytest.mark.parametrize(
+    'odd',
+    [
+        b'[' * 5000 + b']' * 5000,
+        b'9' * 5000,
+        b'"\xff"',
+        b'"\\ud800"',
+        b'-1e400',
+    ],
+    ids=lambda odd: repr(odd)[:12],
+)
+@pytest.mark.parametrize('field', ['host', 'port', 'target', 'unknown'])
+def test_odd_entry_in_a_page_does_not_hide_the_others(field, odd):
+    """Nodes that read the list could not join the fleet any more."""
+
+    async def main():
+        async with test_objects.open_store() as (client, store, _):
+            put_configuration(store, '0000001f')
+            for name in ('b', 'c', 'd'):
+                record = node_records.NodeRecord(name, '10.0.0.9', 7000, 'a')
+                spec = node_records.to_json(record)
+                if name == 'c':
+                    spec[field] = 'odd value'
+                store.put(node_records.KIND, name, spec)
+            replace_in_responses(client, b'"odd value"', odd)
+            async with trio.open_nursery() as nursery:
+                node = Node(client, 'a', is_first_start=False)
+                await node.mesh_store.start(nursery)
+                await trio.sleep(mesh_records.TARGET_WAIT_S + 1)
+                names = {record.name for record in node.records}
+                assert {'b', 'd'} <= names
+                assert node.mesh.generation == 0x1F
+                for record in node.records:
+                    hop.encode(
+                        hop_messages.Relay(
+                            mesh_fakes.make_report(
+                                record.name, target=record.target
+                            )
+                        )
+                    )
+                nursery.cancel_scope.cancel()
+
+    mock_clock.run(main)
+
+
+def test_object_without_a_readable_name_is_left_out():
+    """Zones that are evacuated are named by objects, and are reported."""
+
+    async def main():
+        async with test_objects.open_store(page_items=2) as (client, store, _):
+            for name in ('a', '\ud800', 'b', 'c'):
+                store.put('things', name, 1)
+            listing = await client.list('things')
+            assert [item.name for item in listing.items] == ['a', 'b', 'c']
+
+    mock_clock.run(main)
+
+
+def test_record_under_the_name_of_another_node_is_ignored():
+    """It would redirect the links to the other node."""
+
+    async def main():
+        async with open_nodes('a') as (_, store):
+            impostor = node_records.NodeRecord('a', '10.9.9.9', 1, 'a')
+            store.put(node_records.KIND, 'x', node_records.to_json(impostor))
+            async with trio.open_nursery() as nursery:
+                client = test_objects.objects.ObjectClient(
+                    'store',
+                    80,
+                    test_objects.memory_network.MemoryBackend(
+                        nursery,
+                        test_objects.http_server.Server(
+                            'memory', 1, store.handle
+                        ),
+                    ),
+                )
+                node = Node(client, 'b')
+                await node.mesh_store.start(nursery)
+                await trio.sleep(mesh_records.TARGET_WAIT_S + 0.5)
+                assert {r.host for r in node.records} == {'10.0.0.1'}
+                nursery.cancel_scope.cancel()
+
+    mock_clock.run(main)
+
+
 def test_changed_configuration_is_put_into_force_at_once():
     async def main():
         async with open_nodes('a') as ((node,), store):
--- a/tests/pumicestand_platform/test_start_modules.py
+++ b/tests/pumicestand_platform/test_start_modules.py
@@ -28,6 +28,7 @@
 pumicestand.frame_compression
 pumicestand.freshness
 pumicestand.hop pumicestand.hop_messages pumicestand.http_pool
+pumicestand.json_reading
 pumicestand.latencies pumicestand.link_meter pumicestand.link_probes
 pumicestand.link_resumption pumicestand.link_selection pumicestand.log
 pumicestand.node_records
