Bound the values of entries where they are read

Cause: readers checked types and let any number and text through. Far away, the values were converted to milliseconds, encoded into 8 to 64 bits or as UTF-8, given to the resolver, or written into the head of a request: an id of a target with a line end in it became a header of its own.

An entry out of bounds is left out with a log line as before.

The reference models of test_readers_of_boundary have the same bounds now, so the checks there are stricter; the record is compared with a model of its own instead of the data class, which has no bounds.

--- a/packages/pumicestand/pumicestand/field_reading.py
+++ b/packages/pumicestand/pumicestand/field_reading.py
@@ -33,6 +33,19 @@
     r'[+-]?(([0-9]+\.?[0-9]*|\.[0-9]+)(e[+-]?[0-9]+)?|inf(inity)?|nan)',
     re.IGNORECASE,
 )
+# What the fields of messages between nodes hold; times are sent in
+# milliseconds, in 32 bits.
+MAX_PORT = 65_535
+MAX_COUNT = 65_535
+MAX_INTEGER = 2**63 - 1
+MAX_SECONDS = 1_000_000.0
+MAX_NAME_LENGTH = 256
+# A name that the resolver can encode, or an address of IPv4 or IPv6.
+HOST_PATTERN = (
+    r'[0-9A-Za-z_-]{1,63}(\.[0-9A-Za-z_-]{1,63})*|[0-9A-Fa-f.]*:[0-9A-Fa-f:.]+'
+)
+# Names become parts of headers.
+NAME_PATTERN = r'[^\x00-\x1f\x7f]*'
 _TRUE_WORDS = frozenset(('1', 'on', 't', 'true', 'y', 'yes'))
 _FALSE_WORDS = frozenset(('0', 'off', 'f', 'false', 'n', 'no'))
 
@@ -227,6 +240,35 @@
     return read
 
 
+def at_most_long(length, read_value):
+    """Return a function that also rejects texts longer than a length."""
+
+    def read(value):
+        result = read_value(value)
+        if len(result) > length:
+            raise FieldError(f'longer than {length} characters')
+        return result
+
+    return read
+
+
+read_port = at_least(1, at_most(MAX_PORT, read_integer))
+read_count = at_least(0, at_most(MAX_COUNT, read_integer))
+# A count, a sequence or a time in milliseconds that only this node calculates
+# with.
+read_natural = at_least(0, at_most(MAX_INTEGER, read_integer))
+read_strict_natural = at_least(0, at_most(MAX_INTEGER, read_strict_integer))
+read_seconds = at_least(0, at_most(MAX_SECONDS, read_finite))
+read_host = at_most_long(MAX_NAME_LENGTH, matching(HOST_PATTERN, read_text))
+# A name that may be empty where it is not known.
+read_label = at_most_long(MAX_NAME_LENGTH, matching(NAME_PATTERN, read_text))
+
+
+def read_name(value):
+    """Return a value that has to be a name, not empty and not too long."""
+    return not_empty(read_label(value))
+
+
 def optional(read_value):
     """Return a function that also accepts None."""
 
--- a/packages/pumicestand/pumicestand/node_records.py
+++ b/packages/pumicestand/pumicestand/node_records.py
@@ -28,8 +28,8 @@
 _READ_INCARNATIONS = field_reading.each(
     field_reading.RecordReader(
         hop_messages.Incarnation,
-        instance=field_reading.read_text,
-        started_ms=field_reading.read_integer,
+        instance=field_reading.read_name,
+        started_ms=field_reading.read_natural,
     ).read
 )
 
@@ -40,21 +40,21 @@
 
 _TARGET_READER = field_reading.RecordReader(
     hop_messages.Target,
-    instance=field_reading.read_text,
-    service=field_reading.read_text,
-    version=field_reading.read_text,
-    host=field_reading.read_text,
-    port=field_reading.read_integer,
-    slots=field_reading.read_integer,
+    instance=field_reading.read_name,
+    service=field_reading.read_name,
+    version=field_reading.read_label,
+    host=field_reading.read_host,
+    port=field_reading.read_port,
+    slots=field_reading.read_count,
     state=field_reading.member_of(target_states.TargetState),
-    started_ms=field_reading.read_integer,
+    started_ms=field_reading.read_natural,
 )
 _READER = field_reading.RecordReader(
     NodeRecord,
-    name=field_reading.read_text,
-    host=field_reading.read_text,
-    port=field_reading.read_integer,
-    zone=field_reading.read_text,
+    name=field_reading.read_name,
+    host=field_reading.read_host,
+    port=field_reading.read_port,
+    zone=field_reading.read_label,
     target=field_reading.optional(_TARGET_READER.read),
     departed=_read_departed,
 )
--- a/tests/pumicestand_platform/reference_models.py
+++ b/tests/pumicestand_platform/reference_models.py
@@ -4,7 +4,26 @@
 
 import pydantic
 
-from pumicestand import node_records
+from pumicestand import target_states
+
+HOST = (
+    r'^([0-9A-Za-z_-]{1,63}(\.[0-9A-Za-z_-]{1,63})*'
+    r'|[0-9A-Fa-f.]*:[0-9A-Fa-f:.]+)$'
+)
+LABEL = r'^[^\x00-\x1f\x7f]*$'
+
+Label = typing.Annotated[str, pydantic.Field(max_length=256, pattern=LABEL)]
+Name = typing.Annotated[Label, pydantic.Field(min_length=1)]
+Host = typing.Annotated[str, pydantic.Field(max_length=256, pattern=HOST)]
+Port = typing.Annotated[int, pydantic.Field(ge=1, le=65535)]
+Count = typing.Annotated[int, pydantic.Field(ge=0, le=65535)]
+Natural = typing.Annotated[int, pydantic.Field(ge=0, le=2**63 - 1)]
+Seconds = typing.Annotated[
+    float, pydantic.Field(ge=0, le=1e6, allow_inf_nan=False)
+]
+Rate = typing.Annotated[
+    float, pydantic.Field(ge=0, le=1e9, allow_inf_nan=False)
+]
 
 
 class SettingsFile(pydantic.BaseModel):
@@ -61,28 +80,33 @@
 
 
 class Info(_StrictModel):
-    service: str
-    version: str
-    zone: str = ''
+    service: Name
+    version: Label
+    zone: Label = ''
     max_concurrency: int = pydantic.Field(ge=1, le=65535)
 
 
 class Status(_StrictModel):
     state: str
-    sequence: int
-    cold_left_s: float = 0.0
+    sequence: Natural
+    cold_left_s: Seconds = 0.0
 
 
 class Heartbeat(_StrictModel):
     address: str
     info: Info
     status: Status
-    born: int = 0
+    born: Natural = 0
+
+
+class Address(pydantic.BaseModel):
+    host: Host
+    port: Port
 
 
 class TrafficShare(pydantic.BaseModel):
     service: str
-    weight: float
+    weight: Rate
 
 
 class Route(pydantic.BaseModel):
@@ -90,11 +114,11 @@
     host: str
     path_prefix: str
     route_type: str
-    timeout_s: float
-    target_latency_s: float | None = None
-    priority: int = pydantic.Field(default=0, ge=0, le=65535)
+    timeout_s: Seconds
+    target_latency_s: Seconds | None = None
+    priority: Count = 0
     service: str | None = None
-    max_attempts: int = 1
+    max_attempts: Count = 1
     traffic_split: list[TrafficShare] | None = None
     public: bool = False
 
@@ -102,31 +126,29 @@
 class Organisation(pydantic.BaseModel):
     name: str = pydantic.Field(min_length=1, pattern=r'^[^\x00-\x1f\x7f]+$')
     api_keys: list[str] = ()
-    priority: int | None = pydantic.Field(default=None, ge=0, le=65535)
-    rate_per_s: float = pydantic.Field(default=0.0, ge=0, allow_inf_nan=False)
-    burst: float = pydantic.Field(default=0.0, ge=0, allow_inf_nan=False)
+    priority: Count | None = None
+    rate_per_s: Rate = 0.0
+    burst: Rate = 0.0
 
 
 class Service(pydantic.BaseModel):
     name: str
-    max_connections: int | None = None
-    cold_start_s: float = pydantic.Field(
-        default=0.0, ge=0, allow_inf_nan=False
-    )
-    cold_per_s: float = pydantic.Field(default=0.0, ge=0, allow_inf_nan=False)
+    max_connections: Natural | None = None
+    cold_start_s: Seconds = 0.0
+    cold_per_s: Rate = 0.0
 
 
 class Limits(pydantic.BaseModel):
-    max_header_bytes: int
-    max_body_bytes: int
-    header_timeout_s: float
-    idle_timeout_s: float
+    max_header_bytes: Natural
+    max_body_bytes: Natural
+    header_timeout_s: Seconds
+    idle_timeout_s: Seconds
 
 
 class RolloutOrder(pydantic.BaseModel):
-    service: str
-    target_version: str
-    duration_s: float
+    service: Name
+    target_version: Name
+    duration_s: Seconds
 
 
 class RolloutStatus(pydantic.BaseModel):
@@ -134,4 +156,26 @@
     target_version: str
 
 
-NODE_RECORD = pydantic.TypeAdapter(node_records.NodeRecord)
+class Incarnation(pydantic.BaseModel):
+    instance: Name
+    started_ms: Natural = 0
+
+
+class Target(pydantic.BaseModel):
+    instance: Name
+    service: Name
+    version: Label
+    host: Host
+    port: Port
+    slots: Count
+    state: target_states.TargetState = target_states.TargetState.SERVING
+    started_ms: Natural = 0
+
+
+class NodeRecord(pydantic.BaseModel):
+    name: Name
+    host: Host
+    port: Port
+    zone: Label
+    target: Target | None = None
+    departed: list[Incarnation] = ()
--- a/tests/pumicestand_platform/test_readers_of_boundary.py
+++ b/tests/pumicestand_platform/test_readers_of_boundary.py
@@ -28,6 +28,9 @@
     *('', 'x', '1', '0', '-1', ' 7 ', '1.0', '1.5', '1_0', 'inf', 'nan'),
     *('true', 'running', 'rolled_back', [], {}, [1], {'a': 1}),
     *([{'service': 's', 'weight': 1}], [{'service': 's'}], ['s'], [None]),
+    *([{'instance': 'i'}], [{'instance': 'i', 'started_ms': -1}]),
+    *(1e6, 1e6 + 1, 1e9, 2e9, 2**63 - 1, 2**63, 'x' * 256, 'x' * 257),
+    *('a..b', 'x' * 64, 'a.b-c', '::1', ':', 'a b', 'a\r\nb: c', '\x7f'),
 )
 RECORD = {
     'name': 'a',
@@ -44,6 +47,7 @@
         'state': 1,
         'started_ms': 5,
     },
+    'departed': [{'instance': 'i', 'started_ms': 4}],
 }
 HEARTBEAT = {
     'address': '10.0.0.9:8080',
@@ -189,23 +193,28 @@
 def test_node_records():
     for changed in variants(RECORD):
         try:
-            expected = reference_models.NODE_RECORD.validate_python(changed)
+            expected = reference_models.NodeRecord.model_validate(
+                changed
+            ).model_dump(mode='json')
         except pydantic.ValidationError:
             expected = None
-        assert node_records.from_json(changed) == expected, changed
+        record = node_records.from_json(changed)
+        actual = None if record is None else node_records.to_json(record)
+        assert json.dumps(actual) == json.dumps(expected), changed
 
 
-def test_written_node_record_is_as_before():
+def test_written_node_record_is_read_as_it_was():
     target = hop_messages.Target('i', 's', 'v', 'h', 1, 2, started_ms=3)
+    departed = (hop_messages.Incarnation('i', 2),)
     for record in (
         node_records.NodeRecord('a', 'h', 1, 'z'),
         node_records.NodeRecord('a', 'h', 1, 'z', target),
+        node_records.NodeRecord('a', 'h', 1, 'z', target, departed),
     ):
         written = json.dumps(node_records.to_json(record))
-        reference = reference_models.NODE_RECORD.dump_python(
-            record, mode='json'
-        )
-        assert written == json.dumps(reference)
+        reference = reference_models.NodeRecord.model_validate_json(written)
+        assert written == json.dumps(reference.model_dump(mode='json'))
+        assert node_records.from_json(json.loads(written)) == record
 
 
 def is_heartbeat_accepted(body):
@@ -220,8 +229,12 @@
     except pydantic.ValidationError:
         return False
     host, _, port = heartbeat.address.rpartition(':')
+    try:
+        reference_models.Address(host=host, port=port)
+    except pydantic.ValidationError:
+        return False
     is_known = heartbeat.status.state in ('ready', 'draining')
-    return is_known and bool(host) and port.isdigit()
+    return is_known and port.isascii() and port.isdigit() and len(port) < 6
 
 
 def test_heartbeats():
