Report times of a roll-out up to what a report holds

What callers would see: 49.7 days after an order, nodes that can't report and links that can't be opened, as with an odd entry (found in the review by reading).

Cause: the time since an order is counted from its first sight, inherited from node to node, and encoded in 32 bits of milliseconds.

Change: it is reported up to 46 days, which is far beyond the time in which a roll-out is run.

Evidence: test_old_order_can_still_be_reported fails before, in the encoder.

--- a/packages/pumicestand/pumicestand/rollouts.py
+++ b/packages/pumicestand/pumicestand/rollouts.py
@@ -36,6 +36,8 @@
 # Time after which a version that no order names gets calls, in seconds.
 # Until then its order may still be on its way to this node.
 UNORDERED_VERSION_DELAY_S = 4.0
+# Longest time that is reported, in 32 bits of milliseconds: 46 days.
+MAX_REPORTED_S = 4_000_000.0
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -147,8 +149,8 @@
                 service=rollout.order.service,
                 version=rollout.order.version,
                 state=rollout.state,
-                duration_ms=int(rollout.order.duration * 1000),
-                elapsed_ms=int(max(0.0, now - rollout.first_seen_at) * 1000),
+                duration_ms=_to_ms(rollout.order.duration),
+                elapsed_ms=_to_ms(now - rollout.first_seen_at),
                 order_id=rollout.order.order_id,
                 revision=rollout.order.revision,
                 stored_state=rollout.order.stored_state,
@@ -359,6 +361,11 @@
         rollout.is_completion_due = True
 
 
+def _to_ms(seconds):
+    """Return a time in milliseconds, at most what a message holds."""
+    return int(min(MAX_REPORTED_S, max(0.0, seconds)) * 1000)
+
+
 def _is_revision_of(known, order):
     """Whether an order is a later revision of a known one.
 
--- a/tests/pumicestand/test_rollouts.py
+++ b/tests/pumicestand/test_rollouts.py
@@ -4,6 +4,7 @@
 
 import pytest
 
+from pumicestand import hop
 from pumicestand import hop_messages
 from pumicestand import rollouts
 from pumicestand import target_states
@@ -334,3 +335,13 @@
         tracked.apply_order(copied, 6.0)
     order, state = tracked.order_and_state('s')
     assert (order.version, state) == ('v2', State.ROLLED_BACK)
+
+
+def test_old_order_can_still_be_reported():
+    """After 49.7 days its age no longer fitted into a report."""
+    known = rollouts.Rollouts(random.Random(1))
+    known.apply_order(mesh_fakes.make_order(duration=1e6), 0.0)
+    for age_s in (50 * 86_400, 1e12):
+        verdicts = known.verdicts(age_s)
+        hop.encode(mesh_fakes.make_report('own', verdicts=verdicts))
+        assert verdicts[0].elapsed_ms >= 4_000_000_000
