Keep a roll-out complete once the store says that it is

The targets of the other versions had stopped at `complete`, so no target was left and the service was gone for good.

Cause: of two states the higher number applied, and ROLLED_BACK is above COMPLETE. A node's own finding, made without the others, so won against what the store held, and the designated writer wrote it over `complete` at the revision that it had just read.

Change: the order of the states is RUNNING, ROLLED_BACK, COMPLETE. The numbers on the wire are as before.

Evidence: three cases of two new tests of test_rollouts fail before: the word of a cut-off node after completion, and a node that rolled back alone and then hears of the completion from the store or from another node.

--- a/packages/pumicestand/pumicestand/hop_messages.py
+++ b/packages/pumicestand/pumicestand/hop_messages.py
@@ -136,7 +136,7 @@
 
 
 class RolloutState(enum.IntEnum):
-    """The state of a roll-out; of two states the higher one applies."""
+    """The state of a roll-out; `rollouts` says which one applies."""
 
     RUNNING = 0
     COMPLETE = 1
--- a/packages/pumicestand/pumicestand/rollouts.py
+++ b/packages/pumicestand/pumicestand/rollouts.py
@@ -40,6 +40,10 @@
 MAX_REPORTED_S = 4_000_000.0
 
 
+# The order in which a roll-out takes its states; none is left again.
+_ORDER = {State.RUNNING: 0, State.ROLLED_BACK: 1, State.COMPLETE: 2}
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class Order:
     """An operator's order to move a service to another version.
@@ -240,8 +244,12 @@
         return self._advance(known, verdict.state, reason) or is_new
 
     def _advance(self, rollout, state, reason):
-        """Move a roll-out to a higher state; return whether it was lower."""
-        if state is None or state <= rollout.state:
+        """Move a roll-out to a later state; return whether it was earlier.
+
+        Only the store makes a roll-out complete, and the targets of the other
+        versions then stop: it can't be rolled back any more.
+        """
+        if state is None or _ORDER[state] <= _ORDER[rollout.state]:
             return False
         rollout.state = state
         rollout.reason = reason
--- a/tests/pumicestand/test_rollouts.py
+++ b/tests/pumicestand/test_rollouts.py
@@ -185,6 +185,47 @@
     assert not tracked.apply_verdict(verdict, 3.0)
 
 
+def test_complete_roll_out_is_not_rolled_back_by_a_node_that_was_cut_off():
+    """The targets of the old version had stopped, so none was left."""
+    cut_off = make_rollouts()
+    fleet = make_old_new_fleet(
+        [make_evidence('v1')], [make_evidence('v2', 20, errors=10)]
+    )
+    cut_off.evaluate(fleet, 3.0, lambda: False)
+    (verdict,) = cut_off.verdicts(3.0)
+    assert verdict.state is State.ROLLED_BACK
+    complete = mesh_fakes.make_order(stored_state=State.COMPLETE, revision=6)
+    tracked = make_rollouts()
+    tracked.apply_order(complete, 2.0)
+    assert not tracked.apply_verdict(verdict, 3.0)
+    assert tracked.order_and_state('s')[1] is State.COMPLETE
+    assert tracked.evaluate(fleet, 3.1, lambda: True) == []
+
+
+@pytest.mark.parametrize('is_from_store', [True, False])
+def test_node_that_rolled_back_alone_takes_completion_from_the_store(
+    is_from_store,
+):
+    """It was cut off when the roll-out was completed."""
+    tracked = make_rollouts()
+    fleet = make_old_new_fleet(
+        [make_evidence('v1')], [make_evidence('v2', 20, errors=10)]
+    )
+    (action,) = tracked.evaluate(fleet, 3.0, lambda: True)
+    assert action.state is State.ROLLED_BACK
+    complete = mesh_fakes.make_order(stored_state=State.COMPLETE, revision=6)
+    if is_from_store:
+        assert tracked.apply_order(complete, 4.0)
+    else:
+        other = make_rollouts(complete)
+        assert tracked.apply_verdict(other.verdicts(4.0)[0], 4.0)
+    assert tracked.order_and_state('s')[1] is State.COMPLETE
+    assert tracked.evaluate(fleet, 4.1, lambda: True) == []
+    assert [
+        p.name for p in tracked.select_peers('s', list(fleet.peers), 4.2)
+    ] == ['new']
+
+
 def test_order_from_another_node_keeps_its_age():
     other = make_rollouts()
     (verdict,) = other.verdicts(8.0)
