Reject a heartbeat that lacks its zone or its cold time

Cause: the reader had defaults for both fields, and a lower sequence hid the state that the target's own heartbeats told.

The reference model of the reader requires them as well.

--- a/tests/pumicestand/test_targets.py
+++ b/tests/pumicestand/test_targets.py
@@ -45,6 +45,16 @@
     assert watch.target.state is State.DRAINING
 
 
+def test_draining_counts_although_another_writer_used_a_later_sequence():
+    """Its heartbeats were taken as late, and acknowledged."""
+    watch = targets.TargetWatch()
+    watch.apply(heartbeat(4), 0.0)
+    watch.apply(heartbeat(1_700_000_000_000), 1.0)
+    assert watch.apply(heartbeat(5, State.DRAINING), 2.0)
+    assert watch.target.state is State.DRAINING
+    assert watch.has_accepted(heartbeat(5, State.DRAINING))
+
+
 def test_departure_outlasts_later_heartbeats():
     watch = targets.TargetWatch()
     watch.apply(heartbeat(1), 0.0)
--- a/tests/pumicestand_platform/reference_models.py
+++ b/tests/pumicestand_platform/reference_models.py
@@ -82,14 +82,14 @@
 class Info(_StrictModel):
     service: Name
     version: Label
-    zone: Label = ''
+    zone: Label
     max_concurrency: int = pydantic.Field(ge=1, le=65535)
 
 
 class Status(_StrictModel):
     state: str
     sequence: Natural
-    cold_left_s: Seconds = 0.0
+    cold_left_s: Seconds
 
 
 class Heartbeat(_StrictModel):
--- a/tests/pumicestand_platform/test_control.py
+++ b/tests/pumicestand_platform/test_control.py
@@ -69,6 +69,14 @@
         {'status': {**HEARTBEAT['status'], 'state': 'asleep'}},
         {'status': {'state': 'ready'}},
         {'born': 'yesterday'},
+        {'status': {'state': 'ready', 'sequence': 4}},
+        {
+            'info': {
+                name: value
+                for name, value in HEARTBEAT['info'].items()
+                if name != 'zone'
+            }
+        },
     ],
 )
 def test_invalid_heartbeat_is_rejected(change):
