Reject a heartbeat of a service that is not configured

What callers would see (found in the review by reading): a heartbeat of another writer for an unknown service replaces the target of the VM, whose own heartbeats are then taken as late for 4 s, or for good if the starts are the same. The VM gets no calls meanwhile.

Cause: the platform says that a service which isn't named names no target to use; the node compared it with nothing.

Change: a heartbeat is rejected, with the log line of an invalid one, if its service is neither that of the VM's settings nor in the configuration in force. Before the first configuration it is taken as before.

Evidence: test_heartbeat_of_a_service_that_is_not_configured_is_rejected fails before.

--- a/packages/pumicestand-node/pumicestand_node/mesh_node.py
+++ b/packages/pumicestand-node/pumicestand_node/mesh_node.py
@@ -415,10 +415,25 @@
             self._store.save_own_record,
         )
 
+    def _is_of_known_service(self, control):
+        """Return whether a heartbeat can be that of the target on this VM.
+
+        One of a service that is neither its own nor configured comes from
+        another writer.
+        """
+        match control:
+            case targets.Heartbeat(target):
+                return (
+                    target.service == self._settings.service
+                    or self._mesh.configuration is None
+                    or self._mesh.find_service(target.service) is not None
+                )
+        return True
+
     async def _handle_control(self, method, path, body):
         """Handle a heartbeat or a departure of the target on this VM."""
         control = self._adapter.read_control_request(method, path, body)
-        if control is None:
+        if control is None or not self._is_of_known_service(control):
             log.logger.error(
                 'control request {} {} with a body of {} bytes is invalid',
                 method,
--- a/tests/pumicestand_node/test_mesh_node.py
+++ b/tests/pumicestand_node/test_mesh_node.py
@@ -1,6 +1,7 @@
 """Tests of how the components of a node are put together."""
 
 import dataclasses
+import json
 
 import pytest
 import trio
@@ -105,6 +106,54 @@
     assert watch.target.is_leaving
 
 
+def make_heartbeat(service, sequence):
+    return json.dumps(
+        {
+            'address': '10.0.0.9:8080',
+            'born': 5,
+            'info': {
+                'service': service,
+                'version': 'v1',
+                'zone': 'z',
+                'max_concurrency': 9,
+            },
+            'status': {
+                'state': 'ready',
+                'sequence': sequence,
+                'cold_left_s': 0,
+            },
+        }
+    ).encode()
+
+
+def test_heartbeat_of_a_service_that_is_not_configured_is_rejected(
+    monkeypatch, make_node
+):
+    """It replaced the target of the VM."""
+    node = make_node(is_strict=False)
+    own = node._settings.service
+
+    async def save_own_record():
+        return True
+
+    monkeypatch.setattr(node._store, 'save_own_record', save_own_record)
+    services = (documents.Service('s', (), '', (), (), None),)
+    node._mesh.configuration = documents.InForce(
+        documents.Accepted(3, ''), documents.Document(services=services), 0.0
+    )
+
+    def send(service, sequence):
+        body = make_heartbeat(service, sequence)
+        return trio.run(send_control, node, 'i-t/heartbeat', body)
+
+    assert send(own, 1) == 200
+    assert send('stranger', 99) == 400
+    assert node._mesh.target_watch.target.service == own
+    assert send(own, 2) == 200
+    # A configured service may have taken over the address.
+    assert send('s', 3) == 200
+
+
 def test_departure_of_an_earlier_start_is_not_acknowledged(
     monkeypatch, make_node
 ):
