Leave calls with a failed nested call out of a version's evidence

Cause: the target answers 500 if a call that it needs fails. A cut-off node can place none of the nested calls, so nearly all calls at its target failed, and were counted against the target's version although nothing was wrong with it.

Change: the node knows which calls a running call has made. If one of them was not answered, or with a failure, what becomes of the running call is not counted as evidence. The failure is counted where the nested call ran.

Evidence: test_failure_of_a_nested_call_is_no_evidence_against_its_parent fails before for a failure, a refusal and a reset.

--- a/packages/pumicestand-node/pumicestand_node/mesh_node.py
+++ b/packages/pumicestand-node/pumicestand_node/mesh_node.py
@@ -114,6 +114,7 @@
             self._target_calls.find_running,
             self._clock,
             self._target_calls.record_nested,
+            self._target_calls.record_nested_failure,
         )
         self._store = mesh_store.MeshStore(
             self._mesh,
--- a/packages/pumicestand-node/pumicestand_node/outbound_call.py
+++ b/packages/pumicestand-node/pumicestand_node/outbound_call.py
@@ -27,6 +27,7 @@
     :param is_client_retry: whether the client was refused before and retries
     :param is_nested: whether the target on this VM makes the call while it
         runs another one
+    :param parent_id: request id of that other call, empty for none
     :param header_lines: header lines for the target, as bytes
     :param configuration: `documents.InForce` under which it was admitted
     :param organisation: `documents.Organisation` that it belongs to, None for
@@ -64,6 +65,7 @@
     is_nested: bool
     header_lines: bytes
     configuration: documents.InForce
+    parent_id: str = ''
     organisation: documents.Organisation | None = None
     access_refusal: refusals.Refusal | None = None
     placements: int = 0
--- a/packages/pumicestand-node/pumicestand_node/outbound_calls.py
+++ b/packages/pumicestand-node/pumicestand_node/outbound_calls.py
@@ -28,6 +28,8 @@
 
 Outcome = hop_messages.Outcome
 
+MIN_SERVER_ERROR_STATUS = 500
+
 # Nodes that a call is sent to at most, besides probes, while none of them
 # hands it on to its target. Each costs one exchange between nodes and none
 # with a target.
@@ -82,6 +84,8 @@
     :param clock: returns monotonic seconds
     :param record_nested: called with the service of each call that the target
         on this VM makes while it runs another one
+    :param record_nested_failure: called with the request id of the call that
+        the target runs, when one that it made meanwhile has failed
     """
 
     def __init__(
@@ -92,12 +96,14 @@
         find_running,
         clock,
         record_nested=lambda service: None,
+        record_nested_failure=lambda request_id: None,
     ):
         self._mesh = mesh
         self._headers = headers
         self._service_name = service.encode()
         self._clock = clock
         self._record_nested = record_nested
+        self._record_nested_failure = record_nested_failure
         self._rng = random.Random()
         self._pickers = {}
         self._table = None
@@ -369,6 +375,7 @@
             objective_at=started_at + max(0.0, route.objective - elapsed_s),
             is_client_retry=is_client_retry,
             is_nested=parent is not None,
+            parent_id=parent.request_id if parent is not None else '',
             header_lines=self._format_target_headers(
                 head, configuration, organisation
             ),
@@ -405,6 +412,8 @@
             # A target's failure tells the client more than a refusal.
             result = call.failure_response or result
         self._plan_return(call, result)
+        if call.is_nested and not _is_success(result):
+            self._record_nested_failure(call.parent_id)
         if result is not None and result.outcome is Outcome.ANSWERED:
             return await self._forward_response(
                 call, result, request, connection
@@ -491,7 +500,10 @@
 
     def _should_retry_response(self, call, result):
         """Return whether to retry a call that the target failed."""
-        if result.status < 500 or not call.route.idempotent:
+        if (
+            result.status < MIN_SERVER_ERROR_STATUS
+            or not call.route.idempotent
+        ):
             return False
         return self._clock() < call.deadline - MIN_RETRY_TIME_S
 
@@ -733,3 +745,12 @@
     if value is None or not value.isdigit() or len(value) > 9:
         return default
     return int(value)
+
+
+def _is_success(result):
+    """Return whether a target has answered without a failure."""
+    return (
+        result is not None
+        and result.outcome is Outcome.ANSWERED
+        and result.status < MIN_SERVER_ERROR_STATUS
+    )
--- a/packages/pumicestand-node/pumicestand_node/target_calls.py
+++ b/packages/pumicestand-node/pumicestand_node/target_calls.py
@@ -94,6 +94,8 @@
         # (route, version) to `hop_messages.Evidence`.
         self._evidence = {}
         self._running_calls = {}
+        # Ids of the running calls of which a nested call has failed.
+        self._nested_failures = set()
         self._unreachable_until = 0.0
         self._failure_ratio = 0.0
         self._slowness = target_queue.SlownessEstimator()
@@ -183,6 +185,14 @@
         """Record that the target makes a nested call to a service."""
         self._call_observer.record_nested(service, self._clock())
 
+    def record_nested_failure(self, request_id):
+        """Record that a nested call of a running call has failed.
+
+        What becomes of the running call then says nothing of its target.
+        """
+        if request_id in self._running_calls:
+            self._nested_failures.add(request_id)
+
     def on_heartbeat(self, heartbeat):
         """Apply what a heartbeat says of the target's coldness.
 
@@ -456,6 +466,7 @@
             is_answered = result.outcome is Outcome.ANSWERED
         finally:
             self._running_calls.pop(call.request_id, None)
+            self._nested_failures.discard(call.request_id)
             self._release_slot(ticket, is_answered)
         # The slot has been released, so the load has changed.
         result.load = self.load()
@@ -707,6 +718,8 @@
 
         :param work_s: time of the call at the target, None if it is unknown
         """
+        if call.request_id in self._nested_failures:
+            return
         key = (call.route, target.version)
         previous = self._evidence.get(key)
         if previous is None:
--- a/tests/pumicestand_node/test_call_access.py
+++ b/tests/pumicestand_node/test_call_access.py
@@ -27,6 +27,7 @@
     """A call that runs at the target on this VM."""
 
     is_retry = False
+    request_id = 'a'
 
 
 def set_organisations(harness, *organisations, generation=4):
--- a/tests/pumicestand_node/test_mesh_calls.py
+++ b/tests/pumicestand_node/test_mesh_calls.py
@@ -105,6 +105,7 @@
             self.find_running,
             clock,
             self.targets.record_nested,
+            self.targets.record_nested_failure,
         )
         route = documents.Route(
             name='r',
@@ -460,6 +461,32 @@
     run_with_target(test)
 
 
+@pytest.mark.parametrize('step', [SERVER_ERROR, NOT_RUN_RESPONSE, 'reset'])
+def test_failure_of_a_nested_call_is_no_evidence_against_its_parent(step):
+    """A node that was cut off rolled back a good version by such failures."""
+
+    async def test(harness):
+        harness.script.hangs_on_request_id = b'parent'
+        harness.nursery.start_soon(
+            harness.send_request, '/o/1', 'POST', 'parent'
+        )
+        await trio.sleep(0.01)
+        harness.script.steps.append(step)
+        got, _ = await harness.send_request('/o/2', 'POST', 'parent.1')
+        assert got >= 500
+        before = harness.targets.evidence
+        await trio.sleep(1.0)
+        assert harness.targets.evidence == before
+        assert not harness.targets._nested_failures
+        # Its own failures count.
+        harness.script.steps.append(SERVER_ERROR)
+        await harness.send_request('/o/3', 'POST', 'other')
+        (evidence,) = harness.targets.evidence
+        assert evidence.errors == sum(e.errors for e in before) + 1
+
+    run_with_target(test)
+
+
 def test_a_call_that_displaces_urgent_calls_is_refused_on_arrival():
     """Its nested calls would take the slots that urgent calls wait for."""
 
