Let targets finish calls whose clients have left without a key

Cause: the parent of a nested call counted as running only as long as the node waited for its response, which ends with the client's connection.

Change: a call that ended here without an answer is remembered until its deadline, 1,024 at most.

Evidence: test_nested_call_needs_no_key_after_the_client_of_its_parent_has_left fails before.

--- a/packages/pumicestand-node/pumicestand_node/target_calls.py
+++ b/packages/pumicestand-node/pumicestand_node/target_calls.py
@@ -45,6 +45,8 @@
 # Period at which a call that waits for a slot checks whether the rate lets it
 # start, while there is a rate.
 PACED_CHECK_S = 0.05
+# Calls without an answer that are remembered as those that the target may run.
+MAX_ABANDONED_CALLS = 1024
 # The deadline sent to the target is earlier by this much, so that its response
 # arrives before the call is given up.
 DEADLINE_MARGIN_MS = 5
@@ -94,6 +96,9 @@
         # (route, version) to `hop_messages.Evidence`.
         self._evidence = {}
         self._running_calls = {}
+        # Id to (call, deadline) of calls that ended here without an answer:
+        # the target may go on with them until then.
+        self._abandoned_calls = {}
         # Ids of the running calls of which a nested call has failed.
         self._nested_failures = set()
         self._unreachable_until = 0.0
@@ -158,8 +163,15 @@
             self._resume_waiter(ticket, False)
 
     def find_running(self, request_id):
-        """Return the call with this id if it runs at the target, or None."""
-        return self._running_calls.get(request_id)
+        """Return the call with this id if the target may run it, or None.
+
+        Some targets finish what they have begun although the client has left.
+        """
+        call = self._running_calls.get(request_id)
+        if call is not None:
+            return call
+        call, deadline = self._abandoned_calls.get(request_id, (None, 0.0))
+        return call if self._clock() < deadline else None
 
     def load(self):
         """Return the `hop_messages.Load` of the target.
@@ -460,18 +472,33 @@
             self._release_slot(ticket, False)
             return self._make_result(call, Outcome.NOT_HANDED_ON, code)
         is_answered = False
+        may_go_on = True
         self._running_calls[call.request_id] = call
         try:
             result = await self._exchange(call, ticket)
             is_answered = result.outcome is Outcome.ANSWERED
+            may_go_on = result.outcome is Outcome.UNKNOWN
         finally:
             self._running_calls.pop(call.request_id, None)
+            if may_go_on:
+                self._abandon(call, ticket.deadline)
             self._nested_failures.discard(call.request_id)
             self._release_slot(ticket, is_answered)
         # The slot has been released, so the load has changed.
         result.load = self.load()
         return result
 
+    def _abandon(self, call, deadline):
+        """Remember a call that the target may run until its deadline."""
+        now = self._clock()
+        for id_, (_, ends_at) in list(self._abandoned_calls.items()):
+            if now < ends_at and (
+                len(self._abandoned_calls) < MAX_ABANDONED_CALLS
+            ):
+                break
+            del self._abandoned_calls[id_]
+        self._abandoned_calls[call.request_id] = (call, deadline)
+
     async def _exchange(self, call, ticket):
         target = self._target_watch.target
         address = (target.host, target.port)
--- a/tests/pumicestand_node/test_call_access.py
+++ b/tests/pumicestand_node/test_call_access.py
@@ -11,6 +11,7 @@
 from pumicestand import hop_messages
 from pumicestand_node import call_access
 from pumicestand_node import outbound_call
+from pumicestand_node import target_calls
 from pumicestand_platform import headers
 from tests.pumicestand import mesh_fakes
 from tests.pumicestand_node import test_mesh_calls
@@ -202,6 +203,55 @@
     run_with_organisations(test)
 
 
+def test_nested_call_needs_no_key_after_the_client_of_its_parent_has_left():
+    """The target finishes what it has begun; its calls were answered 401."""
+
+    async def test(harness):
+        harness.script.hangs_on_request_id = b'a'
+        await trio.sleep(call_access.UNKNOWN_PARENTS_S + 1)
+        stream = await harness.open_client()
+        await stream.send_all(
+            test_mesh_calls.make_request(request_id='a', extra=ACME_KEY)
+        )
+        await trio.sleep(0.1)
+        await stream.aclose()
+        await trio.sleep(0.1)
+        assert harness.targets.in_flight == 0
+        status, _ = await harness.send_request(request_id='a.1')
+        assert status == 200
+        # The time in which the parent could run is over.
+        await trio.sleep(1.0)
+        status, _ = await harness.send_request(request_id='a.2')
+        assert status == 401
+
+    run_with_organisations(test)
+
+
+def test_answered_call_has_no_nested_calls():
+    async def test(harness):
+        await trio.sleep(call_access.UNKNOWN_PARENTS_S + 1)
+        status, _ = await harness.send_request(request_id='a', extra=ACME_KEY)
+        assert status == 200
+        status, _ = await harness.send_request(request_id='a.1')
+        assert status == 401
+
+    run_with_organisations(test)
+
+
+def test_abandoned_calls_are_remembered_up_to_a_bound(monkeypatch):
+    async def test(harness):
+        monkeypatch.setattr(target_calls, 'MAX_ABANDONED_CALLS', 3)
+        for number in range(9):
+            harness.script.steps.append('reset')
+            await harness.send_request(
+                '/o/1', 'POST', request_id=f'a{number}', extra=ACME_KEY
+            )
+        assert len(harness.targets._abandoned_calls) == 3
+        assert harness.targets.find_running('a8') is not None
+
+    run_with_organisations(test)
+
+
 @pytest.mark.parametrize(
     ('running', 'request_id', 'extra'),
     [('', '.1', b''), ('a', 'a.1', b'X-Api-Key: withdrawn\r\n')],
