Have the parent fail in the test of its nested call's failure

The test that came with the change before passed without it as well: the parent got no response, which counts for nothing. Now the parent answers 500 after its nested call has failed. With the call to record_nested_failure left out of OutboundCalls all three cases fail, with it they pass.

--- a/tests/pumicestand_node/test_mesh_calls.py
+++ b/tests/pumicestand_node/test_mesh_calls.py
@@ -193,6 +193,10 @@
                 return False
             case 'hang':
                 await trio.sleep_forever()
+            case 'late error':
+                await trio.sleep(0.3)
+                await stream.send_all(SERVER_ERROR.replace(b'%b', request_id))
+                return True
             case 'late limit':
                 await trio.sleep(0.1)
                 response = OK_RESPONSE.replace(b'%b', request_id)
@@ -466,16 +470,20 @@
     """A node that was cut off rolled back a good version by such failures."""
 
     async def test(harness):
-        harness.script.hangs_on_request_id = b'parent'
-        harness.nursery.start_soon(
-            harness.send_request, '/o/1', 'POST', 'parent'
-        )
+        statuses = []
+
+        async def send_parent():
+            got, _ = await harness.send_request('/o/1', 'POST', 'parent')
+            statuses.append(got)
+
+        harness.script.steps += ['late error', step]
+        harness.nursery.start_soon(send_parent)
         await trio.sleep(0.01)
-        harness.script.steps.append(step)
         got, _ = await harness.send_request('/o/2', 'POST', 'parent.1')
         assert got >= 500
         before = harness.targets.evidence
         await trio.sleep(1.0)
+        assert statuses == [500]
         assert harness.targets.evidence == before
         assert not harness.targets._nested_failures
         # Its own failures count.
