Send bodies that are larger than the backlog of a link

What callers saw (found by the review): an upload of more than 16 MB to a target on another VM closed its link with all calls on it, was lost on two more links and then answered 503.

Cause: a body was encoded whole into the queue of the link, whose bound is meant for a node that does not read.

Evidence: test_body_larger_than_the_backlog_is_sent_whole fails before. Memory was not measured again.

--- a/packages/pumicestand-node/pumicestand_node/frame_streams.py
+++ b/packages/pumicestand-node/pumicestand_node/frame_streams.py
@@ -23,10 +23,34 @@
 # 5 Mbit/s.
 MAX_PART_BYTES = 16_384
 MAX_PARTS_PER_WRITE_BYTES = 32_768
-# Queued bytes above which the link is closed because the peer does not read.
+# Queued bytes, besides bodies, above which the link is closed because the peer
+# does not read.
 MAX_BACKLOG_BYTES = 16_000_000
 
 
+@dataclasses.dataclass(slots=True)
+class _QueuedBody:
+    """A body, or what is left of one, that is sent in parts.
+
+    :param id: id of the call or result that it belongs to
+    :param position: bytes of it that have been sent
+    """
+
+    id: int
+    body: bytes
+    position: int = 0
+
+    @property
+    def is_sent(self):
+        return self.position >= len(self.body)
+
+    def next_part(self):
+        """Return the next part as an encoded frame."""
+        start, self.position = self.position, self.position + MAX_PART_BYTES
+        chunk = self.body[start : self.position]
+        return hop.encode(hop_messages.Part(self.id, chunk, self.is_sent))
+
+
 class FrameStream:
     """Sends and receives frames over a stream, with one task for each.
 
@@ -45,7 +69,9 @@
         self._meter = meter
         self._clock = clock
         self._frames = []
-        self._parts = collections.deque()
+        # Bodies are encoded as they are sent: they may be larger than what
+        # may be queued.
+        self._bodies = collections.deque()
         self._backlog_bytes = 0
         self._is_writing = False
         self._data_queued = trio.Event()
@@ -59,7 +85,7 @@
     def has_unsent(self):
         """Whether frames wait to be written."""
         return not self.is_closed and (
-            self._is_writing or self._backlog_bytes > 0
+            self._is_writing or self._backlog_bytes > 0 or bool(self._bodies)
         )
 
     def start_compression(self):
@@ -83,7 +109,7 @@
             return
         data = self._compress(data)
         self._record_sent(data, kind)
-        if not self._is_writing and not self._frames and not self._parts:
+        if not self._is_writing and not self._frames and not self._bodies:
             try:
                 data = socket_io.send_nowait(self._stream, data)
             except (trio.BrokenResourceError, trio.ClosedResourceError):
@@ -91,15 +117,18 @@
                 return
             if not data:
                 return
-        self._enqueue(self._frames, data)
+        self._enqueue(data)
 
-    def send_part(self, part):
-        """Queue a part of a body, to be sent after all other frames."""
-        if self.is_closed:
+    def send_body(self, id_, body):
+        """Queue a body, to be sent in parts after all other frames.
+
+        :param id_: id of the call or result that it belongs to
+        """
+        if self.is_closed or not body:
             return
-        data = hop.encode(part)
-        self._record_sent(data, 'Part')
-        self._enqueue(self._parts, data)
+        self._record_sent(body, 'Part')
+        self._bodies.append(_QueuedBody(id_, body))
+        self._data_queued.set()
 
     def _compress(self, data):
         """Return an encoded frame as it is sent, with its length prefix."""
@@ -124,9 +153,9 @@
             len(data), self._clock(), kind, self.is_cross_zone
         )
 
-    def _enqueue(self, queue, data):
-        """Queue encoded data; close the stream if too much is queued."""
-        queue.append(data)
+    def _enqueue(self, data):
+        """Queue an encoded frame; close the stream if too much is queued."""
+        self._frames.append(data)
         self._backlog_bytes += len(data)
         if self._backlog_bytes > MAX_BACKLOG_BYTES:
             self.stop()
@@ -160,11 +189,10 @@
     async def _write(self):
         """Write queued data until cancelled."""
         while True:
-            while not self._frames and not self._parts:
+            while not self._frames and not self._bodies:
                 await self._data_queued.wait()
                 self._data_queued = trio.Event()
             data = self._next_write()
-            self._backlog_bytes -= len(data)
             self._is_writing = True
             await self._stream.send_all(data)
             self._is_writing = False
@@ -173,13 +201,17 @@
         """Remove and return the bytes to write next."""
         if self._frames:
             data, self._frames = b''.join(self._frames), []
+            self._backlog_bytes = 0
             return data
-        data = self._parts.popleft()
+        data = b''
         while (
-            self._parts
-            and len(data) + len(self._parts[0]) <= MAX_PARTS_PER_WRITE_BYTES
+            self._bodies
+            and len(data) + MAX_PART_BYTES <= MAX_PARTS_PER_WRITE_BYTES
         ):
-            data += self._parts.popleft()
+            queued = self._bodies[0]
+            data += queued.next_part()
+            if queued.is_sent:
+                self._bodies.popleft()
         return data
 
     async def _read(self, on_message):
@@ -234,7 +266,7 @@
             message, body=body[:MAX_PART_BYTES], remaining_bytes=rest
         )
     )
-    send_parts(frames, message.id, body[MAX_PART_BYTES:])
+    frames.send_body(message.id, body[MAX_PART_BYTES:])
 
 
 def send_without_body(frames, call):
@@ -250,18 +282,6 @@
     )
 
 
-def send_parts(frames, id_, body):
-    """Send a body, or what is left of one, in parts.
-
-    :param frames: `FrameStream`
-    :param id_: id of the call or result that the body belongs to
-    """
-    for start in range(0, len(body), MAX_PART_BYTES):
-        chunk = body[start : start + MAX_PART_BYTES]
-        is_last = start + MAX_PART_BYTES >= len(body)
-        frames.send_part(hop_messages.Part(id_, chunk, is_last))
-
-
 class BodyAssembler:
     """Assembles the bodies of messages that arrive in parts."""
 
--- a/packages/pumicestand-node/pumicestand_node/links.py
+++ b/packages/pumicestand-node/pumicestand_node/links.py
@@ -467,7 +467,7 @@
         if pending.origin is not connection:
             return
         body, pending.held_body = pending.held_body, None
-        frame_streams.send_parts(connection.frames, id_, body)
+        connection.frames.send_body(id_, body)
 
     def _complete_call(self, result):
         """Pass a result to its call; do nothing if it is None."""
--- a/packages/pumicestand-node/pumicestand_node/target_exchange.py
+++ b/packages/pumicestand-node/pumicestand_node/target_exchange.py
@@ -133,7 +133,7 @@
     async def _exchange_large_body(self, head, body, is_matching):
         response = exchange_error = None
         async with trio.open_nursery() as nursery:
-            nursery.start_soon(self._send_ignoring_errors, head + body)
+            nursery.start_soon(self._send_ignoring_errors, head, body)
             try:
                 response = await self._read_matching(is_matching)
             except ExchangeError as error:
@@ -143,16 +143,17 @@
             raise exchange_error
         return response
 
-    async def _send_ignoring_errors(self, data):
+    async def _send_ignoring_errors(self, *chunks):
         try:
-            await self._send(data)
+            await self._send(*chunks)
         except ExchangeError:
             # The target stopped reading; its response, if any, says why.
             return
 
-    async def _send(self, data):
+    async def _send(self, *chunks):
         try:
-            await socket_io.send_all(self._stream, data)
+            for chunk in chunks:
+                await socket_io.send_all(self._stream, chunk)
         except (trio.BrokenResourceError, OSError) as error:
             raise ExchangeError(
                 f'sending the request failed: {error}', True
--- a/tests/pumicestand_node/test_frame_streams.py
+++ b/tests/pumicestand_node/test_frame_streams.py
@@ -70,3 +70,59 @@
         assert meter.sent_bytes[('Call', 'other-zone')] < 19 * 1000
 
     mock_clock.run(main)
+
+
+def test_body_larger_than_the_backlog_is_sent_whole():
+    """One large upload closed its link, and was lost on two more."""
+
+    async def main():
+        meter = link_meter.LinkMeter(0.0)
+        frames, remote_frames = make_frame_streams(meter)
+        assembler = frame_streams.BodyAssembler()
+        complete = []
+        others = []
+        body = bytes(range(256)) * (3 * frame_streams.MAX_BACKLOG_BYTES // 256)
+        call = hop_messages.dataclasses.replace(
+            test_hop.CALL, id=1, remaining_bytes=0, body=body
+        )
+
+        def receive(message):
+            match message:
+                case hop_messages.Call():
+                    assembler.add_first(message)
+                case hop_messages.Part():
+                    complete.append(assembler.add_part(message))
+                case _:
+                    others.append(message)
+
+        frame_streams.send_with_parts(frames, call)
+        frames.send(hop_messages.Ping(7))
+        assert frames.has_unsent
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(frames.run, receive)
+            nursery.start_soon(remote_frames.run, receive)
+            await trio.sleep(1)
+            assert not frames.is_closed
+            nursery.cancel_scope.cancel()
+        assert complete[-1].body == body
+        assert len(others) == 1
+        assert meter.sent_bytes[('Part', 'own-zone')] >= len(body) - (
+            frame_streams.MAX_PART_BYTES
+        )
+
+    mock_clock.run(main)
+
+
+def test_backlog_of_frames_closes_the_link():
+    """The other node does not read."""
+
+    async def main():
+        frames, _ = make_frame_streams(link_meter.LinkMeter(0.0))
+        part = hop_messages.Configuration(1, b'x' * 1_000_000)
+        for _ in range(frame_streams.MAX_BACKLOG_BYTES // 1_000_000):
+            assert not frames.is_closed
+            frames.send(part)
+        frames.send(part)
+        assert frames.is_closed
+
+    mock_clock.run(main)
--- a/tests/pumicestand_node/test_node_stop.py
+++ b/tests/pumicestand_node/test_node_stop.py
@@ -246,7 +246,7 @@
         )
         await trio.sleep(1.35)
         assert link.outcomes() == [Outcome.NOT_HANDED_ON]
-        frame_streams.send_parts(link.frames, 1, body[size:])
+        link.frames.send_body(1, body[size:])
         await trio.sleep(0.05)
         assert link.outcomes() == [Outcome.NOT_HANDED_ON]
 
