--- a/tests/pumicestand_node/test_mesh_store.py
+++ b/tests/pumicestand_node/test_mesh_store.py
@@ -89,6 +89,16 @@
             await node.mesh_store.close()
 
 
+def make_client(nursery, store):
+    """Return another client of a store, which is not started."""
+    server = test_objects.http_server.Server('memory', 1, store.handle)
+    return test_objects.objects.ObjectClient(
+        'store',
+        80,
+        test_objects.memory_network.MemoryBackend(nursery, server),
+    )
+
+
 def put_configuration(store, version):
     spec = {**test_configuration.SPEC, 'version': version}
     store.put('config', 'main', spec)
@@ -141,17 +151,7 @@
         async with open_nodes('a') as (_, store):
             store.put(node_records.KIND, 'x', {'name': 7})
             async with trio.open_nursery() as nursery:
-                client = test_objects.objects.ObjectClient(
-                    'store',
-                    80,
-                    test_objects.memory_network.MemoryBackend(
-                        nursery,
-                        test_objects.http_server.Server(
-                            'memory', 1, store.handle
-                        ),
-                    ),
-                )
-                node = Node(client, 'b')
+                node = Node(make_client(nursery, store), 'b')
                 await node.mesh_store.start(nursery)
                 await trio.sleep(mesh_records.TARGET_WAIT_S + 0.5)
                 assert [record.name for record in node.records] == ['a']
@@ -238,17 +238,7 @@
             impostor = node_records.NodeRecord('a', '10.9.9.9', 1, 'a')
             store.put(node_records.KIND, 'x', node_records.to_json(impostor))
             async with trio.open_nursery() as nursery:
-                client = test_objects.objects.ObjectClient(
-                    'store',
-                    80,
-                    test_objects.memory_network.MemoryBackend(
-                        nursery,
-                        test_objects.http_server.Server(
-                            'memory', 1, store.handle
-                        ),
-                    ),
-                )
-                node = Node(client, 'b')
+                node = Node(make_client(nursery, store), 'b')
                 await node.mesh_store.start(nursery)
                 await trio.sleep(mesh_records.TARGET_WAIT_S + 0.5)
                 assert {r.host for r in node.records} == {'10.0.0.1'}
