--- a/packages/pumicestand-node/pumicestand_node/mesh_records.py
+++ b/packages/pumicestand-node/pumicestand_node/mesh_records.py
@@ -166,7 +166,9 @@
                 own_record = record
                 continue
             records.append(record)
-        self._apply_own_record(own_record)
+        if own_record is not None or not self.has_joined:
+            # A stale listing may lack it.
+            self._apply_own_record(own_record)
         return records
 
     async def _search_nodes(self):
--- a/packages/pumicestand/pumicestand/regressions.py
+++ b/packages/pumicestand/pumicestand/regressions.py
@@ -31,7 +31,7 @@
 # expected, by this many standard deviations and one call.
 MAX_ERROR_RATE_RATIO = 3.0
 ERROR_DEVIATIONS = 3.0
-# Standard deviation of an expectation of no failure, squared.
+# Variance of the failures where none is expected.
 MIN_ERROR_VARIANCE = 0.25
 # Calls of the other versions in a slice without which it has no comparison,
 # and their least share of those of the new one.
@@ -105,7 +105,7 @@
     sources = sorted(
         (c for c in by_source if c.calls), key=lambda c: c.errors / c.calls
     )
-    # Half of the sources, less one if there are several, are left out.
+    # The worse half of the sources, rounded down, is left out.
     kept = sources[: len(sources) - len(sources) // 2]
     total = sum(kept, start=_Comparison())
     expected = total.expected_errors
@@ -202,7 +202,8 @@
         if is_complete or self._slice_start is None:
             self._slice_start = now
             self._first_new, self._first_old = new, old
-            self._first_by_source = by_source
+            # A zone's sum may be missing for a while.
+            self._first_by_source = {**self._first_by_source, **by_source}
         return reason
 
     def _find_spread_errors(self, old, by_source, is_complete):
--- a/tests/pumicestand/test_regressions.py
+++ b/tests/pumicestand/test_regressions.py
@@ -188,3 +188,16 @@
     assert not traffic.run(4, 0.5)
     traffic._error_rates = [0.05] * 5
     assert not traffic.run(6, 1.0)
+
+
+def test_evidence_of_a_zone_that_was_missing_counts_once():
+    """Its sum is not heard of for some seconds, and then as a whole."""
+    history = regressions.EvidenceHistory()
+    old = zone_summaries.EvidenceSum(calls=100_000)
+    for step in range(300):
+        old.calls += 100
+        zone = zone_summaries.EvidenceSum(calls=400, errors=4)
+        by_source = {} if step % 30 < 15 else {('r', 'zone'): zone}
+        assert not history.find_regression(
+            {'r': zone}, {'r': copy_of(old)}, step * 0.1, by_source
+        )
