Put odd values into organisations and services as well

Keys and quotas are the last of the lists that a process reads from the store; their entries pass the readers and the encoder. No fault found.

--- a/tests/pumicestand_platform/test_hostile_entries.py
+++ b/tests/pumicestand_platform/test_hostile_entries.py
@@ -17,6 +17,7 @@
 from pumicestand import hop_messages
 from pumicestand import json_reading
 from pumicestand import node_records
+from pumicestand import organisations
 from pumicestand import rollouts
 from pumicestand import stored_objects
 from pumicestand import targets
@@ -183,6 +184,19 @@
         return
     generation, document = parsed
     hop.encode(hop_messages.GenerationUpdate(generation))
+    for organisation in document.organisations:
+        use = hop_messages.QuotaUse(organisation.name, 1, 1)
+        hop.encode(hop_messages.QuotaRequest(1, 1, (use,)))
+        keys = organisations.KeyTable()
+        keys.update(document)
+        for key in organisation.keys:
+            assert key.encode()
+    for service in document.services:
+        hop.encode(
+            mesh_fakes.make_report(
+                'own', target=mesh_fakes.make_target('a', service.name)
+            )
+        )
     for route in document.routes:
         hop.encode(
             hop_messages.Call(
@@ -209,6 +223,12 @@
     'order': (test_readers_of_boundary.ORDER, check_order),
     'status': (test_readers_of_boundary.STATUS, check_status),
     'configuration': (test_configuration.SPEC, check_configuration),
+    'organisations': (
+        test_configuration.make_spec_with_organisations(
+            [['acme', ['k1', 'k2'], 2, 12.5, 4], ['plain', [], 1, None, 0]]
+        ),
+        check_configuration,
+    ),
 }
 
 
