Look for spread failures once a slice

Cause: the comparison by source doubled the time of an evaluation, which each node makes ten times a second during a roll-out.

Change: the sources are compared at the end of each slice of a second, which is when their sums are added anyway.

--- a/packages/pumicestand/pumicestand/regressions.py
+++ b/packages/pumicestand/pumicestand/regressions.py
@@ -196,9 +196,9 @@
             if is_complete:
                 self._total[route] += current
                 self._recent[route].append(current)
-        reason = reason or self._find_spread_errors(
-            old, by_source, is_complete
-        )
+        if is_complete:
+            # They show in seconds, so once a slice is often enough.
+            reason = reason or self._find_spread_errors(old, by_source)
         if is_complete or self._slice_start is None:
             self._slice_start = now
             self._first_new, self._first_old = new, old
@@ -206,11 +206,8 @@
             self._first_by_source = {**self._first_by_source, **by_source}
         return reason
 
-    def _find_spread_errors(self, old, by_source, is_complete):
-        """Compare the error rates of the sources in the same time.
-
-        :param is_complete: whether the slice ends
-        """
+    def _find_spread_errors(self, old, by_source):
+        """Compare the error rates of the sources at the end of a slice."""
         nothing = zone_summaries.EvidenceSum()
         by_route = collections.defaultdict(list)
         for (route, source), total in by_source.items():
@@ -219,14 +216,13 @@
             new_slice = total.since(
                 self._first_by_source.get((route, source), nothing)
             )
-            compared = self._compared[(route, source)]
             if old_slice.calls >= max(
                 MIN_COMPARED_CALLS, MIN_COMPARED_RATIO * new_slice.calls
             ):
-                compared += _compare(new_slice, old_slice, all_old)
-            by_route[route].append(compared)
-            if is_complete:
-                self._compared[(route, source)] = compared
+                self._compared[(route, source)] += _compare(
+                    new_slice, old_slice, all_old
+                )
+            by_route[route].append(self._compared[(route, source)])
         for route, comparisons in by_route.items():
             reason = _find_spread_errors(route, comparisons)
             if reason:
