Work out the visible target once a change, not once a call

Cause: TargetWatch.target, which each call asks for several times, had become a condition, and each response was asked twice whether it refuses the call.

Change: the target is worked out when something is heard of it; whether a response is a refusal is passed on.

--- a/packages/pumicestand-node/pumicestand_node/target_calls.py
+++ b/packages/pumicestand-node/pumicestand_node/target_calls.py
@@ -522,11 +522,14 @@
             response = await connection.exchange(
                 head, call.body, self._make_response_matcher(call, connection)
             )
-            if self._is_refusal(response):
+            is_refusal = self._is_refusal(response)
+            if is_refusal:
                 connection.record_refusal(call.request_id)
             is_released = True
             await self._pool.release(connection, response, address)
-            return self._evaluate_response(call, ticket, target, response)
+            return self._evaluate_response(
+                call, ticket, target, response, is_refusal
+            )
         except target_exchange.ExchangeError as error:
             if connection is not None and connection.is_stale:
                 self._record_stale_connection(connection, target, sent_at)
@@ -644,11 +647,11 @@
             or response.status == MISDIRECTED_STATUS
         )
 
-    def _evaluate_response(self, call, ticket, target, response):
+    def _evaluate_response(self, call, ticket, target, response, is_refusal):
         header_names = self._headers
         self._coldness.record_response(ticket.started_at, self._clock())
         self._read_condition(target, response)
-        if self._is_refusal(response):
+        if is_refusal:
             self._update_failure_ratio(1.0)
             if response.status == MISDIRECTED_STATUS:
                 self._unreachable_until = self._clock() + UNREACHABLE_PAUSE_S
--- a/packages/pumicestand/pumicestand/targets.py
+++ b/packages/pumicestand/pumicestand/targets.py
@@ -80,6 +80,8 @@
 
     def __init__(self):
         self._known = None
+        # What `target` returns, which each call asks for several times.
+        self._target = None
         self._sequence = 0
         # Incarnations that have departed, in the order in which they were
         # heard of.
@@ -101,13 +103,7 @@
 
         While the history is awaited there is none that serves.
         """
-        if (
-            self._awaits_history
-            and self._known is not None
-            and not self._known.is_leaving
-        ):
-            return None
-        return self._known
+        return self._target
 
     @property
     def known(self):
@@ -134,6 +130,7 @@
         record, successive heartbeats show in the end that the target goes on.
         """
         self._awaits_history = True
+        self._update_target()
 
     def restore(self, target, departed=()):
         """Merge what an earlier process of this node has recorded.
@@ -142,7 +139,6 @@
         :param departed: the recorded `hop_messages.Incarnation` objects
         :returns: whether the target or its state changed
         """
-        before = self.target
         for incarnation in departed:
             self._add_departed(incarnation)
         if target is not None:
@@ -150,7 +146,7 @@
             self._date_departure(target.incarnation)
             self._merge(target, 0)
         self._end_wait()
-        return self.target != before
+        return self._update_target()
 
     def apply(self, message, now):
         """Apply a `Heartbeat`, `Departure` or `Leaving`.
@@ -158,7 +154,6 @@
         :param now: monotonic seconds
         :returns: whether the target or its state changed
         """
-        before = self.target
         match message:
             case Heartbeat():
                 self._apply_heartbeat(message, now)
@@ -166,7 +161,19 @@
                 self._apply_departure(message, now)
             case Leaving():
                 self._apply_leaving(message)
-        return self.target != before
+        return self._update_target()
+
+    def _update_target(self):
+        """Set the target to act on; return whether it has changed."""
+        before = self._target
+        self._target = self._known
+        if (
+            self._awaits_history
+            and self._known is not None
+            and not self._known.is_leaving
+        ):
+            self._target = None
+        return self._target != before
 
     def has_accepted(self, leave):
         """Return whether the state reflects that a target leaves.
