Log whose a foreign response is, and count ids that come again

Cause: a response that is not for the current call was logged with its status only, and a call whose id its connection had carried before left no trace, so that the logs could not tell copies with a repeated id from other causes of a wrong status.

Change: the line has the id of the response and that of the call; the metric pumicestand_target_repeated_calls counts calls on a connection that has carried their id. No decision reads either.

--- a/packages/pumicestand-node/pumicestand_node/mesh_metrics.py
+++ b/packages/pumicestand-node/pumicestand_node/mesh_metrics.py
@@ -113,6 +113,11 @@
                 lambda: target_calls.connections_opened,
                 'Connections opened to the target',
             ),
+            (
+                'pumicestand_target_repeated_calls',
+                lambda: target_calls.repeated_calls,
+                'Calls on a connection that has carried their id before',
+            ),
             (
                 'pumicestand_log_lines_dropped',
                 lambda: mesh.decisions.dropped,
--- a/packages/pumicestand-node/pumicestand_node/target_calls.py
+++ b/packages/pumicestand-node/pumicestand_node/target_calls.py
@@ -128,6 +128,11 @@
         """Number of connections opened to the target so far."""
         return self._pool.opened_count
 
+    @property
+    def repeated_calls(self):
+        """Number of calls on a connection that has carried their id."""
+        return self._pool.repeated_count
+
     @property
     def limit(self):
         """The target's rate limit in calls a second, None if it has none."""
@@ -549,7 +554,17 @@
         )
 
         def is_matching(response):
-            return response.header(name) in accepted
+            id_ = response.header(name)
+            if id_ in accepted:
+                return True
+            log.logger.bind(event='foreign-response').warning(
+                'target sent a response with status {} to {!r} on the '
+                'connection of call {}; it is ignored',
+                response.status,
+                id_,
+                call.request_id,
+            )
+            return False
 
         return is_matching
 
--- a/packages/pumicestand-node/pumicestand_node/target_exchange.py
+++ b/packages/pumicestand-node/pumicestand_node/target_exchange.py
@@ -8,7 +8,6 @@
 import httptools
 import trio
 
-from pumicestand import log
 from pumicestand import response_buffers
 from pumicestand import tcp_options
 from pumicestand import tcp_streams
@@ -64,6 +63,7 @@
         self._has_received = False
         self._has_foreign_response = False
         self._refused_ids = set()
+        self._carried_ids = set()
         self.is_clean = True
         self.idle_s = None
         self.idle_since = 0.0
@@ -74,6 +74,12 @@
         """Whether a reused connection broke before a byte was received."""
         return self.idle_s is not None and not self._has_received
 
+    def record_call(self, request_id):
+        """Record that a call is sent; return whether its id was before."""
+        is_repeated = request_id in self._carried_ids
+        self._carried_ids.add(request_id)
+        return is_repeated
+
     def record_refusal(self, request_id):
         """Record that the target has refused to run a call."""
         self._refused_ids.add(request_id)
@@ -176,11 +182,6 @@
                     )
                 # The target is out of step; it may send more of the kind.
                 self._has_foreign_response = True
-                log.logger.bind(event='foreign-response').warning(
-                    'target sent a response with status {} that is not for '
-                    'the current call; it is ignored',
-                    response.status,
-                )
             if self._is_at_end:
                 raise ExchangeError(
                     'connection closed before the response was complete',
@@ -215,7 +216,9 @@
 class TargetPool:
     """Idle connections to one target; the last used is reused first.
 
-    ``opened_count`` is the number of connections opened so far.
+    ``opened_count`` is the number of connections opened so far,
+    ``repeated_count`` that of calls on a connection that has carried their id
+    before.
 
     :param clock: returns monotonic seconds
     :param connect: coroutine function from host and port to a stream
@@ -230,6 +233,7 @@
         self._max_idle_s = float('inf')
         self._max_idle_until = 0.0
         self.opened_count = 0
+        self.repeated_count = 0
 
     async def acquire(self, host, port, request_id=''):
         """Return an idle connection or a new one.
@@ -248,6 +252,7 @@
                 now, self._current_max_idle_s(now)
             ) and not connection.has_refused(request_id):
                 connection.idle_s = now - connection.idle_since
+                self.repeated_count += connection.record_call(request_id)
                 return connection
             await connection.close()
         try:
@@ -261,7 +266,9 @@
             for option in tcp_options.KEEPALIVE:
                 stream.setsockopt(*option)
         self.opened_count += 1
-        return TargetConnection(stream, self._buffers)
+        connection = TargetConnection(stream, self._buffers)
+        connection.record_call(request_id)
+        return connection
 
     def _current_max_idle_s(self, now):
         if now >= self._max_idle_until:
