Take no response whose head holds the start of another one

What callers saw: a success where the target had answered with a failure, with the failure's stamp and body (MIXED).

Cause: a target that begins to send an earlier response again, breaks off in its status line or in the value of a header, and goes on with the response to the current call. The parser reads the second status line as the rest of the reason phrase or of that value, so that the status is that of the copy and the id, stamp and body are those of the call.

Change: a status line within a reason phrase or a header value ends the exchange with an unknown outcome and the connection, in the three parsers of responses: targets, targets on the older path, the store. A second response always begins with a status line, so that no cut in a head is left out.

--- a/packages/pumicestand-node/pumicestand_node/target_connections.py
+++ b/packages/pumicestand-node/pumicestand_node/target_connections.py
@@ -6,6 +6,7 @@
 import httptools
 import trio
 
+from pumicestand import response_heads
 from pumicestand_node import socket_io
 
 READ_BYTES = 16_384
@@ -76,6 +77,7 @@
             self.head.reason += reason
 
     def on_header(self, name, value):
+        self._check_is_one_response(value)
         # Trailers arrive here as well and are not forwarded.
         if not self.has_head and not self.is_complete:
             self.head.headers.append((name.lower(), value))
@@ -83,6 +85,7 @@
     def on_headers_complete(self):
         if self.is_complete:
             return
+        self._check_is_one_response(self.head.reason)
         status = self._parser.get_status_code()
         if 100 <= status < 200:
             # Interim responses are not forwarded.
@@ -97,6 +100,10 @@
         if self._is_head_request:
             self.is_complete = True
 
+    def _check_is_one_response(self, value):
+        if not self.is_complete and response_heads.holds_status_line(value):
+            raise InvalidResponseError('a response began in the head')
+
     def on_body(self, data):
         if self.is_complete:
             self.has_extra_data = True
--- a/packages/pumicestand-node/pumicestand_node/target_responses.py
+++ b/packages/pumicestand-node/pumicestand_node/target_responses.py
@@ -5,6 +5,7 @@
 import httptools
 
 from pumicestand import response_buffers
+from pumicestand import response_heads
 from pumicestand_node import heads
 
 
@@ -103,11 +104,13 @@
         self._response.reason += reason
 
     def on_header(self, name, value):
+        _check_is_one_response(value)
         if not self._response.has_head:
             self._response.headers.append((name.lower(), value))
 
     def on_headers_complete(self):
         response = self._response
+        _check_is_one_response(response.reason)
         response.status = self._parser.get_status_code()
         response.has_head = True
         response.keep_alive = self._parser.should_keep_alive()
@@ -128,6 +131,11 @@
         self.responses.append(response)
 
 
+def _check_is_one_response(value):
+    if response_heads.holds_status_line(value):
+        raise httptools.HttpParserError('a response began in the head')
+
+
 def format_response_headers(response):
     """Return the header lines of a response that are forwarded, as bytes."""
     lines = bytearray()
--- a/packages/pumicestand/pumicestand/http_pool.py
+++ b/packages/pumicestand/pumicestand/http_pool.py
@@ -14,6 +14,7 @@
 import httptools
 import trio
 
+from pumicestand import response_heads
 from pumicestand import tcp_streams
 
 READ_BYTES = 65_536
@@ -91,6 +92,7 @@
 
     def __init__(self):
         self._status = 0
+        self._reason = b''
         self._headers = []
         self._body = []
         self._head_bytes = 0
@@ -142,7 +144,11 @@
         if self.is_complete:
             self._has_extra_data = True
 
+    def on_status(self, reason):
+        self._reason += reason
+
     def on_header(self, name, value):
+        self._check_is_one_response(value)
         # Trailers arrive here as well.
         if not self._has_head:
             self._headers.append((name, value))
@@ -150,17 +156,23 @@
     def on_headers_complete(self):
         if self.is_complete:
             return
+        self._check_is_one_response(self._reason)
         status = self._parser.get_status_code()
         if status < 200:
             if status == 101:
                 raise ResponseError('the server switched protocols')
             # Another response follows an interim one.
             self._headers = []
+            self._reason = b''
             return
         self._status = status
         self._has_head = True
         self._keep_alive = self._parser.should_keep_alive()
 
+    def _check_is_one_response(self, value):
+        if not self.is_complete and response_heads.holds_status_line(value):
+            raise ResponseError('a response began in the head')
+
     def on_body(self, data):
         if not self.is_complete:
             self._body.append(data)
--- a/tests/pumicestand_node/test_repeated_responses.py
+++ b/tests/pumicestand_node/test_repeated_responses.py
@@ -283,12 +283,50 @@
         play(Fault(kinds, (NEVER, moment), position), second_id)
 
 
-@pytest.mark.parametrize('second_id', ['i1', 'i2'])
 @pytest.mark.parametrize('moment', (*LATE_MOMENTS, IDLE_AGAIN))
 @pytest.mark.parametrize('kinds', FAILED_KINDS)
 def test_response_is_not_read_as_the_rest_of_a_copy_that_breaks_off(
-    kinds, moment, second_id
+    kinds, moment
 ):
     """The status was that of the copy, stamp and body those of the call."""
     for position in cuts(kinds):
-        play(Fault(kinds, (moment, NEVER), position), second_id)
+        play(Fault(kinds, (moment, NEVER), position), 'i2')
+
+
+@pytest.mark.parametrize('moment', LATE_MOMENTS)
+@pytest.mark.parametrize('kinds', FAILED_KINDS)
+def test_second_run_of_an_id_is_not_read_as_the_rest_of_a_copy(kinds, moment):
+    for position in cuts(kinds):
+        play(Fault(kinds, (moment, NEVER), position), 'i1')
+
+
+def test_connection_is_closed_after_a_head_with_two_status_lines():
+    class Harness(RepeatingHarness):
+        def __init__(self, nursery, fault):
+            super().__init__(nursery, fault)
+            scripts.append(self.script)
+
+    scripts = []
+    position = len(b'HTTP/1.1 200 O')
+    fault = Fault(('success', 'failure'), (BEFORE, NEVER), position)
+    second, third = play(fault, 'i2', Harness)
+    assert second.outcome is Outcome.UNKNOWN
+    assert third.outcome is Outcome.ANSWERED
+    assert scripts[0].connect_count == 2
+
+
+def test_reason_and_header_values_that_name_the_protocol_are_forwarded():
+    response = test_mesh_calls.OK_RESPONSE.replace(
+        b' OK\r\n', b' HTTP/1.1 is fine\r\nvia: 1.1 proxy, HTTP/1.1 gate\r\n'
+    )
+
+    async def respond(stream, number, request_id):
+        await stream.send_all(response.replace(b'%b', request_id))
+        return True
+
+    async def test(harness):
+        result = await harness.targets.run(test_target_faults.make_call('i1'))
+        assert (result.status, result.reason) == (200, b'HTTP/1.1 is fine')
+        assert b'via: 1.1 proxy, HTTP/1.1 gate\r\n' in result.headers
+
+    test_target_faults.run_scripted(test, respond)
