Carry no request id twice on a connection to the target

What callers would see: the response to an earlier run of a call, with its status, stamp and body: 200 for a 500 and the reverse (MIXED).

Cause: a response is matched to its call by the request id that the target repeats. Where a parent runs again and makes its nested calls with the ids that they had, the id does not name one exchange; a late copy of the first response is then taken for that to the second call. Only refusals were remembered.

Change: a connection remembers the ids that it has carried, as hashes, and is passed over for a call with one of them; it stays in use for others. It is closed after 1,024 calls. The rule for refusals is a case of this one and is gone; it closed the connection in place of passing it over.

Ways weighed: ids of one parent (a client may repeat an id as well); a memory with a time limit (a copy may come at any later time); a new connection for each nested call (new connections are priced, most of a site's calls are nested).

--- a/packages/pumicestand-node/pumicestand_node/mesh_metrics.py
+++ b/packages/pumicestand-node/pumicestand_node/mesh_metrics.py
@@ -116,7 +116,7 @@
             (
                 'pumicestand_target_repeated_calls',
                 lambda: target_calls.repeated_calls,
-                'Calls on a connection that has carried their id before',
+                'Calls whose id an idle connection to the target had carried',
             ),
             (
                 'pumicestand_log_lines_dropped',
--- a/packages/pumicestand-node/pumicestand_node/target_calls.py
+++ b/packages/pumicestand-node/pumicestand_node/target_calls.py
@@ -130,7 +130,7 @@
 
     @property
     def repeated_calls(self):
-        """Number of calls on a connection that has carried their id."""
+        """Number of calls whose id an idle connection had carried."""
         return self._pool.repeated_count
 
     @property
@@ -527,14 +527,9 @@
             response = await connection.exchange(
                 head, call.body, self._make_response_matcher(call, connection)
             )
-            is_refusal = self._is_refusal(response)
-            if is_refusal:
-                connection.record_refusal(call.request_id)
             is_released = True
             await self._pool.release(connection, response, address)
-            return self._evaluate_response(
-                call, ticket, target, response, is_refusal
-            )
+            return self._evaluate_response(call, ticket, target, response)
         except target_exchange.ExchangeError as error:
             if connection is not None and connection.is_stale:
                 self._record_stale_connection(connection, target, sent_at)
@@ -662,11 +657,11 @@
             or response.status == MISDIRECTED_STATUS
         )
 
-    def _evaluate_response(self, call, ticket, target, response, is_refusal):
+    def _evaluate_response(self, call, ticket, target, response):
         header_names = self._headers
         self._coldness.record_response(ticket.started_at, self._clock())
         self._read_condition(target, response)
-        if is_refusal:
+        if self._is_refusal(response):
             self._update_failure_ratio(1.0)
             if response.status == MISDIRECTED_STATUS:
                 self._unreachable_until = self._clock() + UNREACHABLE_PAUSE_S
--- a/packages/pumicestand-node/pumicestand_node/target_exchange.py
+++ b/packages/pumicestand-node/pumicestand_node/target_exchange.py
@@ -2,7 +2,7 @@
 
 A response is read completely before it is forwarded, so that a truncated one
 is never taken for a complete one. A response to an earlier call is recognised
-by its request id and discarded.
+by its request id and discarded, so no connection carries an id twice.
 """
 
 import httptools
@@ -29,9 +29,8 @@
 # Larger bodies are sent while the response is already being read, since the
 # target may respond before it has read the whole body.
 MAX_SEQUENTIAL_BODY_BYTES = 32_768
-# Calls refused on one connection after which it is not reused: their ids are
-# remembered.
-MAX_REFUSED_CALLS = 64
+# Calls after which a connection is not reused: their ids are remembered.
+MAX_CALLS = 1024
 
 
 class ExchangeError(Exception):
@@ -62,7 +61,7 @@
         self._is_body_sent = False
         self._has_received = False
         self._has_foreign_response = False
-        self._refused_ids = set()
+        # Hashes of the request ids, to save memory.
         self._carried_ids = set()
         self.is_clean = True
         self.idle_s = None
@@ -75,23 +74,15 @@
         return self.idle_s is not None and not self._has_received
 
     def record_call(self, request_id):
-        """Record that a call is sent; return whether its id was before."""
-        is_repeated = request_id in self._carried_ids
-        self._carried_ids.add(request_id)
-        return is_repeated
+        """Record that a call with this id is sent on the connection."""
+        self._carried_ids.add(hash(request_id))
 
-    def record_refusal(self, request_id):
-        """Record that the target has refused to run a call."""
-        self._refused_ids.add(request_id)
-        if len(self._refused_ids) >= MAX_REFUSED_CALLS:
-            self.is_clean = False
+    def has_carried(self, request_id):
+        """Return whether a call with this id may have been sent on it.
 
-    def has_refused(self, request_id):
-        """Return whether the target has refused a call with this id on it.
-
-        A late copy of the refusal would be taken for the next response.
+        The target may respond to that call once more, at any time.
         """
-        return request_id in self._refused_ids
+        return hash(request_id) in self._carried_ids
 
     def is_reusable(self, now, max_idle_s):
         """Return whether it is open, clean and not idle too long.
@@ -133,6 +124,7 @@
             and not self._has_foreign_response
             and not self._parser.responses
             and self._parser.is_between_responses
+            and len(self._carried_ids) < MAX_CALLS
         )
         return response
 
@@ -217,8 +209,7 @@
     """Idle connections to one target; the last used is reused first.
 
     ``opened_count`` is the number of connections opened so far,
-    ``repeated_count`` that of calls on a connection that has carried their id
-    before.
+    ``repeated_count`` that of calls whose id an idle connection had carried.
 
     :param clock: returns monotonic seconds
     :param connect: coroutine function from host and port to a stream
@@ -238,21 +229,18 @@
     async def acquire(self, host, port, request_id=''):
         """Return an idle connection or a new one.
 
-        :param request_id: id of the call, which the connection must not have
-            carried before if the target has refused it
+        :param request_id: id of the call, which the connection has not
+            carried before
         :raises ExchangeError: if the target can't be connected to
         """
         if self._address != (host, port):
             await self.close_idle()
             self._address = (host, port)
         now = self._clock()
-        while self._idle:
-            connection = self._idle.pop()
-            if connection.is_reusable(
-                now, self._current_max_idle_s(now)
-            ) and not connection.has_refused(request_id):
+        while (connection := self._pop_idle(request_id)) is not None:
+            if connection.is_reusable(now, self._current_max_idle_s(now)):
                 connection.idle_s = now - connection.idle_since
-                self.repeated_count += connection.record_call(request_id)
+                connection.record_call(request_id)
                 return connection
             await connection.close()
         try:
@@ -270,6 +258,15 @@
         connection.record_call(request_id)
         return connection
 
+    def _pop_idle(self, request_id):
+        """Return the last used connection that has not carried the id."""
+        for index in reversed(range(len(self._idle))):
+            if not self._idle[index].has_carried(request_id):
+                self.repeated_count += index < len(self._idle) - 1
+                return self._idle.pop(index)
+        self.repeated_count += bool(self._idle)
+        return None
+
     def _current_max_idle_s(self, now):
         if now >= self._max_idle_until:
             self._max_idle_s = float('inf')
--- a/tests/pumicestand_node/test_repeated_responses.py
+++ b/tests/pumicestand_node/test_repeated_responses.py
@@ -293,7 +293,7 @@
         play(Fault(kinds, (moment, NEVER), position), 'i2')
 
 
-@pytest.mark.parametrize('moment', LATE_MOMENTS)
+@pytest.mark.parametrize('moment', (*LATE_MOMENTS, IDLE_AGAIN))
 @pytest.mark.parametrize('kinds', FAILED_KINDS)
 def test_second_run_of_an_id_is_not_read_as_the_rest_of_a_copy(kinds, moment):
     for position in cuts(kinds):
--- a/tests/pumicestand_node/test_target_exchange.py
+++ b/tests/pumicestand_node/test_target_exchange.py
@@ -5,6 +5,8 @@
 import trio
 
 from pumicestand_node import target_exchange
+from tests.pumicestand_node import test_mesh_calls
+from tests.pumicestand_node import test_target_faults
 
 # Time after a disruption from which calls are expected to succeed again, in
 # seconds.
@@ -29,3 +31,36 @@
         await listener.aclose()
 
     trio.run(main)
+
+
+async def respond(stream, number, request_id):
+    """Respond as a sound target."""
+    response = test_mesh_calls.OK_RESPONSE.replace(b'%b', request_id)
+    await stream.send_all(response)
+    return True
+
+
+def count_connections(request_ids):
+    """Make calls one after the other; return how many connections they use."""
+    counts = []
+
+    async def test(harness):
+        for request_id in request_ids:
+            await harness.targets.run(test_target_faults.make_call(request_id))
+        counts.append(harness.targets.connections_opened)
+
+    test_target_faults.run_scripted(test, respond)
+    return counts[0]
+
+
+def test_connection_is_passed_over_for_an_id_that_it_has_carried():
+    assert count_connections(['i1', 'i2', 'i3']) == 1
+    assert count_connections(['i1', 'i1']) == 2
+    # The first connection stays in use for other ids.
+    assert count_connections(['i1', 'i1', 'i2', 'i3', 'i2']) == 2
+
+
+def test_connection_that_has_carried_many_calls_is_closed(monkeypatch):
+    monkeypatch.setattr(target_exchange, 'MAX_CALLS', 3)
+    assert count_connections(['i1', 'i2', 'i3']) == 1
+    assert count_connections(['i1', 'i2', 'i3', 'i4', 'i5']) == 2
