Pass no call on that the stop of its node would end half way

Callers saw: a nested call that came late in the grace was passed on with whatever time was left, and its target ended it with 504 as the grace ran out, after a part of it had run. One that may run once could not be sent again. So for calls placed again and retried close to the end.

Cause: nested calls are accepted until the end, and each way on looked only at the deadline, which a stop moves forward; not at what a call takes.

shutdown.may_finish decides from times alone: a call whose own deadline comes first always may, any other needs time for a quarter more than the mean work of its route. It is asked before each placement and retry; what it denies is refused at once as not run (503, code stopping).

Evidence: the test of a call with 1 s of work that comes 1.6 s before the end of a grace of 6 and of 10 s failed before (passed on). A call with 0.1 s of work, or with a deadline before the end, still runs.

--- a/packages/pumicestand-node/pumicestand_node/outbound_call.py
+++ b/packages/pumicestand-node/pumicestand_node/outbound_call.py
@@ -12,6 +12,7 @@
 # Seconds after which a refused client may retry if no node gave a time.
 RETRY_AFTER_S = 0.25
 QUARANTINED = refusals.CallCode.QUARANTINED.value
+STOPPING = refusals.CallCode.STOPPING.value
 
 
 @dataclasses.dataclass(slots=True, eq=False)
@@ -20,6 +21,7 @@
 
     :param started_at: monotonic seconds
     :param deadline: monotonic seconds by which the final response is sent
+    :param own_deadline: what it is but for the stop of the node
     :param client_deadline: monotonic seconds until which its client waits or
         returns; later than ``deadline`` if the route allows less time
     :param objective_at: monotonic seconds until which the response meets the
@@ -49,7 +51,6 @@
     :param node_results: node and result of each placement, for the log
     :param quota_token: `quotas.Token` that the call has taken, None if it
         needs none or has returned it
-    :param ends_with_node: whether the stop of the node has set the deadline
     """
 
     head: heads.RequestHead
@@ -59,6 +60,7 @@
     service: str
     started_at: float
     deadline: float
+    own_deadline: float
     client_deadline: float
     objective_at: float
     is_client_retry: bool
@@ -81,13 +83,17 @@
     last_node: str = ''
     node_results: list = dataclasses.field(default_factory=list)
     quota_token: quotas.Token | None = None
-    ends_with_node: bool = False
 
     @property
     def organisation_name(self):
         """The name of the organisation, empty for none."""
         return self.organisation.name if self.organisation else ''
 
+    @property
+    def ends_with_node(self):
+        """Whether the stop of the node has set the deadline."""
+        return self.deadline < self.own_deadline
+
     @property
     def priority(self):
         """The priority of the organisation, of the route if it has none."""
@@ -115,7 +121,8 @@
     :param result: the last `hop_messages.Result`, None if there was none
     :param now: monotonic seconds
     """
-    if result is None and now >= call.deadline - 0.001:
+    is_stopped = call.ends_with_node and call.last_code == STOPPING
+    if result is None and (now >= call.deadline - 0.001 or is_stopped):
         return _overdue_refusal(call)
     if call.may_have_run:
         return refusals.unknown(
--- a/packages/pumicestand-node/pumicestand_node/outbound_calls.py
+++ b/packages/pumicestand-node/pumicestand_node/outbound_calls.py
@@ -22,6 +22,7 @@
 from pumicestand import refusals
 from pumicestand import return_times
 from pumicestand import routing
+from pumicestand import shutdown
 from pumicestand_node import call_access
 from pumicestand_node import heads
 from pumicestand_node import outbound_call
@@ -144,11 +145,17 @@
 
     def _limit(self, call):
         """Have a call's target end it before this node gives it up."""
-        if self._schedule is None:
-            return
-        if self._schedule.targets_end_at < call.deadline:
-            call.deadline = self._schedule.targets_end_at
-            call.ends_with_node = True
+        if self._schedule is not None:
+            call.deadline = min(call.deadline, self._schedule.targets_end_at)
+
+    def _may_finish(self, call, now):
+        """Return whether the stop of the node leaves time for the call."""
+        return self._schedule is None or shutdown.may_finish(
+            now,
+            call.own_deadline,
+            self._mean_work_ms.get(call.route.name, 0.0) / 1000,
+            self._schedule.targets_end_at,
+        )
 
     async def serve(self, request, connection):
         """Respond to a request and return whether to keep the connection."""
@@ -354,6 +361,11 @@
         elapsed_s = (
             max_timeout_s - client_timeout_s if is_client_retry else 0.0
         )
+        deadline = (
+            started_at
+            + min(client_timeout_s, route.timeout)
+            - RESPONSE_MARGIN_S
+        )
         service = self._pick_service(route)
         quota = self._mesh.retry_quota
         quota.record_request(service, started_at)
@@ -368,9 +380,8 @@
             route=route,
             service=service,
             started_at=started_at,
-            deadline=started_at
-            + min(client_timeout_s, route.timeout)
-            - RESPONSE_MARGIN_S,
+            deadline=deadline,
+            own_deadline=deadline,
             client_deadline=started_at + client_timeout_s,
             objective_at=started_at + max(0.0, route.objective - elapsed_s),
             is_client_retry=is_client_retry,
@@ -505,7 +516,10 @@
             or not call.route.idempotent
         ):
             return False
-        return self._clock() < call.deadline - MIN_RETRY_TIME_S
+        now = self._clock()
+        return now < call.deadline - MIN_RETRY_TIME_S and self._may_finish(
+            call, now
+        )
 
     def _may_retry(self, call):
         now = self._clock()
@@ -513,6 +527,8 @@
             return False
         if now > call.deadline - MIN_RETRY_TIME_S:
             return False
+        if not self._may_finish(call, now):
+            return False
         mesh = self._mesh
         if self._choose_peer(call, now) is None:
             return False
@@ -580,7 +596,8 @@
     async def _send_to_node(self, call):
         """Send the call to one node and return its `hop_messages.Result`.
 
-        Return None if the request is quarantined or there is no node for it.
+        Return None if the request is quarantined, there is no node for it or
+        too little time for it before this one stops.
         ``may_have_run`` is true until the result is known, since the deadline
         may end the wait for it.
         """
@@ -594,6 +611,9 @@
             return None
         if not self._renew_access(call, now):
             return None
+        if not self._may_finish(call, now):
+            call.last_code = outbound_call.STOPPING
+            return None
         selection = self._select_peer(call, now)
         peer, is_probe = selection.peer, selection.is_probe
         if peer is None:
--- a/packages/pumicestand/pumicestand/shutdown.py
+++ b/packages/pumicestand/pumicestand/shutdown.py
@@ -20,6 +20,11 @@
 # The targets end the last calls themselves this much before the node gives
 # them up, as a share of the exit time: their responses say what has run.
 TARGETS_END_SHARE = 0.2
+# Time that a call which ends with the node must have, as a share of the time
+# that its target is expected to take, and at least, in seconds: it crosses two
+# links and back.
+NEEDED_WORK_SHARE = 1.25
+MIN_CALL_TIME_S = 0.06
 # Share of the exit time in which the last responses are sent.
 LAST_RESPONSES_SHARE = 0.4
 
@@ -40,6 +45,23 @@
     close_at: float
 
 
+def may_finish(now, deadline, work_s, targets_end_at):
+    """Return whether a call may be sent to a target of a stopping node.
+
+    It has to be one that ends by itself, with the response of its target or
+    at its own deadline, before the targets are told to end.
+
+    :param now: monotonic seconds
+    :param deadline: of the call, in monotonic seconds
+    :param work_s: seconds that the target is expected to take
+    :param targets_end_at: see `Schedule`
+    """
+    if deadline <= targets_end_at:
+        return True
+    needed_s = max(MIN_CALL_TIME_S, NEEDED_WORK_SHARE * work_s)
+    return now + needed_s <= targets_end_at
+
+
 def plan(now, grace):
     """Return the `Schedule` of a node that is asked to stop.
 
--- a/tests/pumicestand_node/test_node_stop.py
+++ b/tests/pumicestand_node/test_node_stop.py
@@ -386,3 +386,54 @@
             assert status == 200
 
     test_mesh_node.run_stopping_node(monkeypatch, make_node, 10.0, test)
+
+
+def run_parent(stopping):
+    """Have the target on the VM of a `StoppingNode` run the call 'parent'."""
+    parent = dataclasses.replace(LARGE_CALL, request_id='parent')
+    stopping._node._target_calls._running_calls['parent'] = parent
+
+
+@pytest.mark.parametrize('grace', test_mesh_node.GRACE_PERIODS_S)
+@pytest.mark.parametrize('work_ms, status', ((1000.0, 503), (100.0, 200)))
+def test_a_nested_call_that_the_stop_would_end_half_way_is_not_passed_on(
+    monkeypatch, make_node, grace, work_ms, status
+):
+    """Its target ended it at the end of the grace, after a part of it."""
+
+    async def test(stopping):
+        run_parent(stopping)
+        averages = stopping._node._outbound_calls._mean_work_ms
+        averages['r'] = work_ms
+        sent_at = grace - 1.6
+        answered_at = 1.0 + sent_at + work_ms / 1000
+        stopping.answered_at.update({'other': 100.0, 'parent.1': answered_at})
+        async with trio.open_nursery() as nursery:
+            # Keeps the node from closing before the nested call arrives.
+            nursery.start_soon(stopping.send_request, 2.0, 'other', 20.0)
+            got, ended_at = await stopping.send_request(
+                sent_at, 'parent.1', 5.0
+            )
+        assert got == status
+        assert ('parent.1' in stopping.target_deadlines) is (status == 200)
+        if status == 503:
+            assert ended_at < sent_at + 0.1
+
+    test_mesh_node.run_stopping_node(monkeypatch, make_node, grace, test)
+
+
+def test_a_nested_call_that_ends_before_its_node_runs_in_any_case(
+    monkeypatch, make_node
+):
+    """What it takes is for its own deadline to bound."""
+
+    async def test(stopping):
+        run_parent(stopping)
+        stopping._node._outbound_calls._mean_work_ms['r'] = 1000.0
+        stopping.answered_at.update({'other': 100.0, 'parent.1': 1 + 4.7})
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(stopping.send_request, 2.0, 'other', 20.0)
+            status, _ = await stopping.send_request(4.4, 'parent.1', 0.5)
+        assert status == 200
+
+    test_mesh_node.run_stopping_node(monkeypatch, make_node, 6.0, test)
