Refuse the calls that come while a node without calls closes

Callers saw: a call passed on to its target and its connection closed without an answer a tenth of a second later.

Cause: a stopping node ends as soon as no call is under way, and takes 0.2 s to send what is left. A target that goes on with a call whose client has left may make a nested call in that time; it is in flight nowhere when the node looks, was passed on and cut.

From the moment at which the node finds no work it has the schedule of a stop that is over, so that whatever comes is refused as not run.

--- a/packages/pumicestand-node/pumicestand_node/mesh_node.py
+++ b/packages/pumicestand-node/pumicestand_node/mesh_node.py
@@ -258,6 +258,7 @@
         await trio.sleep(LINK_FLUSH_S)
         while self._clock() < schedule.close_at and self._has_work():
             await trio.sleep(0.02)
+        self._outbound_calls.finish_by(schedule.ended(self._clock()))
         self._outbound_scope.cancel()
         self._client_port.close_when_idle()
         await trio.sleep(LINK_FLUSH_S)
--- a/packages/pumicestand/pumicestand/shutdown.py
+++ b/packages/pumicestand/pumicestand/shutdown.py
@@ -44,6 +44,13 @@
     calls_end_at: float
     close_at: float
 
+    def ended(self, now):
+        """Return the schedule of a node that has no calls any more.
+
+        Calls that come while it closes are refused.
+        """
+        return Schedule(now, now, now, now)
+
 
 def may_finish(now, deadline, work_s, targets_end_at):
     """Return whether a call may be sent to a target of a stopping node.
--- a/tests/pumicestand_node/test_node_stop.py
+++ b/tests/pumicestand_node/test_node_stop.py
@@ -437,3 +437,42 @@
         assert status == 200
 
     test_mesh_node.run_stopping_node(monkeypatch, make_node, 6.0, test)
+
+
+async def open_client(stopping, sent_at, request_id):
+    """Open a connection now and send a nested call later; return its status.
+
+    The status is 0 if the connection ended without a response.
+
+    :param sent_at: seconds from the stop
+    """
+    client, server = trio.testing.memory_stream_pair()
+    stopping._node._nursery.start_soon(
+        stopping._node._client_port.serve, server
+    )
+    await trio.sleep_until(1.0 + sent_at)
+    await client.send_all(
+        b'POST / HTTP/1.1\r\nhost: shop.example\r\n'
+        b'pumicestand-request-id: %b\r\ncontent-length: 0\r\n'
+        b'pumicestand-deadline-ms: 4000\r\n\r\n' % request_id.encode()
+    )
+    data = await client.receive_some(65_536)
+    return int(data.split(b' ')[1]) if data else 0
+
+
+def test_a_call_that_comes_as_a_node_without_calls_closes_is_not_passed_on(
+    monkeypatch, make_node
+):
+    """It was cut with its connection while it ran at its target."""
+
+    async def test(stopping):
+        # Its client has left, and the target goes on with it.
+        parent = dataclasses.replace(LARGE_CALL, request_id='parent')
+        stopping._node._target_calls._abandon(parent, 100.0)
+        stopping.answered_at['parent.1'] = 4.0
+        await trio.sleep_until(1.0)
+        status = await open_client(stopping, 2.45, 'parent.1')
+        assert status == 503
+        assert not stopping.target_deadlines
+
+    test_mesh_node.run_stopping_node(monkeypatch, make_node, 6.0, test)
