Refuse calls of other nodes that the stop would end half way

Callers saw: a call of another node that arrived during the 2.3 s in which a stopping node still takes calls was started although its work did not fit into the rest of the grace. Its target ended it with 504, seconds before the deadline of its client, whose node does not stop.

Cause: a call that need not wait was refused only after its deadline, with the deadline moved forward by the stop.

The same decision as for calls of clients, shutdown.may_finish, is taken where calls arrive, with the work of the route at this target, and before a body is asked for. The other node is told that the call has not run and places it again.

Evidence: both tests failed before: the call ran, the body was asked for.

--- a/packages/pumicestand-node/pumicestand_node/target_calls.py
+++ b/packages/pumicestand-node/pumicestand_node/target_calls.py
@@ -18,6 +18,7 @@
 from pumicestand import probing
 from pumicestand import rate_limits
 from pumicestand import refusals
+from pumicestand import shutdown
 from pumicestand import target_queue
 from pumicestand import targets
 from pumicestand import tcp_streams
@@ -317,6 +318,19 @@
             return refusals.CallCode.QUARANTINED.value
         return None
 
+    def _stop_code(self, call, now, arrival_s=0.0):
+        """Return the code of a call for which the stop leaves no time.
+
+        :param arrival_s: seconds until its body has arrived
+        """
+        may_finish = shutdown.may_finish(
+            now + arrival_s,
+            now + call.remaining_ms / 1000,
+            self._queue.route_work_s(call.route),
+            self._targets_end_at,
+        )
+        return None if may_finish else STOPPING
+
     def _make_result(self, call, outcome, code, retry_after_s=0.0):
         self.counts[(outcome.name.lower(), code)] += 1
         return hop_messages.Result(
@@ -331,7 +345,11 @@
         """Run a call at the target and return its `hop_messages.Result`."""
         self.update_coldness()
         now = self._clock()
-        code = self._refusal_code() or self._mismatch_code(call)
+        code = (
+            self._refusal_code()
+            or self._mismatch_code(call)
+            or self._stop_code(call, now)
+        )
         if code is not None:
             return self._make_result(call, Outcome.NOT_HANDED_ON, code)
         if not call.is_nested:
@@ -370,10 +388,14 @@
         :param call: `hop_messages.Call` whose body has not arrived
         :param arrival_s: seconds until the body is expected to have arrived
         """
-        code = self._refusal_code() or self._mismatch_code(call)
+        now = self._clock()
+        code = (
+            self._refusal_code()
+            or self._mismatch_code(call)
+            or self._stop_code(call, now, arrival_s)
+        )
         if code is not None:
             return self._make_result(call, Outcome.NOT_HANDED_ON, code)
-        now = self._clock()
         refusal = self._queue.refuse_late(
             self._make_ticket(call, now), now, arrival_s
         )
--- a/tests/pumicestand_node/test_node_stop.py
+++ b/tests/pumicestand_node/test_node_stop.py
@@ -476,3 +476,41 @@
         assert not stopping.target_deadlines
 
     test_mesh_node.run_stopping_node(monkeypatch, make_node, 6.0, test)
+
+
+def test_a_target_on_the_vm_of_a_stopping_node_gets_no_call_it_can_not_end():
+    """It ended the call half way; another node's target would have run it."""
+
+    async def test(harness):
+        harness.targets._queue._route_work_s['r'] = 2.0
+        harness.targets.finish_by(trio.current_time() + 1.0)
+        call = dataclasses.replace(
+            LARGE_CALL,
+            headers=b'pumicestand-request-id: i1\r\n',
+            body=b'',
+            remaining_ms=4000,
+        )
+        result = await harness.targets.run(call)
+        assert result.outcome is Outcome.NOT_HANDED_ON
+        assert result.code == 'stopping'
+        # The deadline of the call, not the stop, ends this one.
+        call = dataclasses.replace(call, remaining_ms=900)
+        result = await harness.targets.run(call)
+        assert result.outcome is Outcome.ANSWERED
+        assert harness.script.run_request_ids == [b'i1']
+
+    test_mesh_calls.run_with_target(test)
+
+
+def test_a_body_is_not_asked_for_if_the_stop_leaves_no_time_for_its_call():
+    """Its sender finds another target the sooner."""
+
+    async def test(harness):
+        harness.targets._queue._route_work_s['r'] = 2.0
+        harness.targets.finish_by(trio.current_time() + 3.0)
+        call = dataclasses.replace(LARGE_CALL, body=b'', remaining_ms=9000)
+        assert harness.targets.refuse_before_body(call, 0.1) is None
+        result = harness.targets.refuse_before_body(call, 1.0)
+        assert result.code == 'stopping'
+
+    test_mesh_calls.run_with_target(test)
