Test each way in which a call may come late in a stop

New, kept and pipelined connections, bodies that come late or drip, nested calls, and calls of other nodes before and after the door closes.

--- /dev/null
+++ b/tests/pumicestand_node/test_late_calls.py
@@ -0,0 +1,226 @@
+"""Tests of each way in which a call may come late in the stop of a node."""
+
+import dataclasses
+
+import pytest
+import trio
+import trio.testing
+
+from pumicestand import hop_messages
+from tests.pumicestand_node import test_mesh_calls
+from tests.pumicestand_node import test_mesh_node
+from tests.pumicestand_node import test_node_stop
+
+Outcome = hop_messages.Outcome
+make_node = test_mesh_node.make_node
+LARGE_CALL = test_node_stop.LARGE_CALL
+run_parent = test_node_stop.run_parent
+
+
+class Client:
+    """A client of a `test_mesh_node.StoppingNode` on one connection.
+
+    :param stopping: the `test_mesh_node.StoppingNode`
+    """
+
+    def __init__(self, stopping):
+        self._stopped_at = 1.0
+        self._stream, server = trio.testing.memory_stream_pair()
+        self._data = b''
+        stopping._node._nursery.start_soon(
+            stopping._node._client_port.serve, server
+        )
+
+    async def send(self, data, sent_at):
+        """Send bytes.
+
+        :param sent_at: seconds from the stop
+        """
+        await trio.sleep_until(self._stopped_at + sent_at)
+        await self._stream.send_all(data)
+
+    async def read_status(self):
+        """Return the status of the next response, 0 if there is none.
+
+        Responses have the body of the target or none.
+        """
+        while b'\r\n\r\n' not in self._data:
+            try:
+                more = await self._stream.receive_some(65_536)
+            except trio.BrokenResourceError:
+                return 0
+            if not more:
+                return 0
+            self._data += more
+        head, _, self._data = self._data.partition(b'\r\n\r\n')
+        length = int(
+            head.lower().partition(b'content-length: ')[2].split(b'\r\n')[0]
+        )
+        while len(self._data) < length:
+            self._data += await self._stream.receive_some(65_536)
+        self._data = self._data[length:]
+        return int(head.split(b' ')[1])
+
+
+def make_request(request_id, method='POST', body_bytes=0, timeout_s=4.0):
+    """Return a request without its body."""
+    head = (
+        f'{method} / HTTP/1.1\r\nhost: shop.example\r\n'
+        f'pumicestand-request-id: {request_id}\r\n'
+        f'pumicestand-deadline-ms: {timeout_s * 1000:.0f}\r\n'
+    )
+    if method == 'POST':
+        head += f'content-length: {body_bytes}\r\n'
+    return head.encode() + b'\r\n'
+
+
+def run(monkeypatch, make_node, test, grace=6.0):
+    """Run a test beside a call that keeps the node from closing early."""
+
+    async def run_beside_call(stopping):
+        stopping.answered_at['long'] = 100.0
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(stopping.send_request, 0.5, 'long', 20.0)
+            await test(stopping)
+
+    test_mesh_node.run_stopping_node(
+        monkeypatch, make_node, grace, run_beside_call
+    )
+
+
+@pytest.mark.parametrize('sent_at', (2.4, 2.9, 3.1, 4.5, 5.2))
+def test_a_late_call_on_a_new_connection_is_refused_as_not_run(
+    monkeypatch, make_node, sent_at
+):
+    async def test(stopping):
+        status, answered_at = await stopping.send_request(sent_at, 'i1', 0.5)
+        assert status == 503
+        assert answered_at < sent_at + 0.05
+        assert 'i1' not in stopping.target_deadlines
+
+    run(monkeypatch, make_node, test)
+
+
+def test_a_kept_connection_takes_no_call_once_the_node_has_closed_its_door(
+    monkeypatch, make_node
+):
+    async def test(stopping):
+        stopping.stopped_at = 1.0
+        stopping.answered_at['i1'] = 0.8
+        client = Client(stopping)
+        await client.send(make_request('i1'), -0.5)
+        assert await client.read_status() == 200
+        # It is closed although no request has come since the stop.
+        await trio.sleep_until(1.0 + 2.5)
+        with pytest.raises(trio.BrokenResourceError):
+            await client.send(make_request('i2'), 2.5)
+        assert 'i2' not in stopping.target_deadlines
+
+    run(monkeypatch, make_node, test)
+
+
+@pytest.mark.parametrize('method', ('GET', 'POST'))
+def test_a_late_call_behind_one_that_runs_is_refused_as_not_run(
+    monkeypatch, make_node, method
+):
+    async def test(stopping):
+        stopping.answered_at['i1'] = 1.0 + 4.0
+        client = Client(stopping)
+        await client.send(make_request('i1', 'GET'), 2.0)
+        await client.send(make_request('i2', method), 2.5)
+        assert await client.read_status() == 200
+        assert await client.read_status() == 503
+        assert 'i2' not in stopping.target_deadlines
+
+    run(monkeypatch, make_node, test)
+
+
+@pytest.mark.parametrize('body_at', (2.5, 4.0, 5.2, 5.4))
+def test_a_call_whose_body_comes_late_is_refused_as_not_run(
+    monkeypatch, make_node, body_at
+):
+    async def test(stopping):
+        client = Client(stopping)
+        await client.send(make_request('i1', body_bytes=3), 2.0)
+        await client.send(b'ab', 2.1)
+        await client.send(b'c', body_at)
+        assert await client.read_status() == 503
+        assert 'i1' not in stopping.target_deadlines
+
+    run(monkeypatch, make_node, test)
+
+
+def test_a_body_that_drips_until_the_end_does_not_hold_up_the_stop(
+    monkeypatch, make_node
+):
+    async def test(stopping):
+        client = Client(stopping)
+        await client.send(make_request('i1', body_bytes=100), 2.0)
+        for step in range(30):
+            await client.send(b'x', 2.1 + step * 0.1)
+        await trio.sleep_until(1.0 + 5.99)
+        assert await client.read_status() == 0
+        assert 'i1' not in stopping.target_deadlines
+
+    run(monkeypatch, make_node, test)
+
+
+@pytest.mark.parametrize('grace', test_mesh_node.GRACE_PERIODS_S)
+@pytest.mark.parametrize('before_end_s', (0.8, 0.7))
+def test_a_nested_call_that_comes_too_late_to_run_is_refused_as_not_run(
+    monkeypatch, make_node, grace, before_end_s
+):
+    """It was sent on with a deadline that had passed."""
+
+    async def test(stopping):
+        run_parent(stopping)
+        sent_at = grace - before_end_s
+        status, answered_at = await stopping.send_request(
+            sent_at, 'parent.1', 5.0
+        )
+        assert status == 503
+        assert answered_at < sent_at + 0.05
+        assert 'parent.1' not in stopping.target_deadlines
+
+    run(monkeypatch, make_node, test, grace)
+
+
+def test_a_nested_call_whose_body_comes_too_late_is_refused_as_not_run(
+    monkeypatch, make_node
+):
+    async def test(stopping):
+        run_parent(stopping)
+        client = Client(stopping)
+        await client.send(make_request('parent.1', body_bytes=3), 4.0)
+        await client.send(b'abc', 5.08)
+        assert await client.read_status() == 503
+        assert 'parent.1' not in stopping.target_deadlines
+
+    run(monkeypatch, make_node, test)
+
+
+def test_calls_of_other_nodes_are_refused_at_the_door_and_those_taken_run():
+    async def test(harness):
+        results = []
+
+        async def run_call(request_id):
+            call = dataclasses.replace(
+                LARGE_CALL,
+                headers=b'pumicestand-request-id: %b\r\n' % request_id,
+                request_id=request_id.decode(),
+                body=b'',
+            )
+            results.append(await harness.targets.run(call))
+
+        harness.targets.finish_by(trio.current_time() + 5.0)
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(run_call, b'taken')
+            await trio.sleep(0.05)
+            harness.targets.refuse_all()
+            await run_call(b'late')
+            assert [result.code for result in results] == ['stopping']
+            assert results[0].outcome is Outcome.NOT_HANDED_ON
+        assert results[1].outcome is Outcome.ANSWERED
+        assert harness.script.run_request_ids == [b'taken']
+
+    test_mesh_calls.run_with_target(test, 'late limit')
