Refuse at once calls whose bodies begin to arrive at a leaving node

Callers saw: a call with a large body, sent by a node that had not heard that the other one leaves, was refused only with the last part of its body; if the node closed before, the sender took it to have run (502, no retry).

Cause: only the bodies that arrived when the door closed were refused at once.

Calls whose bodies have yet to arrive are refused by the same path from then on. Later parts of them are discarded.

Evidence: the test failed before: no result after the first part.

--- a/packages/pumicestand-node/pumicestand_node/link_server.py
+++ b/packages/pumicestand-node/pumicestand_node/link_server.py
@@ -201,7 +201,11 @@
                 self.last_call_at = self._clock()
                 self._received.record_received(message.id)
                 self._received_at[message.id] = self.last_call_at
-                if message.holds_body:
+                if message.remaining_bytes and self._mesh.is_leaving:
+                    self._refuse_unstarted(
+                        message.id, refusals.CallCode.STOPPING.value
+                    )
+                elif message.holds_body:
                     scope = self._cancel_scopes[message.id] = (
                         trio.CancelScope()
                     )
--- a/tests/pumicestand_node/test_late_calls.py
+++ b/tests/pumicestand_node/test_late_calls.py
@@ -7,6 +7,7 @@
 import trio.testing
 
 from pumicestand import hop_messages
+from pumicestand_node import frame_streams
 from tests.pumicestand_node import test_mesh_calls
 from tests.pumicestand_node import test_mesh_node
 from tests.pumicestand_node import test_node_stop
@@ -224,3 +225,28 @@
         assert harness.script.run_request_ids == [b'taken']
 
     test_mesh_calls.run_with_target(test, 'late limit')
+
+
+def test_a_body_that_begins_to_arrive_after_the_door_closed_is_refused_at_once(
+    monkeypatch, make_node
+):
+    """Its sender learned it with the last part, or not at all."""
+
+    async def test(node, link):
+        await trio.sleep(2.35)
+        size = frame_streams.MAX_PART_BYTES
+        body = LARGE_CALL.body
+        link.frames.send(
+            dataclasses.replace(
+                LARGE_CALL,
+                body=body[:size],
+                remaining_bytes=len(body) - size,
+            )
+        )
+        await trio.sleep(0.01)
+        assert link.outcomes() == [Outcome.NOT_HANDED_ON]
+        link.frames.send_body(1, body[size:])
+        await trio.sleep(0.01)
+        assert link.outcomes() == [Outcome.NOT_HANDED_ON]
+
+    test_node_stop.run_inbound(monkeypatch, make_node, test)
