Withdraw calls that are queued elsewhere when their node stops

Callers saw: 504, as if it had run, for a call that waited in the queue of another node's target from before the stop until its end; or it started there so late that the end of the grace cut it.

Cause: a call is withdrawn 0.05 s before its own deadline. The stop moves the deadline forward, but what had been sent before kept the time of its withdrawal, past the end of the stop.

The stop sets the time of the withdrawal anew, to the latest start at which the call still finishes (shutdown.latest_start). The other node answers that it has not run; a call that runs goes on.

--- a/packages/pumicestand-node/pumicestand_node/links.py
+++ b/packages/pumicestand-node/pumicestand_node/links.py
@@ -75,6 +75,9 @@
         that its result is expected on, None if that is not known
     :param held_body: body that the peer has not asked for, None if it was
         sent with the call
+
+    The deadline of ``withdrawal``, a `trio.CancelScope`, is when it is
+    withdrawn.
     """
 
     __slots__ = (
@@ -84,6 +87,7 @@
         'done',
         'result',
         'held_body',
+        'withdrawal',
         'is_withdrawn',
     )
 
@@ -94,6 +98,7 @@
         self.done = trio.Event()
         self.result = None
         self.held_body = held_body
+        self.withdrawal = None
         self.is_withdrawn = False
 
 
@@ -507,7 +512,7 @@
             remaining_s / 2, remaining_s - WITHDRAW_BEFORE_DEADLINE_S
         )
         try:
-            with trio.move_on_after(withdraw_in_s):
+            with trio.move_on_after(withdraw_in_s) as pending.withdrawal:
                 await pending.done.wait()
             if not pending.done.is_set():
                 if pending.held_body is not None:
@@ -523,6 +528,20 @@
             return _not_handed_on('link-lost')
         return pending.result
 
+    def withdraw_call(self, id_, in_s):
+        """Withdraw a call after a time if it has not ended by then.
+
+        It ends only if it has not started at the peer.
+
+        :param in_s: seconds
+        """
+        pending = self._pending.get(id_)
+        if pending is not None:
+            withdrawal = pending.withdrawal
+            withdrawal.deadline = min(
+                withdrawal.deadline, trio.current_time() + in_s
+            )
+
     def _holds_body(self, call):
         """Return whether the peer's link is too narrow to send the body now.
 
--- a/packages/pumicestand-node/pumicestand_node/mesh_links.py
+++ b/packages/pumicestand-node/pumicestand_node/mesh_links.py
@@ -145,6 +145,17 @@
         self._call_sent.set()
         return await link.send_call(call)
 
+    def withdraw_call(self, peer_name, id_, in_s):
+        """Withdraw a call after a time, unless it has started by then.
+
+        :param peer_name: name of the node that it was sent to
+        :param id_: id of the `hop_messages.Call`
+        :param in_s: seconds
+        """
+        link = self._links.get(peer_name)
+        if link is not None:
+            link.withdraw_call(id_, in_s)
+
     def add_peers(self, records):
         """Add the nodes of `node_records.NodeRecord` objects."""
         now = self._clock()
--- a/packages/pumicestand-node/pumicestand_node/mesh_node.py
+++ b/packages/pumicestand-node/pumicestand_node/mesh_node.py
@@ -100,6 +100,7 @@
         self._target_calls.on_leaving = self._on_target_leaving
         self._mesh.on_own_zone_changed = self._target_calls.set_evacuated
         self._mesh.send_call = self._links.send_call
+        self._mesh.withdraw_call = self._links.withdraw_call
         self._mesh.quota_agent = self._quota_agent = quota_agent.QuotaAgent(
             self._mesh,
             settings.bounds,
--- a/packages/pumicestand-node/pumicestand_node/mesh_state.py
+++ b/packages/pumicestand-node/pumicestand_node/mesh_state.py
@@ -27,8 +27,10 @@
     `configuration` is the `documents.InForce` in effect, or None;
     `configuration_content` is its zlib-compressed JSON. `send_call` is set
     by the node to a coroutine function (peer, call) that returns a
-    `hop_messages.Result`, or None if the link broke; `quota_agent` to the
-    `quota_agent.QuotaAgent`, None if quotas do not apply.
+    `hop_messages.Result`, or None if the link broke, `withdraw_call` to a
+    function (peer_name, id, in_s) that ends a call after a time unless it has
+    started, and `quota_agent` to the `quota_agent.QuotaAgent`, None if quotas
+    do not apply.
     `on_own_zone_changed` is called with whether the zone of this node is
     evacuated when that changes.
 
@@ -82,6 +84,7 @@
         self.are_nodes_listed = False
         self.report_sequence = 0
         self.send_call = None
+        self.withdraw_call = lambda peer_name, id_, in_s: None
 
     @property
     def generation(self):
--- a/packages/pumicestand-node/pumicestand_node/outbound_call.py
+++ b/packages/pumicestand-node/pumicestand_node/outbound_call.py
@@ -48,6 +48,7 @@
     :param last_code: code of the last result without a response
     :param retry_after_s: seconds until a slot is expected, 0 if unknown
     :param last_node: name of the last node that the call was sent to
+    :param last_id: id of the message that it was last sent in
     :param node_results: node and result of each placement, for the log
     :param quota_token: `quotas.Token` that the call has taken, None if it
         needs none or has returned it
@@ -81,6 +82,7 @@
     last_code: str = ''
     retry_after_s: float = 0.0
     last_node: str = ''
+    last_id: int = 0
     node_results: list = dataclasses.field(default_factory=list)
     quota_token: quotas.Token | None = None
 
--- a/packages/pumicestand-node/pumicestand_node/outbound_calls.py
+++ b/packages/pumicestand-node/pumicestand_node/outbound_calls.py
@@ -77,7 +77,8 @@
 
     :param mesh: the `mesh_state.MeshState`, used for ``configuration``,
         ``fleet``, ``peer_selector``, ``rollouts``, ``retry_quota``,
-        ``is_stopping`` and ``send_call(peer, call)``
+        ``is_stopping``, ``send_call(peer, call)`` and
+        ``withdraw_call(peer_name, id, in_s)``
     :param headers: the `call_headers.CallHeaders`
     :param service: name of the service that runs on this VM
     :param find_running: returns the call with a request id that runs at the
@@ -137,11 +138,19 @@
         :param schedule: `shutdown.Schedule`
         """
         self._schedule = schedule
-        end_in_s = schedule.calls_end_at - self._clock()
+        now = self._clock()
+        end_in_s = schedule.calls_end_at - now
         for call, scope in self._scopes.items():
             self._limit(call)
-            if call.ends_with_node:
-                scope.deadline = trio.current_time() + end_in_s
+            if not call.ends_with_node:
+                continue
+            scope.deadline = trio.current_time() + end_in_s
+            start_by = shutdown.latest_start(
+                self._work_s(call), schedule.targets_end_at
+            )
+            self._mesh.withdraw_call(
+                call.last_node, call.last_id, start_by - now
+            )
 
     def _limit(self, call):
         """Have a call's target end it before this node gives it up."""
@@ -153,10 +162,14 @@
         return self._schedule is None or shutdown.may_finish(
             now,
             call.own_deadline,
-            self._mean_work_ms.get(call.route.name, 0.0) / 1000,
+            self._work_s(call),
             self._schedule.targets_end_at,
         )
 
+    def _work_s(self, call):
+        """Return the seconds that calls of its route take, 0 if unknown."""
+        return self._mean_work_ms.get(call.route.name, 0.0) / 1000
+
     async def serve(self, request, connection):
         """Respond to a request and return whether to keep the connection."""
         self.in_flight += 1
@@ -647,6 +660,7 @@
             organisation=call.organisation_name,
             is_probe=is_probe,
         )
+        call.last_id = message.id
         peer.in_flight += 1
         peer.sent_since_load += 1
         earlier_send_may_have_run = call.may_have_run
--- a/packages/pumicestand/pumicestand/shutdown.py
+++ b/packages/pumicestand/pumicestand/shutdown.py
@@ -65,8 +65,16 @@
     """
     if deadline <= targets_end_at:
         return True
-    needed_s = max(MIN_CALL_TIME_S, NEEDED_WORK_SHARE * work_s)
-    return now + needed_s <= targets_end_at
+    return now <= latest_start(work_s, targets_end_at)
+
+
+def latest_start(work_s, targets_end_at):
+    """Return when a call that ends with the node must be sent to its target.
+
+    :param work_s: seconds that the target is expected to take
+    :param targets_end_at: see `Schedule`
+    """
+    return targets_end_at - max(MIN_CALL_TIME_S, NEEDED_WORK_SHARE * work_s)
 
 
 def plan(now, grace):
--- a/tests/pumicestand_node/test_late_calls.py
+++ b/tests/pumicestand_node/test_late_calls.py
@@ -7,7 +7,9 @@
 import trio.testing
 
 from pumicestand import hop_messages
+from pumicestand import shutdown
 from pumicestand_node import frame_streams
+from tests import mock_clock
 from tests.pumicestand_node import test_mesh_calls
 from tests.pumicestand_node import test_mesh_node
 from tests.pumicestand_node import test_node_stop
@@ -250,3 +252,57 @@
         assert link.outcomes() == [Outcome.NOT_HANDED_ON]
 
     test_node_stop.run_inbound(monkeypatch, make_node, test)
+
+
+@pytest.mark.parametrize('work_s, refused_at', ((0.0, 0.24), (0.1, 0.175)))
+def test_a_call_that_was_queued_before_the_stop_starts_no_more_near_its_end(
+    monkeypatch, work_s, refused_at
+):
+    """It was answered as if it had run, or started and ended half way."""
+
+    async def main():
+        async with trio.open_nursery() as nursery:
+            harness = test_mesh_calls.CallHarness(
+                nursery, test_mesh_calls.TargetScript([])
+            )
+            link_harness = test_node_stop.TwoNodes(
+                nursery, monkeypatch, harness.targets
+            )
+            await trio.sleep(0.01)
+            link = link_harness.link
+            harness.mesh.send_call = lambda peer, call: link.send_call(call)
+            harness.mesh.withdraw_call = lambda peer_name, id_, in_s: (
+                link.withdraw_call(id_, in_s)
+            )
+            harness.outbound._mean_work_ms['o'] = work_s * 1000
+            harness.targets._queue.set_slots(1)
+            harness.script.hangs_on_request_id = b'first'
+            answered_at = {}
+
+            async def send(request_id):
+                status, _ = await harness.send_request(
+                    '/o/0', 'POST', request_id
+                )
+                answered_at[request_id] = (status, trio.current_time() - now)
+
+            nursery.start_soon(send, 'first')
+            await trio.sleep(0.01)
+            nursery.start_soon(send, 'second')
+            await trio.sleep(0.01)
+            assert harness.targets.in_flight == 2
+            now = trio.current_time()
+            harness.outbound.finish_by(
+                shutdown.Schedule(now, now + 0.3, now + 0.4, now + 0.5)
+            )
+            await trio.sleep(0.5)
+            status, at = answered_at['second']
+            assert status == 503
+            assert at == pytest.approx(refused_at, abs=0.02)
+            # One that runs goes on.
+            status, at = answered_at['first']
+            assert status == 504
+            assert at == pytest.approx(0.4, abs=0.02)
+            assert harness.script.run_request_ids == [b'first']
+            nursery.cancel_scope.cancel()
+
+    mock_clock.run(main)
