Limit the calls that wait for their quota as the stop begins

Callers saw: a connection closed without an answer at the end of the grace.

Cause: the stop limited calls that were being sent and calls that arrived later. A call that waited for the token of its quota, for at most 0.05 s, when SIGTERM came was neither, kept its own deadline and was cut with the process.

Calls are limited when they begin to be sent; there is no wait between that and the list of calls that the stop limits.

--- a/packages/pumicestand-node/pumicestand_node/outbound_calls.py
+++ b/packages/pumicestand-node/pumicestand_node/outbound_calls.py
@@ -386,7 +386,7 @@
             self._record_nested(service)
         if parent is not None and parent.is_retry:
             quota.record_retry(service, started_at)
-        call = outbound_call.OutboundCall(
+        return outbound_call.OutboundCall(
             head=head,
             body=body,
             request_id=request_id,
@@ -406,8 +406,6 @@
             configuration=configuration,
             organisation=organisation,
         )
-        self._limit(call)
-        return call
 
     def _format_target_headers(self, head, configuration, organisation):
         lines = bytearray()
@@ -423,6 +421,8 @@
 
     async def _execute(self, call, request, connection):
         connection.may_have_run = True
+        # The stop may have begun since the call arrived.
+        self._limit(call)
         result = None
         remaining_s = self._give_up_at(call) - self._clock()
         if remaining_s > 0:
--- a/tests/pumicestand_node/test_late_calls.py
+++ b/tests/pumicestand_node/test_late_calls.py
@@ -6,10 +6,12 @@
 import trio
 import trio.testing
 
+from pumicestand import documents
 from pumicestand import hop_messages
 from pumicestand import shutdown
 from pumicestand_node import frame_streams
 from tests import mock_clock
+from tests.pumicestand import mesh_fakes
 from tests.pumicestand_node import test_mesh_calls
 from tests.pumicestand_node import test_mesh_node
 from tests.pumicestand_node import test_node_stop
@@ -306,3 +308,111 @@
             nursery.cancel_scope.cancel()
 
     mock_clock.run(main)
+
+
+def test_a_call_that_waits_for_its_quota_as_the_stop_begins_gets_a_response(
+    monkeypatch, make_node
+):
+    """The stop did not limit it, and its connection was cut."""
+
+    async def test(stopping):
+        async def take_quota(call):
+            await trio.sleep(0.05)
+
+        outbound = stopping._node._outbound_calls
+        monkeypatch.setattr(outbound, '_take_quota', take_quota)
+        stopping.answered_at['i1'] = 100.0
+        stopping.stopped_at = 1.0
+        status, answered_at = await stopping.send_request(-0.02, 'i1', 20.0)
+        assert status == 504
+        assert answered_at < 5.3
+
+    run(monkeypatch, make_node, test)
+
+
+def test_a_call_that_another_stopping_node_refuses_is_placed_again(
+    monkeypatch, make_node
+):
+    """Both nodes stop, and the door of the other closes first."""
+
+    async def test(stopping):
+        mesh = stopping._mesh
+        report = dataclasses.replace(
+            mesh.new_report(hop_messages.Load(slots=9), (), 0.0),
+            name='other2',
+            target=mesh_fakes.make_target('t2'),
+        )
+        peer = mesh.fleet.get_or_add('other2', '10.0.0.3', 7000, 0.0)
+        mesh.fleet.apply_report(report, 0.0)
+        peer.is_linked = True
+        asked = []
+        run_call = mesh.send_call
+
+        async def refuse_first(peer, call):
+            if call.request_id != 'i1':
+                return await run_call(peer, call)
+            asked.append(peer.name)
+            if len(asked) == 1:
+                await trio.sleep_until(1.0 + 3.2)
+                return hop_messages.Result(
+                    call.id, Outcome.NOT_HANDED_ON, 'stopping'
+                )
+            return await run_call(peer, call)
+
+        mesh.send_call = refuse_first
+        stopping.answered_at['i1'] = 1.0 + 4.0
+        status, _ = await stopping.send_request(2.0, 'i1', 20.0)
+        assert status == 200
+        assert sorted(asked) == ['other', 'other2']
+
+    run(monkeypatch, make_node, test)
+
+
+@pytest.mark.parametrize(
+    'work_s, status, runs', ((0.1, 200, 2), (1.5, 500, 1))
+)
+def test_a_failed_call_is_sent_again_only_if_the_stop_leaves_time(
+    monkeypatch, make_node, work_s, status, runs
+):
+    async def test(stopping):
+        node = stopping._node
+        mesh = stopping._mesh
+        configuration = mesh.configuration
+        (route,) = configuration.document.routes
+        route = dataclasses.replace(
+            route, idempotent=True, retries=documents.Retries(2, 1.0)
+        )
+        mesh.configuration = dataclasses.replace(
+            configuration, document=documents.Document(routes=(route,))
+        )
+        report = dataclasses.replace(
+            mesh.new_report(hop_messages.Load(slots=9), (), 0.0),
+            name='other2',
+            target=mesh_fakes.make_target('t2'),
+        )
+        peer = mesh.fleet.get_or_add('other2', '10.0.0.3', 7000, 0.0)
+        mesh.fleet.apply_report(report, 0.0)
+        peer.is_linked = True
+        monkeypatch.setattr(
+            mesh.retry_quota, 'try_acquire', lambda *arguments: True
+        )
+        node._outbound_calls._mean_work_ms['r'] = work_s * 1000
+        asked = []
+        run_call = mesh.send_call
+
+        async def fail_first(peer, call):
+            if call.request_id != 'i1':
+                return await run_call(peer, call)
+            asked.append(peer.name)
+            result = await run_call(peer, call)
+            if len(asked) == 1:
+                result = dataclasses.replace(result, status=500)
+            return result
+
+        mesh.send_call = fail_first
+        stopping.answered_at['i1'] = 1.0 + 4.0
+        got, _ = await stopping.send_request(2.0, 'i1', 20.0)
+        assert got == status
+        assert len(asked) == runs
+
+    run(monkeypatch, make_node, test)
--- a/tests/pumicestand_node/test_node_stop.py
+++ b/tests/pumicestand_node/test_node_stop.py
@@ -169,9 +169,11 @@
     :param nursery: runs both ends of the link
     :param node: the `mesh_node.MeshNode`
     :param write_s: time that the node takes for each write to the link
+    :param connection: number of the connection
     """
 
-    def __init__(self, nursery, node, write_s=0.0):
+    def __init__(self, nursery, node, write_s=0.0, connection=1):
+        self.nursery = nursery
         own, other = trio.testing.memory_stream_pair()
         self.received = []
         self.frames = frame_streams.FrameStream(
@@ -182,7 +184,9 @@
             node._links.serve, SlowWriteStream(other, write_s)
         )
         nursery.start_soon(self.frames.run, self.received.append)
-        self.frames.send(hop_messages.Hello(mesh_fakes.make_report('sender')))
+        self.frames.send(
+            hop_messages.Hello(mesh_fakes.make_report('sender'), connection)
+        )
 
     def outcomes(self):
         return [
