Wait for links that may be resumed before a stopping node closes

Callers saw: 502 for a call that the target beside a stopping node had answered, if the link of the other node broke as the last call ended.

Cause: results are kept for the opener of a link that broke, which asks for them on another connection; but the node took nothing to be under way and closed within 0.2 s.

While a connection that ended has results nobody has asked for yet, which is for KEEP_UNASKED_S at most, the node has work. The end of the grace holds as before.

Evidence: the test failed before: the node was gone when the link came back.

--- a/packages/pumicestand-node/pumicestand_node/link_server.py
+++ b/packages/pumicestand-node/pumicestand_node/link_server.py
@@ -77,8 +77,16 @@
 
     @property
     def has_unfinished(self):
-        """Whether calls still arrive or results are still sent."""
-        return bool(self._received_at) or self.frames.has_unsent
+        """Whether calls still arrive or results are still to be sent.
+
+        The opener of a link that broke may ask for the results for a while.
+        """
+        is_awaited = (
+            self._is_detached
+            and self._carrier is self
+            and self._received.has_results
+        )
+        return is_awaited or bool(self._received_at) or self.frames.has_unsent
 
     async def run(self, on_end=lambda: None):
         """Serve the link until it ends and its calls can't be resumed.
--- a/packages/pumicestand-node/pumicestand_node/mesh_links.py
+++ b/packages/pumicestand-node/pumicestand_node/mesh_links.py
@@ -102,7 +102,8 @@
     @property
     def has_unfinished(self):
         """Whether other nodes still send calls or get results."""
-        return any(server.has_unfinished for server in self._link_servers)
+        servers = self._link_servers.union(self._resumable_servers.values())
+        return any(server.has_unfinished for server in servers)
 
     def refuse_arriving(self):
         """Refuse calls of other nodes whose bodies have not arrived."""
--- a/packages/pumicestand/pumicestand/link_resumption.py
+++ b/packages/pumicestand/pumicestand/link_resumption.py
@@ -320,6 +320,11 @@
         # has a higher id.
         self._forgotten_id = -1
 
+    @property
+    def has_results(self):
+        """Whether results are kept that may not have been received."""
+        return bool(self._results)
+
     def record_received(self, id_):
         """Record that a call or the first part of it has arrived."""
         self._is_started[id_] = False
--- a/tests/pumicestand_node/test_late_calls.py
+++ b/tests/pumicestand_node/test_late_calls.py
@@ -416,3 +416,39 @@
         assert len(asked) == runs
 
     run(monkeypatch, make_node, test)
+
+
+def test_a_result_is_kept_for_a_link_that_broke_as_the_last_call_ended(
+    monkeypatch, make_node
+):
+    """The node closed before the link was resumed; the result was lost."""
+
+    async def test(node, link):
+        queue = node._target_calls._queue
+
+        async def run_call(call):
+            queue._running += 1
+            await trio.sleep_until(3.0)
+            queue._running -= 1
+            return hop_messages.Result(
+                call.id,
+                Outcome.ANSWERED,
+                status=200,
+                body=b'x',
+                load=hop_messages.Load(slots=9),
+            )
+
+        monkeypatch.setattr(node._target_calls, 'run', run_call)
+        await trio.sleep_until(1.0)
+        link.frames.send(dataclasses.replace(LARGE_CALL, body=b''))
+        await trio.sleep_until(2.95)
+        link.frames.stop()
+        await trio.sleep_until(3.3)
+        resumed = test_node_stop.InboundLink(link.nursery, node, connection=2)
+        resumed.frames.send(
+            hop_messages.Resume(1, node._mesh.incarnation, (LARGE_CALL.id,))
+        )
+        await trio.sleep(0.1)
+        assert resumed.outcomes() == [Outcome.ANSWERED]
+
+    test_node_stop.run_inbound(monkeypatch, make_node, test)
