Have targets end the calls that come late in a stop sooner

Callers saw: 504 of the node in place of the response of a target that was still at work, for a call sent later than 3 s after SIGTERM, which nothing excuses.

Cause: all targets are told to end 0.15 s before the node gives up. A round trip between regions takes 0.07 s, and a node of half a core may be held up for 0.1 s (link_resumption), so that the response comes later. For calls sent before that, the platform allows the node to give up in the last sixth of the grace; for later ones, which are nested calls, it does not.

Calls sent later than 3 s after the request to stop, or half of the grace, are told to end 0.45 s before the node gives up (4.8 s for a grace of 6 s, 8.8 s for one of 10 s).

--- a/packages/pumicestand-node/pumicestand_node/outbound_calls.py
+++ b/packages/pumicestand-node/pumicestand_node/outbound_calls.py
@@ -146,7 +146,7 @@
                 continue
             scope.deadline = trio.current_time() + end_in_s
             start_by = shutdown.latest_start(
-                self._work_s(call), schedule.targets_end_at
+                self._work_s(call), schedule.end_at(call.started_at)
             )
             self._mesh.withdraw_call(
                 call.last_node, call.last_id, start_by - now
@@ -155,7 +155,9 @@
     def _limit(self, call):
         """Have a call's target end it before this node gives it up."""
         if self._schedule is not None:
-            call.deadline = min(call.deadline, self._schedule.targets_end_at)
+            call.deadline = min(
+                call.deadline, self._schedule.end_at(call.started_at)
+            )
 
     def _may_finish(self, call, now):
         """Return whether the stop of the node leaves time for the call."""
@@ -163,7 +165,7 @@
             now,
             call.own_deadline,
             self._work_s(call),
-            self._schedule.targets_end_at,
+            self._schedule.end_at(call.started_at),
         )
 
     def _work_s(self, call):
--- a/tests/pumicestand/test_shutdown.py
+++ b/tests/pumicestand/test_shutdown.py
@@ -12,6 +12,9 @@
     assert grace * 5 / 6 < schedule.targets_end_at - 100.0
     assert schedule.targets_end_at < schedule.calls_end_at
     assert schedule.calls_end_at < schedule.close_at < 100.0 + grace
+    assert schedule.accept_until < schedule.late_after
+    assert schedule.late_after < schedule.late_targets_end_at
+    assert schedule.late_targets_end_at < schedule.targets_end_at
 
 
 @pytest.mark.parametrize(
--- a/tests/pumicestand_node/test_late_calls.py
+++ b/tests/pumicestand_node/test_late_calls.py
@@ -452,3 +452,33 @@
         assert resumed.outcomes() == [Outcome.ANSWERED]
 
     test_node_stop.run_inbound(monkeypatch, make_node, test)
+
+
+@pytest.mark.parametrize('grace', test_mesh_node.GRACE_PERIODS_S)
+def test_a_late_call_gets_the_response_with_which_a_far_target_ends_it(
+    monkeypatch, make_node, grace
+):
+    """The node gave up while the response was on its way."""
+
+    async def test(stopping):
+        run_parent(stopping)
+        run_call = stopping._mesh.send_call
+
+        async def run_to_deadline(peer, call):
+            if call.request_id != 'parent.1':
+                return await run_call(peer, call)
+            # A round trip between regions, and nodes that are held up.
+            await trio.sleep(call.remaining_ms / 1000 + 0.2)
+            return hop_messages.Result(
+                call.id,
+                Outcome.ANSWERED,
+                status=500,
+                reason=b'Error',
+                load=hop_messages.Load(slots=9),
+            )
+
+        stopping._mesh.send_call = run_to_deadline
+        status, _ = await stopping.send_request(grace - 2, 'parent.1', 5.0)
+        assert status == 500
+
+    run(monkeypatch, make_node, test, grace)
