Accept the connections that wait as a port closes

Callers saw: a reset connection for a request that was sent as a stopping node closed its port.

Cause: trio closes a listener on cancellation, and the kernel resets what it has accepted for it.

The listener accepts what waits before it closes; the requests get the refusals of a node that stops.

Evidence: the test, with a connection that the node has not accepted when it closes the port, ended with a reset before.

--- a/packages/pumicestand-node/pumicestand_node/mesh_node.py
+++ b/packages/pumicestand-node/pumicestand_node/mesh_node.py
@@ -219,13 +219,21 @@
                     error,
                 )
 
+        drained_listeners = [
+            listeners.DrainedListener(
+                listener,
+                lambda stream: self._nursery.start_soon(serve_guarded, stream),
+            )
+            for listener in tcp_listeners
+        ]
+
         async def run():
             with scope:
                 await trio.serve_listeners(
-                    serve_guarded, tcp_listeners, handler_nursery=self._nursery
+                    serve_guarded,
+                    drained_listeners,
+                    handler_nursery=self._nursery,
                 )
-            for listener in tcp_listeners:
-                await listener.aclose()
 
         self._nursery.start_soon(run)
 
--- a/tests/pumicestand_node/test_late_calls.py
+++ b/tests/pumicestand_node/test_late_calls.py
@@ -1,6 +1,7 @@
 """Tests of each way in which a call may come late in the stop of a node."""
 
 import dataclasses
+import socket
 
 import pytest
 import trio
@@ -10,6 +11,7 @@
 from pumicestand import hop_messages
 from pumicestand import shutdown
 from pumicestand_node import frame_streams
+from pumicestand_node import mesh_settings
 from tests import mock_clock
 from tests.pumicestand import mesh_fakes
 from tests.pumicestand_node import test_mesh_calls
@@ -482,3 +484,33 @@
         assert status == 500
 
     run(monkeypatch, make_node, test, grace)
+
+
+def test_a_request_that_waits_to_be_accepted_as_the_port_closes_is_refused(
+    make_node,
+):
+    """Its connection was reset, as the kernel had accepted it already."""
+
+    async def main():
+        async with trio.open_nursery() as nursery:
+            node = make_node(is_strict=False)
+            await nursery.start(test_mesh_node.run_node, node)
+            with socket.create_server(('127.0.0.1', 0)) as server:
+                address = server.getsockname()
+            scope = trio.CancelScope()
+            await node._listen(
+                mesh_settings.Address(*address), node._client_port.serve, scope
+            )
+            await trio.testing.wait_all_tasks_blocked()
+            # Without a checkpoint, so that the node has not accepted it yet.
+            client = socket.create_connection(address)
+            client.sendall(make_request('i1'))
+            scope.cancel()
+            stream = trio.SocketStream(trio.socket.from_stdlib_socket(client))
+            data = await stream.receive_some(65_536)
+            assert data.startswith(b'HTTP/1.1 503 ')
+            with pytest.raises(OSError):
+                socket.create_connection(address)
+            nursery.cancel_scope.cancel()
+
+    trio.run(main)
