--- a/packages/pumicestand-node/pumicestand_node/mesh_node.py
+++ b/packages/pumicestand-node/pumicestand_node/mesh_node.py
@@ -100,6 +100,7 @@
         self._target_calls.on_leaving = self._on_target_leaving
         self._mesh.on_own_zone_changed = self._target_calls.set_evacuated
         self._mesh.send_call = self._links.send_call
+        self._mesh.withdraw_call = self._links.withdraw_call
         self._mesh.quota_agent = self._quota_agent = quota_agent.QuotaAgent(
             self._mesh,
             settings.bounds,
@@ -218,13 +219,21 @@
                     error,
                 )
 
+        drained_listeners = [
+            listeners.DrainedListener(
+                listener,
+                lambda stream: self._nursery.start_soon(serve_guarded, stream),
+            )
+            for listener in tcp_listeners
+        ]
+
         async def run():
             with scope:
                 await trio.serve_listeners(
-                    serve_guarded, tcp_listeners, handler_nursery=self._nursery
+                    serve_guarded,
+                    drained_listeners,
+                    handler_nursery=self._nursery,
                 )
-            for listener in tcp_listeners:
-                await listener.aclose()
 
         self._nursery.start_soon(run)
 
@@ -258,6 +267,7 @@
         await trio.sleep(LINK_FLUSH_S)
         while self._clock() < schedule.close_at and self._has_work():
             await trio.sleep(0.02)
+        self._outbound_calls.finish_by(schedule.ended(self._clock()))
         self._outbound_scope.cancel()
         self._client_port.close_when_idle()
         await trio.sleep(LINK_FLUSH_S)
--- a/packages/pumicestand-node/pumicestand_node/outbound_calls.py
+++ b/packages/pumicestand-node/pumicestand_node/outbound_calls.py
@@ -22,6 +22,7 @@
 from pumicestand import refusals
 from pumicestand import return_times
 from pumicestand import routing
+from pumicestand import shutdown
 from pumicestand_node import call_access
 from pumicestand_node import heads
 from pumicestand_node import outbound_call
@@ -76,7 +77,8 @@
 
     :param mesh: the `mesh_state.MeshState`, used for ``configuration``,
         ``fleet``, ``peer_selector``, ``rollouts``, ``retry_quota``,
-        ``is_stopping`` and ``send_call(peer, call)``
+        ``is_stopping``, ``send_call(peer, call)`` and
+        ``withdraw_call(peer_name, id, in_s)``
     :param headers: the `call_headers.CallHeaders`
     :param service: name of the service that runs on this VM
     :param find_running: returns the call with a request id that runs at the
@@ -136,19 +138,39 @@
         :param schedule: `shutdown.Schedule`
         """
         self._schedule = schedule
-        end_in_s = schedule.calls_end_at - self._clock()
+        now = self._clock()
+        end_in_s = schedule.calls_end_at - now
         for call, scope in self._scopes.items():
             self._limit(call)
-            if call.ends_with_node:
-                scope.deadline = trio.current_time() + end_in_s
+            if not call.ends_with_node:
+                continue
+            scope.deadline = trio.current_time() + end_in_s
+            start_by = shutdown.latest_start(
+                self._work_s(call), schedule.end_at(call.started_at)
+            )
+            self._mesh.withdraw_call(
+                call.last_node, call.last_id, start_by - now
+            )
 
     def _limit(self, call):
         """Have a call's target end it before this node gives it up."""
-        if self._schedule is None:
-            return
-        if self._schedule.targets_end_at < call.deadline:
-            call.deadline = self._schedule.targets_end_at
-            call.ends_with_node = True
+        if self._schedule is not None:
+            call.deadline = min(
+                call.deadline, self._schedule.end_at(call.started_at)
+            )
+
+    def _may_finish(self, call, now):
+        """Return whether the stop of the node leaves time for the call."""
+        return self._schedule is None or shutdown.may_finish(
+            now,
+            call.own_deadline,
+            self._work_s(call),
+            self._schedule.end_at(call.started_at),
+        )
+
+    def _work_s(self, call):
+        """Return the seconds that calls of its route take, 0 if unknown."""
+        return self._mean_work_ms.get(call.route.name, 0.0) / 1000
 
     async def serve(self, request, connection):
         """Respond to a request and return whether to keep the connection."""
@@ -354,6 +376,11 @@
         elapsed_s = (
             max_timeout_s - client_timeout_s if is_client_retry else 0.0
         )
+        deadline = (
+            started_at
+            + min(client_timeout_s, route.timeout)
+            - RESPONSE_MARGIN_S
+        )
         service = self._pick_service(route)
         quota = self._mesh.retry_quota
         quota.record_request(service, started_at)
@@ -361,16 +388,15 @@
             self._record_nested(service)
         if parent is not None and parent.is_retry:
             quota.record_retry(service, started_at)
-        call = outbound_call.OutboundCall(
+        return outbound_call.OutboundCall(
             head=head,
             body=body,
             request_id=request_id,
             route=route,
             service=service,
             started_at=started_at,
-            deadline=started_at
-            + min(client_timeout_s, route.timeout)
-            - RESPONSE_MARGIN_S,
+            deadline=deadline,
+            own_deadline=deadline,
             client_deadline=started_at + client_timeout_s,
             objective_at=started_at + max(0.0, route.objective - elapsed_s),
             is_client_retry=is_client_retry,
@@ -382,8 +408,6 @@
             configuration=configuration,
             organisation=organisation,
         )
-        self._limit(call)
-        return call
 
     def _format_target_headers(self, head, configuration, organisation):
         lines = bytearray()
@@ -399,6 +423,8 @@
 
     async def _execute(self, call, request, connection):
         connection.may_have_run = True
+        # The stop may have begun since the call arrived.
+        self._limit(call)
         result = None
         remaining_s = self._give_up_at(call) - self._clock()
         if remaining_s > 0:
@@ -505,7 +531,10 @@
             or not call.route.idempotent
         ):
             return False
-        return self._clock() < call.deadline - MIN_RETRY_TIME_S
+        now = self._clock()
+        return now < call.deadline - MIN_RETRY_TIME_S and self._may_finish(
+            call, now
+        )
 
     def _may_retry(self, call):
         now = self._clock()
@@ -513,6 +542,8 @@
             return False
         if now > call.deadline - MIN_RETRY_TIME_S:
             return False
+        if not self._may_finish(call, now):
+            return False
         mesh = self._mesh
         if self._choose_peer(call, now) is None:
             return False
@@ -580,7 +611,8 @@
     async def _send_to_node(self, call):
         """Send the call to one node and return its `hop_messages.Result`.
 
-        Return None if the request is quarantined or there is no node for it.
+        Return None if the request is quarantined, there is no node for it or
+        too little time for it before this one stops.
         ``may_have_run`` is true until the result is known, since the deadline
         may end the wait for it.
         """
@@ -594,6 +626,9 @@
             return None
         if not self._renew_access(call, now):
             return None
+        if not self._may_finish(call, now):
+            call.last_code = outbound_call.STOPPING
+            return None
         selection = self._select_peer(call, now)
         peer, is_probe = selection.peer, selection.is_probe
         if peer is None:
@@ -627,6 +662,7 @@
             organisation=call.organisation_name,
             is_probe=is_probe,
         )
+        call.last_id = message.id
         peer.in_flight += 1
         peer.sent_since_load += 1
         earlier_send_may_have_run = call.may_have_run
--- a/tests/pumicestand_node/test_node_stop.py
+++ b/tests/pumicestand_node/test_node_stop.py
@@ -169,9 +169,11 @@
     :param nursery: runs both ends of the link
     :param node: the `mesh_node.MeshNode`
     :param write_s: time that the node takes for each write to the link
+    :param connection: number of the connection
     """
 
-    def __init__(self, nursery, node, write_s=0.0):
+    def __init__(self, nursery, node, write_s=0.0, connection=1):
+        self.nursery = nursery
         own, other = trio.testing.memory_stream_pair()
         self.received = []
         self.frames = frame_streams.FrameStream(
@@ -182,7 +184,9 @@
             node._links.serve, SlowWriteStream(other, write_s)
         )
         nursery.start_soon(self.frames.run, self.received.append)
-        self.frames.send(hop_messages.Hello(mesh_fakes.make_report('sender')))
+        self.frames.send(
+            hop_messages.Hello(mesh_fakes.make_report('sender'), connection)
+        )
 
     def outcomes(self):
         return [
@@ -386,3 +390,131 @@
             assert status == 200
 
     test_mesh_node.run_stopping_node(monkeypatch, make_node, 10.0, test)
+
+
+def run_parent(stopping):
+    """Have the target on the VM of a `StoppingNode` run the call 'parent'."""
+    parent = dataclasses.replace(LARGE_CALL, request_id='parent')
+    stopping._node._target_calls._running_calls['parent'] = parent
+
+
+@pytest.mark.parametrize('grace', test_mesh_node.GRACE_PERIODS_S)
+@pytest.mark.parametrize('work_ms, status', ((1000.0, 503), (100.0, 200)))
+def test_a_nested_call_that_the_stop_would_end_half_way_is_not_passed_on(
+    monkeypatch, make_node, grace, work_ms, status
+):
+    """Its target ended it at the end of the grace, after a part of it."""
+
+    async def test(stopping):
+        run_parent(stopping)
+        averages = stopping._node._outbound_calls._mean_work_ms
+        averages['r'] = work_ms
+        sent_at = grace - 1.6
+        answered_at = 1.0 + sent_at + work_ms / 1000
+        stopping.answered_at.update({'other': 100.0, 'parent.1': answered_at})
+        async with trio.open_nursery() as nursery:
+            # Keeps the node from closing before the nested call arrives.
+            nursery.start_soon(stopping.send_request, 2.0, 'other', 20.0)
+            got, ended_at = await stopping.send_request(
+                sent_at, 'parent.1', 5.0
+            )
+        assert got == status
+        assert ('parent.1' in stopping.target_deadlines) is (status == 200)
+        if status == 503:
+            assert ended_at < sent_at + 0.1
+
+    test_mesh_node.run_stopping_node(monkeypatch, make_node, grace, test)
+
+
+def test_a_nested_call_that_ends_before_its_node_runs_in_any_case(
+    monkeypatch, make_node
+):
+    """What it takes is for its own deadline to bound."""
+
+    async def test(stopping):
+        run_parent(stopping)
+        stopping._node._outbound_calls._mean_work_ms['r'] = 1000.0
+        stopping.answered_at.update({'other': 100.0, 'parent.1': 1 + 4.6})
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(stopping.send_request, 2.0, 'other', 20.0)
+            status, _ = await stopping.send_request(4.25, 'parent.1', 0.5)
+        assert status == 200
+
+    test_mesh_node.run_stopping_node(monkeypatch, make_node, 6.0, test)
+
+
+async def open_client(stopping, sent_at, request_id):
+    """Open a connection now and send a nested call later; return its status.
+
+    The status is 0 if the connection ended without a response.
+
+    :param sent_at: seconds from the stop
+    """
+    client, server = trio.testing.memory_stream_pair()
+    stopping._node._nursery.start_soon(
+        stopping._node._client_port.serve, server
+    )
+    await trio.sleep_until(1.0 + sent_at)
+    await client.send_all(
+        b'POST / HTTP/1.1\r\nhost: shop.example\r\n'
+        b'pumicestand-request-id: %b\r\ncontent-length: 0\r\n'
+        b'pumicestand-deadline-ms: 4000\r\n\r\n' % request_id.encode()
+    )
+    data = await client.receive_some(65_536)
+    return int(data.split(b' ')[1]) if data else 0
+
+
+def test_a_call_that_comes_as_a_node_without_calls_closes_is_not_passed_on(
+    monkeypatch, make_node
+):
+    """It was cut with its connection while it ran at its target."""
+
+    async def test(stopping):
+        # Its client has left, and the target goes on with it.
+        parent = dataclasses.replace(LARGE_CALL, request_id='parent')
+        stopping._node._target_calls._abandon(parent, 100.0)
+        stopping.answered_at['parent.1'] = 4.0
+        await trio.sleep_until(1.0)
+        status = await open_client(stopping, 2.45, 'parent.1')
+        assert status == 503
+        assert not stopping.target_deadlines
+
+    test_mesh_node.run_stopping_node(monkeypatch, make_node, 6.0, test)
+
+
+def test_a_target_on_the_vm_of_a_stopping_node_gets_no_call_it_can_not_end():
+    """It ended the call half way; another node's target would have run it."""
+
+    async def test(harness):
+        harness.targets._queue._route_work_s['r'] = 2.0
+        harness.targets.finish_by(trio.current_time() + 1.0)
+        call = dataclasses.replace(
+            LARGE_CALL,
+            headers=b'pumicestand-request-id: i1\r\n',
+            body=b'',
+            remaining_ms=4000,
+        )
+        result = await harness.targets.run(call)
+        assert result.outcome is Outcome.NOT_HANDED_ON
+        assert result.code == 'stopping'
+        # The deadline of the call, not the stop, ends this one.
+        call = dataclasses.replace(call, remaining_ms=900)
+        result = await harness.targets.run(call)
+        assert result.outcome is Outcome.ANSWERED
+        assert harness.script.run_request_ids == [b'i1']
+
+    test_mesh_calls.run_with_target(test)
+
+
+def test_a_body_is_not_asked_for_if_the_stop_leaves_no_time_for_its_call():
+    """Its sender finds another target the sooner."""
+
+    async def test(harness):
+        harness.targets._queue._route_work_s['r'] = 2.0
+        harness.targets.finish_by(trio.current_time() + 3.0)
+        call = dataclasses.replace(LARGE_CALL, body=b'', remaining_ms=9000)
+        assert harness.targets.refuse_before_body(call, 0.1) is None
+        result = harness.targets.refuse_before_body(call, 1.0)
+        assert result.code == 'stopping'
+
+    test_mesh_calls.run_with_target(test)
