Deliver no result to a later process with the same incarnation

Callers would see the response to another call: status, headers and body.

Cause: what a node keeps of an ended connection is found by the opener's name, its incarnation and the number of the connection. Incarnations are milliseconds of a clock that can be set back, and the numbers begin anew with each process. If two processes of an opener got the same incarnation, the server of the first one stayed registered, and the later process, asking what became of its calls, got results of calls with the same ids.

Evidence: by code; no run of ours has shown it outside the test, and with clocks that are not set back it cannot occur. The test fails without the change with (200, '2:1...') for call 3:1.

Change: a process uses each number once, so that a connection with a number that is known already is of a later process. It takes the place of the earlier one, whose calls end.

--- a/packages/pumicestand-node/pumicestand_node/mesh_links.py
+++ b/packages/pumicestand-node/pumicestand_node/mesh_links.py
@@ -285,15 +285,18 @@
         """Add the server of a connection whose opener has identified itself.
 
         Calls of an earlier process of the opener are no longer waited for.
+        A process uses each number once, so two connections with the same one
+        are of two processes; clocks that are set back can give both the same
+        incarnation.
         """
         for other in list(self._resumable_servers.values()):
-            if (
-                other.peer_name == server.peer_name
-                and other.peer_incarnation != server.peer_incarnation
+            if other.peer_name == server.peer_name and (
+                other.peer_incarnation != server.peer_incarnation
+                or other.connection == server.connection
             ):
                 other.end()
         if server.connection:
-            self._resumable_servers.setdefault(_key(server), server)
+            self._resumable_servers[_key(server)] = server
 
     def _resume(self, server, request):
         """Answer what became of calls on an earlier connection.
