Test that results on links are those to their calls

Between nodes none was found: 12 plays of 150 calls each, with silent, reset and late connections, restarts of both nodes, ids and connection numbers that begin anew, calls cancelled and withdrawn, bodies held back and compressed frames. Each response names its call.

Also: a result of which a part had arrived when its connection went silent is sent again as a whole.

--- a/tests/pumicestand_node/test_link_identity.py
+++ b/tests/pumicestand_node/test_link_identity.py
@@ -202,3 +202,58 @@
         check_results(nodes.results)
 
     run_test(test)
+
+
+@pytest.mark.parametrize('count', [1, 300, 16_700, 60_000, 110_000])
+def test_result_that_arrived_in_part_is_sent_again_as_a_whole(run_test, count):
+    async def test(nodes):
+        nodes.starts = 10
+        assert len(expected_response('10:1')[1]) == 120_000
+        nodes.streams[-1].silent_after = count
+        with trio.fail_after(3):
+            await nodes.call(1)
+        assert check_results(nodes.results) == 1
+        assert nodes.targets.started == ['10:1']
+        assert nodes.connections == 2
+
+    run_test(test)
+
+
+async def play(nodes, rng):
+    """Send calls while connections fail and both nodes restart."""
+    id_ = 0
+    for _ in range(150):
+        id_ += 1
+        nodes.targets.work_s = rng.choice((0.0, 0.1, 0.6, 1.5))
+        body = b'x' * rng.choice((0, 0, 40_000, 150_000))
+        timeout_s = rng.choice((0.2, 0.4, 5.0, 5.0))
+        nodes.nursery.start_soon(nodes.call, id_, body, timeout_s)
+        await trio.sleep(rng.choice((0.0, 0.02, 0.1)))
+        stream = rng.choice(nodes.streams[-3:])
+        match rng.randrange(30):
+            case 0 | 1:
+                stream.is_silent = True
+            case 2:
+                await stream.reset()
+            case 3 | 4 | 5 if stream.is_silent:
+                nodes.nursery.start_soon(stream.release)
+            case 6:
+                await nodes.restart_opener()
+                id_ = 0
+            case 7:
+                nodes.start_peer(nodes.peer_incarnation + 1)
+                await stream.reset()
+    await trio.sleep(8)
+
+
+@pytest.mark.parametrize('seed', range(12))
+def test_responses_are_those_to_their_calls_whatever_restarts(run_test, seed):
+    async def test(nodes):
+        await play(nodes, random.Random(seed))
+        assert check_results(nodes.results) > 10
+
+    run_test(
+        test,
+        NARROW_LINK_RATE if seed % 2 else 0.0,
+        'b' if seed % 3 else 'a',
+    )
