Send no body behind the head of a response to HEAD

Callers would see: behind the response to a HEAD request, without a Content-Length, bytes that the client reads as the start of the next response on its connection.

Cause: the head left out Content-Length for HEAD, 204 and 304, but the body that the target's node had read was sent all the same. The parser of a target's responses does not know the method of the request, so that a HEAD response with a length takes as its body what follows on the connection, such as a copy of a response.

Change: a response whose head says that there is no body is sent without one.

--- a/packages/pumicestand-node/pumicestand_node/outbound_call.py
+++ b/packages/pumicestand-node/pumicestand_node/outbound_call.py
@@ -164,9 +164,11 @@
 
     :param keep_alive: whether the client's connection is kept
     """
-    content_length = b'content-length: %d\r\n' % len(result.body)
+    body = result.body
+    content_length = b'content-length: %d\r\n' % len(body)
     if call.head.method == 'HEAD' or result.status in (204, 304):
-        content_length = b''
+        # The client would read a body as the start of the next response.
+        body = content_length = b''
     parts = [
         b'HTTP/1.1 %d ' % result.status,
         result.reason,
@@ -177,5 +179,5 @@
     if not keep_alive:
         parts.append(b'connection: close\r\n')
     parts.append(b'\r\n')
-    parts.append(result.body)
+    parts.append(body)
     return b''.join(parts)
