Test that each client gets the response of one run of its own

Towards clients none was found: 12 plays of 40 connections with pipelined GET, HEAD and POST requests, some with Expect: 100-continue, each answered by a target that names request and run, refuses, breaks off, or responds twice at once or late; clients leave or end with garbage.

What a client is told after a retry is the whole response of one run: that of the second if there is one, else the failure of the first. Calls of the same id at once get their own responses.

--- a/tests/pumicestand_node/test_own_responses.py
+++ b/tests/pumicestand_node/test_own_responses.py
@@ -6,12 +6,17 @@
 
 import contextlib
 import dataclasses
+import random
 
+import pytest
 import trio
 
 from tests import mock_clock
 from tests.pumicestand_node import test_mesh_calls
 
+METHODS = ('GET', 'GET', 'GET', 'HEAD', 'POST')
+STATUSES = (200, 200, 200, 204, 304, 404, 500)
+
 
 @dataclasses.dataclass(frozen=True)
 class Response:
@@ -120,6 +125,165 @@
     return data
 
 
+async def respond_at_random(
+    rng, harness, stream, method, path, number, request_id
+):
+    """Respond as a faulty target does, often more than once."""
+    await trio.sleep(rng.choice((0.0, 0.0, 0.01, 0.1, 0.3)))
+    if rng.random() < 0.1:
+        await stream.send_all(
+            test_mesh_calls.NOT_RUN_RESPONSE.replace(b'%b', request_id)
+        )
+        return True
+    status = rng.choice(STATUSES)
+    data = harness.make_response(method, path, number, request_id, status)
+    match rng.randrange(8):
+        case 0:
+            await stream.send_all(data[: rng.randrange(len(data))])
+            await stream.aclose()
+            return False
+        case 1:
+            await stream.send_all(data + data[: rng.randrange(len(data))])
+            return True
+        case 2:
+            await stream.send_all(data)
+            await trio.sleep(rng.choice((0.0, 0.01, 0.1)))
+            await stream.send_all(data)
+            return True
+    await stream.send_all(data)
+    return True
+
+
+async def play_client(harness, rng, name):
+    """Send pipelined requests and check each response."""
+    methods = rng.choices(METHODS, k=rng.randint(1, 8))
+    paths = [
+        f'/{rng.choice("xxo")}/{name}/{number}'
+        for number in range(len(methods))
+    ]
+    stream = await harness.open_client()
+    received = []
+
+    async def receive():
+        received.append(await read_to_end(stream))
+
+    async with trio.open_nursery() as nursery:
+        nursery.start_soon(receive)
+        try:
+            for method, path in zip(methods, paths, strict=True):
+                is_expecting = method == 'POST' and rng.random() < 0.5
+                await stream.send_all(
+                    test_mesh_calls.make_request(
+                        path,
+                        method,
+                        request_id=path,
+                        extra=b'expect: 100-continue\r\n'
+                        if is_expecting
+                        else b'',
+                        close=path is paths[-1] or rng.random() < 0.03,
+                    )
+                )
+                await trio.sleep(rng.choice((0.0, 0.0, 0.02, 0.2)))
+            if rng.random() < 0.2:
+                await stream.send_all(b'no request\r\n\r\n')
+        except trio.BrokenResourceError:
+            pass
+        if rng.random() < 0.2:
+            await trio.sleep(rng.choice((0.0, 0.05, 0.2)))
+            await stream.aclose()
+            nursery.cancel_scope.cancel()
+    if not received:
+        return 0
+    responses = read_responses(received[0], [*methods, 'GET'])
+    count = 0
+    for path, response in zip(paths, responses, strict=False):
+        if response.stamp is None:
+            assert response.status in (400, 502, 503, 504)
+            continue
+        assert response in harness.runs[path.encode()]
+        count += 1
+    return count
+
+
+@pytest.mark.parametrize('seed', range(12))
+def test_pipelined_requests_get_their_own_responses_in_order(seed):
+    """Targets respond twice, and clients leave or send garbage."""
+    rng = random.Random(seed)
+    counts = []
+
+    async def play(harness, name):
+        counts.append(await play_client(harness, rng, name))
+
+    async def test(harness):
+        async with trio.open_nursery() as nursery:
+            for number in range(40):
+                nursery.start_soon(play, harness, f'c{number}')
+                await trio.sleep(rng.choice((0.0, 0.1, 0.3)))
+        assert sum(counts) > 20
+
+    async def respond(*arguments):
+        return await respond_at_random(rng, *arguments)
+
+    run_test(test, respond)
+
+
+def test_calls_with_the_same_id_at_once_get_their_own_responses():
+    """The parent of a nested call may run again meanwhile."""
+
+    async def respond(harness, stream, method, path, number, request_id):
+        await trio.sleep(0.3 / number)
+        status = 500 if number == 2 else 200
+        await stream.send_all(
+            harness.make_response(method, path, number, request_id, status)
+        )
+        return True
+
+    async def send(harness, path):
+        _, data = await harness.send_request(path, 'POST', 'p.1')
+        assert read_responses(data, ['POST']) == harness.runs[path.encode()]
+
+    async def test(harness):
+        async with trio.open_nursery() as nursery:
+            for number in range(3):
+                nursery.start_soon(send, harness, f'/o/{number}')
+
+    run_test(test, respond)
+
+
+@pytest.mark.parametrize(
+    'second', [200, 204, 404, 500, 'not run', 'cut', None]
+)
+def test_a_retried_call_gets_the_whole_response_of_one_run(second):
+    """Not the status of one run with the stamp or body of another."""
+
+    async def respond(harness, stream, method, path, number, request_id):
+        status = second if number == 2 and second in STATUSES else 500
+        data = harness.make_response(method, path, number, request_id, status)
+        if number == 1 or second in STATUSES:
+            await stream.send_all(data)
+            return True
+        harness.runs[path].pop()
+        match second:
+            case 'not run':
+                data = test_mesh_calls.NOT_RUN_RESPONSE
+                await stream.send_all(data.replace(b'%b', request_id))
+                return True
+            case 'cut':
+                await stream.send_all(data[:-1])
+            case _:
+                await trio.sleep_forever()
+        await stream.aclose()
+        return False
+
+    async def test(harness):
+        _, data = await harness.send_request()
+        (response,) = read_responses(data, ['GET'])
+        assert response == harness.runs[b'/x/1'][-1]
+        assert harness.run_count == 2
+
+    run_test(test, respond)
+
+
 def test_nothing_follows_the_head_of_a_response_to_a_head_request():
     """Bytes of a later response were sent to the client as a body."""
 
