List two faults beside the responses that clients get

Neither mixes up responses; both are in the node's part at the target.

A HEAD request whose response states a length gets 504 at its deadline: the parser of a target's responses waits for a body.

Of two calls with one request id that a target runs at once, the end of one has the other forgotten: its nested calls are not known as such, so that a node that needs keys or stops refuses them.

--- a/tests/pumicestand_node/test_own_responses.py
+++ b/tests/pumicestand_node/test_own_responses.py
@@ -306,3 +306,41 @@
         assert responses[1].body.startswith(b'/x/2 run')
 
     run_test(test, respond)
+
+
+def test_a_head_request_is_answered_although_a_length_is_stated():
+    """The node waited for a body until the deadline."""
+
+    async def respond(harness, stream, method, path, number, request_id):
+        data = harness.make_response(b'GET', path, number, request_id, 200)
+        await stream.send_all(data.partition(b'\r\n\r\n')[0] + b'\r\n\r\n')
+        return True
+
+    async def test(harness):
+        got, _ = await harness.send_request(method='HEAD')
+        assert got == 200
+
+    run_test(test, respond)
+
+
+def test_a_call_is_known_to_run_after_another_with_its_id_has_ended():
+    """Calls that the target made for it were not known as nested."""
+
+    async def respond(harness, stream, method, path, number, request_id):
+        await trio.sleep(0.1 if number == 1 else 0.4)
+        await stream.send_all(
+            harness.make_response(method, path, number, request_id, 200)
+        )
+        return True
+
+    async def test(harness):
+        async with trio.open_nursery() as nursery:
+            for number in range(2):
+                nursery.start_soon(
+                    harness.send_request, f'/o/{number}', 'POST', 'p'
+                )
+            await trio.sleep(0.2)
+            assert harness.run_count == 2
+            assert harness.targets.find_running('p') is not None
+
+    run_test(test, respond)
