Tell late copies of responses apart on the older call path

Callers would see the status, headers and body of an earlier call: a target wrote a response once more on a kept connection, after the next request had been sent.

Cause: `target_connections` takes the next response on a connection as that to the request sent last. Bytes that arrive before the next request close the connection, later ones could not be told from the true response. Nothing in this path's protocol names an exchange; ids of clients can come again.

Evidence: the test fails without the change with the body of run 1 for the second call, idempotent or not.

Change: each request to a target has its number on the connection. A target that repeats it once must do so in all responses on the connection; another number, or none, ends the exchange with an unknown outcome and the connection. The number is not passed on to clients.

Left: with targets that never repeat the number, such as the stand-in of this path, a copy that crosses the next request is still taken for its response.

--- a/packages/pumicestand-node/pumicestand_node/calls.py
+++ b/packages/pumicestand-node/pumicestand_node/calls.py
@@ -518,13 +518,21 @@
         call.was_sent = True
         if call.body is not None:
             head = heads.format_request_head(
-                request.head, len(call.body), attempt, remaining_ms
+                request.head,
+                len(call.body),
+                attempt,
+                remaining_ms,
+                connection.exchange,
             )
             await connection.send(head + call.body)
             connection.is_request_sent = True
             return await connection.read_head()
         head = heads.format_request_head(
-            request.head, request.head.body_length, attempt, remaining_ms
+            request.head,
+            request.head.body_length,
+            attempt,
+            remaining_ms,
+            connection.exchange,
         )
         await connection.send(head)
         return await relaying.stream_request(request, connection)
--- a/packages/pumicestand-node/pumicestand_node/heads.py
+++ b/packages/pumicestand-node/pumicestand_node/heads.py
@@ -5,6 +5,7 @@
 from pumicestand import refusals
 
 MAX_HEADERS = 100
+EXCHANGE_HEADER = refusals.EXCHANGE_HEADER.lower().encode()
 _HOP_BY_HOP = frozenset(
     (
         b'connection',
@@ -173,24 +174,27 @@
     ]
 
 
-def format_request_head(head, body_length, attempt, deadline_ms):
+def format_request_head(head, body_length, attempt, deadline_ms, exchange):
     """Return the head of a request to a target, as bytes.
 
     :param head: the `RequestHead` that was received
     :param body_length: of the body in bytes, None for a chunked one
     :param attempt: number of the attempt, 1 for the first
     :param deadline_ms: milliseconds until the call is given up
+    :param exchange: number of the request on its connection
     """
     parts = [head.method.encode(), b' ', head.url, b' HTTP/1.1\r\n']
     for key, value in filter_request_headers(head.headers):
-        parts += (key, b': ', value, b'\r\n')
+        if key != EXCHANGE_HEADER:
+            parts += (key, b': ', value, b'\r\n')
     if body_length is None:
         parts.append(b'transfer-encoding: chunked\r\n')
     elif body_length or head.method in ('POST', 'PUT', 'PATCH'):
         parts.append(b'content-length: %d\r\n' % body_length)
     parts.append(
-        b'pumicestand-attempt: %d\r\npumicestand-deadline-ms: %d\r\n\r\n'
-        % (attempt, max(1, deadline_ms))
+        b'pumicestand-attempt: %d\r\npumicestand-deadline-ms: %d\r\n'
+        b'pumicestand-exchange: %d\r\n\r\n'
+        % (attempt, max(1, deadline_ms), exchange)
     )
     return b''.join(parts)
 
--- a/packages/pumicestand-node/pumicestand_node/target_connections.py
+++ b/packages/pumicestand-node/pumicestand_node/target_connections.py
@@ -6,6 +6,7 @@
 import httptools
 import trio
 
+from pumicestand_node import heads
 from pumicestand_node import socket_io
 
 READ_BYTES = 16_384
@@ -122,6 +123,8 @@
     """One connection to a target, for one call at a time.
 
     ``is_request_sent`` is true once the whole request has been sent.
+    ``exchange`` is the number of the request on the connection. A target may
+    repeat it in the response; if it does so once, it must do so in all.
 
     :param stream: a trio stream
     :param is_readable: returns whether a stream has data to read or has ended
@@ -131,6 +134,9 @@
         self._stream = stream
         self._is_readable = is_readable
         self._reader = None
+        self._is_repeating = False
+        self._is_out_of_step = False
+        self.exchange = 0
         self.idle_since = 0.0
         self.is_request_sent = False
 
@@ -146,6 +152,7 @@
     def start_request(self, is_head_request):
         """Prepare to read the response to the next request."""
         self._reader = _ResponseReader(is_head_request)
+        self.exchange += 1
         self.is_request_sent = False
 
     async def send(self, data):
@@ -174,8 +181,27 @@
                     f'a head of over {MAX_RESPONSE_HEAD_BYTES} bytes'
                 )
             self._reader.feed(data)
+        self._check_exchange(self._reader.head)
         return self._reader.head
 
+    def _check_exchange(self, head):
+        """Check that a response is for the current request.
+
+        :raises InvalidResponseError: if it may be for an earlier one
+        """
+        value = head.header(heads.EXCHANGE_HEADER)
+        if value is None and not self._is_repeating:
+            return
+        self._is_repeating = True
+        if value != b'%d' % self.exchange:
+            self._is_out_of_step = True
+            raise InvalidResponseError('a response to another request')
+        head.headers = [
+            (key, value)
+            for key, value in head.headers
+            if key != heads.EXCHANGE_HEADER
+        ]
+
     async def read_body(self):
         """Return the next bytes of the body, empty at its end.
 
@@ -210,6 +236,7 @@
         # request as the rest of it.
         return (
             reader is not None
+            and not self._is_out_of_step
             and self.is_request_sent
             and reader.is_complete
             and not reader.has_extra_data
--- a/packages/pumicestand/pumicestand/refusals.py
+++ b/packages/pumicestand/pumicestand/refusals.py
@@ -7,6 +7,7 @@
 CODE_HEADER = 'Pumicestand-Code'
 DEADLINE_HEADER = 'Pumicestand-Deadline-Ms'
 ATTEMPT_HEADER = 'Pumicestand-Attempt'
+EXCHANGE_HEADER = 'Pumicestand-Exchange'
 
 
 class Outcome(enum.StrEnum):
--- a/tests/pumicestand_node/test_calls.py
+++ b/tests/pumicestand_node/test_calls.py
@@ -281,12 +281,12 @@
     )
 
 
-def run(function, actions, **options):
+def run(function, actions, harness_type=Harness, **options):
     """Run a coroutine function with a `Harness` on an autojump clock.
 
     Return the harness and the result of the function.
     """
-    harness = Harness(list(actions), **options)
+    harness = harness_type(list(actions), **options)
 
     async def main():
         async with trio.open_nursery() as nursery:
@@ -485,6 +485,63 @@
     assert harness.connection_attempts == 2
 
 
+class RepeatingHarness(Harness):
+    """Targets write the response before the last one once more.
+
+    A response names its run, and its exchange unless that is forgotten.
+    """
+
+    copied = b''
+
+    async def _act(self, action, stream):
+        run = len(self.executed_bodies)
+        exchange = self.request_headers[-1].get(b'pumicestand-exchange', b'')
+        response = (
+            b'HTTP/1.1 200 OK\r\ncontent-length: 5\r\n'
+            b'pumicestand-exchange: %b\r\n\r\nrun %d' % (exchange, run)
+        )
+        copied, self.copied = self.copied, response
+        if run == 2:
+            if action == 'forgetful':
+                copied = copied.replace(b'pumicestand-exchange', b'x')
+            await stream.send_all(copied)
+            await trio.sleep(0.1)
+        await stream.send_all(response)
+        return True
+
+
+@pytest.mark.parametrize('action', ['ok', 'forgetful'])
+@pytest.mark.parametrize(
+    ('request_', 'responses'),
+    [
+        (LOOKUP, [(200, b'run 1'), (200, b'run 3')]),
+        (SALE, [(200, b'run 1'), (502, b'')]),
+    ],
+    ids=['lookup', 'sale'],
+)
+def test_late_copy_of_a_response_is_not_taken_for_the_next_one(
+    request_, responses, action
+):
+    headers = {}
+
+    async def main(harness):
+        received = []
+        for _ in range(2):
+            stream = await harness.connect()
+            await stream.send_all(request_)
+            response = await read_response(stream)
+            headers.update(response.headers)
+            body = response.body if response.status == 200 else b''
+            received.append((response.status, body))
+        return received
+
+    _, received = run(
+        main, [action], harness_type=RepeatingHarness, target_count=2
+    )
+    assert received == responses
+    assert b'pumicestand-exchange' not in headers
+
+
 def test_pipelined_requests_are_executed_in_order():
     async def main(harness):
         stream = await harness.connect()
