Take no response that a reset cuts for whole on the older call path

Callers would see a success whose body is only the first part of the target's, complete by its framing.

Cause: a response without a length ends with its connection, and `target_connections` read a reset as such an end.

Change: a connection that breaks ends the exchange as incomplete. The client gets 502, or its connection is closed before the last chunk. Left: a client of HTTP/1.0 to which the response has begun can't tell the two ends apart.

--- a/packages/pumicestand-node/pumicestand_node/target_connections.py
+++ b/packages/pumicestand-node/pumicestand_node/target_connections.py
@@ -246,8 +246,8 @@
     async def _receive(self):
         try:
             return await self._stream.receive_some(READ_BYTES)
-        except trio.BrokenResourceError:
-            return b''
+        except trio.BrokenResourceError as error:
+            raise IncompleteResponseError('the connection broke') from error
 
     async def close(self):
         """Close the connection at once, without waiting for the target."""
--- a/tests/pumicestand_node/test_calls.py
+++ b/tests/pumicestand_node/test_calls.py
@@ -542,6 +542,33 @@
     assert b'pumicestand-exchange' not in headers
 
 
+class ResettingHarness(Harness):
+    """Targets reset connections instead of closing them."""
+
+    async def _connect(self, host, port):
+        stream = await super()._connect(host, port)
+        receive_some = stream.receive_some
+
+        async def receive_or_reset(max_bytes=None):
+            data = await receive_some(max_bytes)
+            if not data:
+                raise trio.BrokenResourceError('reset')
+            return data
+
+        stream.receive_some = receive_or_reset
+        return stream
+
+
+def test_response_without_length_that_ends_in_a_reset_is_not_complete():
+    async def main(harness):
+        stream = await harness.connect()
+        await stream.send_all(SALE)
+        return await read_response(stream)
+
+    _, response = run(main, ['until the end'], harness_type=ResettingHarness)
+    assert not (response.status == 200 and response.is_complete)
+
+
 def test_pipelined_requests_are_executed_in_order():
     async def main(harness):
         stream = await harness.connect()
