--- a/tests/pumicestand_node/test_calls.py
+++ b/tests/pumicestand_node/test_calls.py
@@ -485,6 +485,24 @@
     assert harness.connection_attempts == 2
 
 
+@pytest.mark.parametrize('position', range(1, len(OK) + 1))
+def test_start_of_a_copy_behind_a_response_ends_its_connection(position):
+    class CopyingHarness(Harness):
+        async def _act(self, action, stream):
+            copy = OK[:position] if len(self.executed_bodies) == 1 else b''
+            await stream.send_all(OK.replace(b'200', b'500') + copy)
+            return True
+
+    async def main(harness):
+        stream = await harness.connect()
+        for _ in range(2):
+            await stream.send_all(SALE)
+            assert (await read_response(stream)).status == 500
+
+    harness, _ = run(main, ['ok'], harness_type=CopyingHarness, target_count=1)
+    assert harness.connection_attempts == 2
+
+
 class RepeatingHarness(Harness):
     """Targets write the response before the last one once more.
 
