Send no body with the refusal of a HEAD request that breaks off

Callers would see: text behind the head of a 400, 408 or 413 to a HEAD request, which is no response in the protocol.

Cause: the refusal that ends a connection was written with its body whatever the method was; refusals of other requests to HEAD have none.

Evidence: the test fails without the change.

Change: the refusal of a HEAD request is its head only.

--- a/packages/pumicestand-node/pumicestand_node/client_connections.py
+++ b/packages/pumicestand-node/pumicestand_node/client_connections.py
@@ -467,8 +467,14 @@
             if self._refusal is not None and (
                 rejected_response is None or not rejected_response.has_begun
             ):
+                with_body = (
+                    rejected_response is None
+                    or rejected_response.request.head.method != 'HEAD'
+                )
                 await self.send(
-                    heads.format_refusal(self._refusal, keep_alive=False)
+                    heads.format_refusal(
+                        self._refusal, keep_alive=False, with_body=with_body
+                    )
                 )
             with trio.move_on_after(CLOSE_LINGER_S):
                 await self._stream.send_eof()
--- a/tests/pumicestand_node/test_client_connections.py
+++ b/tests/pumicestand_node/test_client_connections.py
@@ -270,6 +270,16 @@
     assert data == b'HTTP/1.1 100 Continue\r\n\r\n' + RESPONSE[:-1]
 
 
+def test_no_body_follows_the_refusal_of_a_head_request():
+    async def serve(request, response):
+        await request.read_all()
+
+    head = make_request(method='HEAD', extra=b'content-length: 99000000\r\n')
+    data = exchange_with_port(serve, head)
+    assert data.startswith(b'HTTP/1.1 413')
+    assert data.endswith(b'\r\n\r\n')
+
+
 async def serve_ok(request, response):
     await request.read_all()
     await response.send(RESPONSE)
