--- a/packages/pumicestand-node/pumicestand_node/mesh_links.py
+++ b/packages/pumicestand-node/pumicestand_node/mesh_links.py
@@ -39,6 +39,9 @@
 # Period at which the links with pending calls are checked, in seconds: a part
 # of the time after which a silent link is pinged.
 CALL_CHECK_PERIOD_S = 0.05
+# Bound of the number of the first connection of a process; the field has 64
+# bits.
+MAX_FIRST_CONNECTION = 1 << 62
 
 
 class MeshLinks:
@@ -68,7 +71,11 @@
         # (Name and incarnation of the opener, number of the connection) to
         # its server, from the hello until its calls can't be resumed.
         self._resumable_servers = {}
-        self._connection_numbers = itertools.count(1)
+        # Another process of this node may have had the same incarnation if the
+        # clock was set back, but not the same numbers.
+        self._connection_numbers = itertools.count(
+            rng.randrange(1, MAX_FIRST_CONNECTION)
+        )
         self._kept_results = link_resumption.KeptResults()
         self._bodies = body_receiver.BodyReceiver(mesh.body_transfers, clock)
         self._selector = link_selection.LinkSelector(
