Soak: tell apart two responses to one request id

The soak compared the body of a response with what its request id expects, so a late copy of the response to an earlier run of the same id looked right, and its targets neither sent responses twice nor failed by chance.

Each run of the target stand-in now has a stamp and a body of its own. Nested calls name the run that makes them, and the ledger holds the status that each run answered. The part `stutter` has targets fail by chance and send responses twice, late, whole or in two pieces. The check `responses are those of the own run` compares status, stamp and body of each response, to clients and to targets, with the run that this attempt of the call has caused.

--- a/Makefile
+++ b/Makefile
@@ -7,7 +7,7 @@
 SOURCES = packages platform benchmarks soak tests
 SEEDS ?= 50
 # Parts that the soak plays, but not in the regression seeds.
-PARTS = cold evacuation keys stops
+PARTS = cold evacuation keys stops stutter
 # Seeds that had findings once; docs/operations/soak.md tells their causes.
 REGRESSION_SEEDS = 8 741 88019 90101
 
--- a/packages/pumicestand-standins/pumicestand_standins/http_server.py
+++ b/packages/pumicestand-standins/pumicestand_standins/http_server.py
@@ -69,6 +69,20 @@
     most_bytes: int = 200_000_000
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class RepeatedResponse:
+    """A response and a late copy of it on the same connection.
+
+    :param delay_s: seconds between the response and the end of the copy
+    :param early_bytes: first bytes of the copy that follow the response at
+        once; later responses then wait for the end of the copy
+    """
+
+    response: Response
+    delay_s: float
+    early_bytes: int = 0
+
+
 def json_response(data, status=200):
     """Return a `Response` with data as JSON."""
     return Response(status, json.dumps(data).encode())
@@ -115,6 +129,25 @@
     return head if is_head else head + response.body
 
 
+async def _send_copy(stream, lock, data, response):
+    """Send the copy of a `RepeatedResponse`.
+
+    :param lock: held while a response is sent
+    :param data: the copy, as bytes
+    """
+    try:
+        if not response.early_bytes:
+            await trio.sleep(response.delay_s)
+        async with lock:
+            if response.early_bytes:
+                await stream.send_all(data[: response.early_bytes])
+                await trio.sleep(response.delay_s)
+            await stream.send_all(data[response.early_bytes :])
+    except (trio.BrokenResourceError, trio.ClosedResourceError):
+        # The client has closed the connection, which ends all its tasks.
+        return
+
+
 async def _send_endless(stream, response):
     await stream.send_all(response.first)
     for _ in range(response.most_bytes // len(response.repeated)):
@@ -126,7 +159,7 @@
 
     :param port: 0 to let the system choose one
     :param handler: coroutine function from `Request` to `Response`,
-        `RawResponse` or `EndlessResponse`
+        `RawResponse`, `EndlessResponse` or `RepeatedResponse`
     :param max_connections: connections above this number are closed at once
     """
 
@@ -200,19 +233,28 @@
             nursery.cancel_scope.cancel()
 
     async def _send_responses(self, stream, requests, nursery):
+        lock = trio.Lock()
         try:
             async for request in requests:
-                response = await self._handler(request)
+                response = answer = await self._handler(request)
                 match response:
                     case RawResponse(data):
-                        await stream.send_all(data)
+                        async with lock:
+                            await stream.send_all(data)
                         break
                     case EndlessResponse():
-                        await _send_endless(stream, response)
+                        async with lock:
+                            await _send_endless(stream, response)
                         break
-                await stream.send_all(
-                    encode_response(response, request.method == 'HEAD')
-                )
+                    case RepeatedResponse(answer):
+                        pass
+                data = encode_response(answer, request.method == 'HEAD')
+                async with lock:
+                    await stream.send_all(data)
+                if isinstance(response, RepeatedResponse):
+                    nursery.start_soon(
+                        _send_copy, stream, lock, data, response
+                    )
         except (trio.BrokenResourceError, trio.ClosedResourceError):
             pass
         nursery.cancel_scope.cancel()
--- a/packages/pumicestand-standins/pumicestand_standins/mesh_target.py
+++ b/packages/pumicestand-standins/pumicestand_standins/mesh_target.py
@@ -2,13 +2,15 @@
 
 It sends heartbeats to the node of its VM, serves calls, makes nested calls,
 drains, advertises a rate limit, turns cold, and fails on demand. Its ledger
-records every call that it ran.
+records every call that it ran. Stamp and body of a response tell the run that
+it comes from.
 """
 
 import collections
 import dataclasses
 import hashlib
 import json
+import random
 import time
 
 import trio
@@ -18,19 +20,29 @@
 
 HEARTBEAT_PERIOD_S = 0.7
 ACKNOWLEDGEMENT_TIMEOUT_S = 1.0
-SERVER_STAMP_HEADER = ('Pumicestand-Server-Stamp', 'stand-in')
+SERVER_STAMP_HEADER = 'Pumicestand-Server-Stamp'
+# Names the run that makes a nested call.
+CALLER_RUN_HEADER = 'X-Caller-Run'
 LEAVING_HEADER = ('Server-Leaving', '1')
 # A cold target crashes when it gets more calls in one second than this
 # multiple of its cold rate and this many more.
 COLD_RATIO, COLD_EXTRA = 1.5, 8
 COLD_WINDOW_S = 1.0
 RESTART_DELAY_S = 1.0
+# When the second copy of a response ends, and how much of it comes at once.
+COPY_DELAYS_S = (0.02, 0.3)
+COPY_EARLY_BYTES = (1, 200)
 ENDLESS_CHUNK = b'8000\r\n' + b'x' * 0x8000 + b'\r\n'
 
 
-def expected_body(request_id):
-    """Return the body of a correct response to a request, as bytes."""
-    return hashlib.sha256(request_id.encode()).hexdigest().encode()
+def expected_body(request_id, stamp):
+    """Return the body of a correct response to a request, as bytes.
+
+    :param stamp: the stamp of the run that it comes from
+    """
+    return (
+        hashlib.sha256(f'{request_id} {stamp}'.encode()).hexdigest().encode()
+    )
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -42,6 +54,8 @@
     :param organisation: the organisation that the request named, or empty
     :param has_key: whether the request had a key
     :param work_s: seconds that it takes, without nested calls
+    :param number: counts the runs of a target
+    :param caller: stamp of the run that made the call, empty for a client
     """
 
     request_id: str
@@ -50,6 +64,41 @@
     organisation: str = ''
     has_key: bool = False
     work_s: float = 0.0
+    number: int = 0
+    caller: str = ''
+
+    @property
+    def stamp(self):
+        """The stamp of its response, which no other run has."""
+        return f'{self.instance}.{self.number}'
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Received:
+    """A complete response that the caller of a request got.
+
+    :param caller: stamp of the run that made the call, empty for a client
+    :param stamp: the target's stamp, empty if there was none
+    """
+
+    request_id: str
+    caller: str
+    status: int
+    stamp: str
+    body: bytes
+
+    @classmethod
+    def from_response(cls, request_id, response, caller=''):
+        """Return it for an `http_client.Response`."""
+        stamp = response.headers.get(SERVER_STAMP_HEADER.lower(), '')
+        return cls(request_id, caller, response.status, stamp, response.body)
+
+    @property
+    def has_expected_body(self):
+        """Whether the body is the one of the request and the stamp."""
+        return bool(self.stamp) and self.body == expected_body(
+            self.request_id, self.stamp
+        )
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -102,6 +151,8 @@
     :param loses: every n-th call runs but gets no response; 0 for none
     :param spoils: every n-th response is truncated; 0 for none
     :param fails: every n-th call runs and fails with status 500; 0 for none
+    :param fail_percent: percentage of the calls that run and fail by chance
+    :param stutter_percent: percentage of the responses that are sent twice
     :param endless: every n-th response has an endless body; 0 for none
     :param limit: rate limit in calls a second, None for none
     :param cold_rate: calls a second that it bears while cold; 0 for any number
@@ -112,6 +163,8 @@
     loses: int = 0
     spoils: int = 0
     fails: int = 0
+    fail_percent: int = 0
+    stutter_percent: int = 0
     endless: int = 0
     limit: float | None = None
     cold_rate: float = 0.0
@@ -131,9 +184,12 @@
     :param nested_path_prefix: path prefix of the nested call that each of
         its calls makes unless their query has ``work_s``, None for none
     :param slots: calls that it runs at the same time; more are refused
+    :param rng: a `random.Random` for what happens by chance
 
     ``ended_at`` holds the time at which each run ended, finished or cut, by
-    request id and instance, in seconds of trio's clock.
+    request id and instance, in seconds of trio's clock. ``answers`` holds the
+    status of the complete response of each run, by its stamp, and
+    ``nested_responses`` the `Received` responses to nested calls.
     """
 
     def __init__(
@@ -146,6 +202,7 @@
         outbound_address,
         nested_path_prefix=None,
         slots=8,
+        rng=None,
     ):
         self._name = name
         self._service = service
@@ -155,6 +212,7 @@
         self._outbound_address = outbound_address
         self._nested_path_prefix = nested_path_prefix
         self._slots = slots
+        self._rng = rng or random.Random(name)
         self._start_count = 0
         self._started_ms = 0
         self._sequence = 0
@@ -174,6 +232,8 @@
         self.behaviour = Behaviour()
         self.ledger = []
         self.ended_at = {}
+        self.answers = {}
+        self.nested_responses = []
         self.departures = []
         self.limit_periods = []
         self.cold_crashes = []
@@ -380,6 +440,24 @@
         return is_acknowledged
 
     async def _handle(self, request):
+        response = await self._run_or_refuse(request)
+        if not isinstance(
+            response, http_server.Response
+        ) or not self._happens_by_chance(self.behaviour.stutter_percent):
+            return response
+        early_bytes = 0
+        if self._happens_by_chance(50):
+            early_bytes = self._rng.randint(*COPY_EARLY_BYTES)
+        shortest_s, longest_s = COPY_DELAYS_S
+        # Short delays, after which a call may have come again, are as likely
+        # as long ones.
+        delay_s = shortest_s * (longest_s / shortest_s) ** self._rng.random()
+        return http_server.RepeatedResponse(response, delay_s, early_bytes)
+
+    def _happens_by_chance(self, percent):
+        return self._rng.random() * 100 < percent
+
+    async def _run_or_refuse(self, request):
         request_id = request.headers.get('pumicestand-request-id', '')
         expected = request.headers.get('pumicestand-expect-instance')
         if expected not in (None, self.instance):
@@ -395,6 +473,8 @@
             request.headers.get('pumicestand-tenant-id', ''),
             'x-api-key' in request.headers,
             float(request.query('work_s', self.behaviour.work_s)),
+            len(self.ledger) + 1,
+            request.headers.get(CALLER_RUN_HEADER.lower(), ''),
         )
         self.ledger.append(run)
         self._in_flight += 1
@@ -405,32 +485,26 @@
             self.ended_at[request_id, run.instance] = trio.current_time()
         if not isinstance(response, http_server.Response):
             return response
+        self.answers[run.stamp] = response.status
         return dataclasses.replace(
             response, headers=response.headers + self._condition_headers()
         )
 
     async def _answer(self, request, run):
         """Run a call and return its response, which may be a faulty one."""
-        request_id = run.request_id
         await trio.sleep(run.work_s)
         if (
             self._nested_path_prefix
             and not request.query('work_s')
-            and not await self._make_nested_call(request, request_id)
+            and not await self._make_nested_call(request, run)
         ):
-            return http_server.Response(
-                500, b'', (_request_id_header(request_id), SERVER_STAMP_HEADER)
-            )
+            return _run_response(500, run)
         self._finished_count += 1
-        response = http_server.Response(
-            200,
-            expected_body(request_id),
-            (_request_id_header(request_id), SERVER_STAMP_HEADER),
-        )
-        if self._is_due(self.behaviour.fails):
-            return http_server.Response(
-                500, b'', (_request_id_header(request_id), SERVER_STAMP_HEADER)
-            )
+        response = _run_response(200, run)
+        if self._is_due(self.behaviour.fails) or self._happens_by_chance(
+            self.behaviour.fail_percent
+        ):
+            return _run_response(500, run)
         if self._is_due(self.behaviour.loses):
             return http_server.RawResponse()
         if self._is_due(self.behaviour.endless):
@@ -448,9 +522,12 @@
     def _is_due(self, period):
         return period > 0 and self._finished_count % period == 0
 
-    async def _make_nested_call(self, request, request_id):
-        """Make a nested call; return whether the response was correct."""
-        nested_id = f'{request_id}.1'
+    async def _make_nested_call(self, request, run):
+        """Make a nested call; return whether the response was correct.
+
+        Each run of a request makes it with the same id.
+        """
+        nested_id = f'{run.request_id}.1'
         connection = http_client.Connection(self._outbound_address)
         deadline_ms = request.headers.get('pumicestand-deadline-ms', '500')
         response = await connection.call(
@@ -460,18 +537,28 @@
                 'host': 'shop.example',
                 'pumicestand-request-id': nested_id,
                 'pumicestand-deadline-ms': deadline_ms,
+                CALLER_RUN_HEADER: run.stamp,
             },
         )
         await connection.close()
-        return response.status == 200 and response.body == expected_body(
-            nested_id
-        )
+        received = Received.from_response(nested_id, response, run.stamp)
+        self.nested_responses.append(received)
+        return received.status == 200 and received.has_expected_body
 
 
 def _request_id_header(request_id):
     return ('Pumicestand-Request-Id', request_id)
 
 
+def _run_response(status, run):
+    headers = (
+        _request_id_header(run.request_id),
+        (SERVER_STAMP_HEADER, run.stamp),
+    )
+    body = expected_body(run.request_id, run.stamp)
+    return http_server.Response(status, body, headers)
+
+
 def _not_run_response(status, request_id):
     headers = (
         _request_id_header(request_id),
--- a/soak/checks.py
+++ b/soak/checks.py
@@ -62,6 +62,7 @@
         *check_at_most_once(record),
         *check_not_run(record),
         *check_responses(record),
+        *check_origins(record),
         *check_interruptions(record),
         *check_regressions(record),
         *check_withdrawals(record),
@@ -115,6 +116,60 @@
             )
 
 
+def check_origins(record):
+    """Yield findings for responses that are not those of the call's own run.
+
+    A run is the call's own if this very attempt caused it: a request that
+    runs again makes its nested calls again with the same ids.
+    """
+    runs = {run.stamp: run for run in record.runs}
+    for received in record.responses:
+        run = runs.get(received.stamp)
+        fault = _find_origin_fault(record, received, run)
+        if not fault:
+            continue
+        caller = (
+            f'the run {received.caller}' if received.caller else 'a client'
+        )
+        own_runs = [
+            f'{own.stamp} ({record.answers.get(own.stamp)})'
+            for own in record.runs
+            if own.request_id == received.request_id
+            and own.caller == received.caller
+        ]
+        yield records.Finding(
+            'responses are those of the own run',
+            f'{received.request_id} of {caller} got '
+            f'status {received.status} with the stamp {received.stamp!r}: '
+            f'{fault}; its own runs: {", ".join(own_runs) or "none"}',
+        )
+
+
+def _find_origin_fault(record, received, run):
+    """Return why a response is not that of a run, empty if it is.
+
+    :param received: the `mesh_target.Received`
+    :param run: the `mesh_target.Run` that its stamp names, None for none
+    """
+    if not received.stamp:
+        is_success = 200 <= received.status < 300
+        return 'a success without a stamp' if is_success else ''
+    if not received.status:
+        return ''
+    if run is None:
+        return 'there is no such run'
+    if run.request_id != received.request_id:
+        return f'that run is of another request, {run.request_id}'
+    if run.caller != received.caller:
+        return f'that run is of an earlier attempt, of {run.caller!r}'
+    status = record.answers.get(run.stamp)
+    if status != received.status:
+        return f'that run answered {status}'
+    if not received.has_expected_body:
+        return 'the body is not that of the run'
+    return ''
+
+
 def check_interruptions(record):
     """Yield findings for calls that were cut without an unplanned fault.
 
--- a/soak/clusters.py
+++ b/soak/clusters.py
@@ -1,6 +1,7 @@
 """Starts real nodes as processes, with stand-ins for store and targets."""
 
 import pathlib
+import random
 import signal
 import socket
 
@@ -112,9 +113,10 @@
         `LoopbackNetwork`
     :param folder: path for settings and logs
     :param parts: the `records.Part`s to play
+    :param seed: determines what happens at the target by chance
     """
 
-    def __init__(self, index, network_number, folder, parts=()):
+    def __init__(self, index, network_number, folder, parts=(), seed=0):
         self.name = f'node-{index}'
         self.ip = f'127.{network_number}.0.{index + 10}'
         self.start_count = 0
@@ -139,6 +141,7 @@
             (self.ip, CONTROL_PORT),
             (self.ip, OUTBOUND_PORT),
             '/i/' if self._service == 'shop' else None,
+            rng=random.Random(f'{self.name} {seed}'),
         )
         if records.Part.COLD in parts:
             self.target.behaviour.cold_rate = COLD_RATE
@@ -282,9 +285,10 @@
     :param parts: the `records.Part`s to play
     :param key_ring: the `key_rings.KeyRing` of the organisations, None if
         there are none
+    :param seed: see `NodeUnderTest`
     """
 
-    def __init__(self, node_count, folder, parts=(), key_ring=None):
+    def __init__(self, node_count, folder, parts=(), key_ring=None, seed=0):
         self._parts = parts
         self.key_ring = key_ring
         self._network = LoopbackNetwork()
@@ -295,7 +299,7 @@
             f'127.{network_number}.0.2', STORE_PORT, self.store.handle
         )
         self.nodes = [
-            NodeUnderTest(index, network_number, folder, parts)
+            NodeUnderTest(index, network_number, folder, parts, seed)
             for index in range(node_count)
         ]
         self.generation = 0
--- a/soak/faults.py
+++ b/soak/faults.py
@@ -25,12 +25,15 @@
     records.Part.EVACUATION: (5.0, 8.0, 12.0),
     records.Part.KEYS: (4.0, 7.0, 9.0),
     records.Part.STOPS: (2.5, 9.0, 9.0),
+    records.Part.STUTTER: (1.0, 3.0, 10.0),
 }
 # Time before a stop under calls from which clients prepare for it by calls
 # that end late in the grace period, and least time from then until the node
 # has started again.
 PREPARATION_S = 2.0
 STOP_DURATION_S = 9.0
+# Percentages of a stuttering target; those of overlapping faults add up.
+FAIL_PERCENT, STUTTER_PERCENT = 20, 30
 # Rate limit of a target in calls a second, about a fifth of what it gets.
 TARGET_LIMIT = 5.0
 # How long a target continues to serve after it has announced its departure.
@@ -320,6 +323,12 @@
                 proxy.reset()
             case Fault.TARGET_RESET:
                 proxy.reset()
+            case Fault.TARGET_STUTTERS:
+                target.behaviour.fail_percent += FAIL_PERCENT
+                target.behaviour.stutter_percent += STUTTER_PERCENT
+                await trio.sleep(entry.duration_s)
+                target.behaviour.fail_percent -= FAIL_PERCENT
+                target.behaviour.stutter_percent -= STUTTER_PERCENT
             case Fault.TARGET_SLOW:
                 target.behaviour.work_s = 0.3
                 await trio.sleep(entry.duration_s)
--- a/soak/play.py
+++ b/soak/play.py
@@ -91,6 +91,7 @@
             pathlib.Path(logs or temporary_folder),
             parts,
             key_rings.KeyRing(seed) if records.Part.KEYS in parts else None,
+            seed,
         )
         try:
             async with trio.open_nursery() as nursery:
@@ -107,6 +108,8 @@
     for node in cluster.nodes:
         record.runs += node.target.ledger
         record.run_ends |= node.target.ended_at
+        record.answers |= node.target.answers
+        record.responses += node.target.nested_responses
         record.target_nodes[node.target.name] = node.name
         record.departures += node.target.departures
         record.cold_crashes += node.target.cold_crashes
@@ -218,15 +221,18 @@
         generation, start_count = cluster.generation, node.start_count
         sent_at = trio.current_time()
         connection = http_client.Connection(node.outbound_address)
+        request_id = f'p{number}-{node.name}'
         response = await connection.call(
             'GET',
             f'/g{generation}/x',
             _headers(
-                f'p{number}-{node.name}',
-                cluster.key_ring and cluster.key_ring.choose(),
+                request_id, cluster.key_ring and cluster.key_ring.choose()
             ),
         )
         await connection.close()
+        record.responses.append(
+            mesh_target.Received.from_response(request_id, response)
+        )
         record.probes.append(
             records.Probe(
                 node.name, start_count, generation, sent_at, response.status
@@ -321,11 +327,8 @@
         if not response.was_connected:
             await trio.sleep(MEAN_THINK_TIME_S)
             continue
-        is_of_target = 'pumicestand-server-stamp' in response.headers
-        is_correct = (
-            response.body == mesh_target.expected_body(request_id)
-            and is_of_target
-        )
+        received = mesh_target.Received.from_response(request_id, response)
+        record.responses.append(received)
         record.calls.append(
             records.Call(
                 request_id,
@@ -334,8 +337,8 @@
                 sent_at,
                 trio.current_time(),
                 response.status,
-                is_correct,
-                is_of_target,
+                received.has_expected_body,
+                bool(received.stamp),
                 response.used_new_connection,
             )
         )
--- a/soak/records.py
+++ b/soak/records.py
@@ -80,7 +80,8 @@
     `ZONE_EVACUATED` nothing may be sent to the targets of a zone, and with
     `KEY_WITHDRAWN` a key becomes invalid while a third of the nodes can't
     reach the store. `STOP_UNDER_CALLS` stops a node in order while long calls
-    run, and changes its settings and the configuration meanwhile.
+    run, and changes its settings and the configuration meanwhile. With
+    `TARGET_STUTTERS` a target fails by chance and sends responses twice.
     """
 
     KILL = 'kill'
@@ -111,6 +112,7 @@
     ZONE_EVACUATED = 'zone-evacuated'
     KEY_WITHDRAWN = 'key-withdrawn'
     STOP_UNDER_CALLS = 'stop-under-calls'
+    TARGET_STUTTERS = 'target-stutters'
 
 
 STOPS = frozenset((Fault.STOP, Fault.STOP_UNDER_CALLS))
@@ -150,6 +152,7 @@
     EVACUATION = 'evacuation'
     KEYS = 'keys'
     STOPS = 'stops'
+    STUTTER = 'stutter'
 
 
 # The fault of each part; those of one part are drawn apart from all others.
@@ -158,6 +161,7 @@
     Part.EVACUATION: Fault.ZONE_EVACUATED,
     Part.KEYS: Fault.KEY_WITHDRAWN,
     Part.STOPS: Fault.STOP_UNDER_CALLS,
+    Part.STUTTER: Fault.TARGET_STUTTERS,
 }
 FIRST_FAULTS = tuple(
     f for f in Fault if f not in (*LATER_FAULTS, *PART_FAULTS.values())
@@ -248,6 +252,9 @@
     :param runs: the `mesh_target.Run`s of all targets
     :param run_ends: time at which each run ended, finished or cut, by request
         id and instance
+    :param answers: status of the complete response of each run, by its stamp
+    :param responses: the `mesh_target.Received` responses to all calls, of
+        clients and of targets
     :param target_nodes: name of the node of each target, by the target's name
     :param departures: the `mesh_target.Departure`s of all targets
     :param limits: (name of the node, `mesh_target.LimitPeriod`) of all targets
@@ -262,6 +269,8 @@
     stops: list = dataclasses.field(default_factory=list)
     runs: list = dataclasses.field(default_factory=list)
     run_ends: dict = dataclasses.field(default_factory=dict)
+    answers: dict = dataclasses.field(default_factory=dict)
+    responses: list = dataclasses.field(default_factory=list)
     target_nodes: dict = dataclasses.field(default_factory=dict)
     departures: list = dataclasses.field(default_factory=list)
     limits: list = dataclasses.field(default_factory=list)
--- a/tests/pumicestand_standins/test_mesh_target.py
+++ b/tests/pumicestand_standins/test_mesh_target.py
@@ -1,6 +1,7 @@
 """Tests of the stand-in for a target of the mesh."""
 
 import json
+import random
 
 import pytest
 import trio
@@ -9,6 +10,8 @@
 from pumicestand_standins import http_server
 from pumicestand_standins import mesh_target
 
+BODY_BYTES = len(mesh_target.expected_body('', ''))
+
 
 class Node:
     """A node that records the requests of its target."""
@@ -66,7 +69,7 @@
     async def test(target, node, connection):
         response = await send_request(connection)
         assert response.status == 200
-        assert response.body == mesh_target.expected_body('x')
+        assert response.body == mesh_target.expected_body('x', 't-1.1')
         assert [run.request_id for run in target.ledger] == ['x']
         while not node.requests:
             await trio.sleep(0.01)
@@ -284,3 +287,200 @@
             nursery.cancel_scope.cancel()
 
     run_with_target(test)
+
+
+def test_each_run_has_a_stamp_and_a_body_of_its_own():
+    async def test(target, node, connection):
+        responses = [await send_request(connection) for _ in range(2)]
+        stamps = [r.headers['pumicestand-server-stamp'] for r in responses]
+        assert stamps == ['t-1.1', 't-1.2']
+        assert stamps == [run.stamp for run in target.ledger]
+        for response, stamp in zip(responses, stamps, strict=True):
+            assert response.body == mesh_target.expected_body('x', stamp)
+        assert responses[0].body != responses[1].body
+        await connection.close()
+        await target.crash()
+        async with trio.open_nursery() as nursery:
+            await target.start(nursery)
+            await send_request(connection, 'y')
+            assert target.ledger[-1].stamp == 't-2.3'
+            nursery.cancel_scope.cancel()
+
+    run_with_target(test)
+
+
+def test_answers_hold_the_status_of_each_complete_response():
+    async def test(target, node, connection):
+        for name in ('', 'fails', 'loses', 'spoils'):
+            target.behaviour = mesh_target.Behaviour(work_s=0.001)
+            if name:
+                setattr(target.behaviour, name, 1)
+            await send_request(connection)
+        assert target.answers == {'t-1.1': 200, 't-1.2': 500}
+
+    run_with_target(test)
+
+
+def test_target_fails_a_share_of_its_calls_by_chance():
+    async def test(target, node, connection):
+        target.behaviour.fail_percent = 30
+        for number in range(100):
+            response = await send_request(connection, f'x{number}')
+            stamp = response.headers['pumicestand-server-stamp']
+            assert response.status == target.answers[stamp]
+        statuses = list(target.answers.values())
+        rng = random.Random(5)
+        expected = []
+        for _ in statuses:
+            expected.append(500 if rng.random() < 0.3 else 200)
+            rng.random()
+        assert statuses == expected
+        assert 15 <= statuses.count(500) <= 45
+
+    run_with_target(test, rng=random.Random(5))
+
+
+class StutterRng:
+    """Has a target send each response twice.
+
+    :param early_bytes: first bytes of the copy that are sent at once
+    """
+
+    def __init__(self, early_bytes):
+        self._early_bytes = early_bytes
+
+    def random(self):
+        return 0.0 if self._early_bytes else 0.9
+
+    def randint(self, low, high):
+        assert low <= self._early_bytes <= high
+        return self._early_bytes
+
+
+def encode_request(request_id):
+    head = f'GET / HTTP/1.1\r\nhost: h\r\npumicestand-request-id: {request_id}'
+    return head.encode() + b'\r\n\r\n'
+
+
+async def receive_responses(stream, count):
+    """Return what a connection carries up to a number of responses."""
+    data = b''
+    while True:
+        *heads, body = data.split(b'\r\n\r\n')
+        if len(heads) >= count and len(body) >= BODY_BYTES:
+            return data
+        data += await stream.receive_some(65_536)
+
+
+@pytest.mark.parametrize('early_bytes', [0, 1, 15, 100])
+def test_stuttering_target_sends_a_response_twice(early_bytes):
+    async def test(target, node, connection):
+        target.behaviour.stutter_percent = 100
+        target.behaviour.work_s = 0.0
+        address = connection._addresses[0]
+        async with await trio.open_tcp_stream(*address) as stream:
+            await stream.send_all(encode_request('x'))
+            data = await receive_responses(stream, 2)
+            first, second = data[: len(data) // 2], data[len(data) // 2 :]
+            assert first == second
+            assert b't-1.1' in first
+            # The connection still serves calls.
+            target.behaviour.stutter_percent = 0
+            await stream.send_all(encode_request('y'))
+            assert b't-1.2' in await receive_responses(stream, 1)
+
+    run_with_target(test, rng=StutterRng(early_bytes))
+
+
+@pytest.mark.parametrize('early_bytes', [0, 15])
+def test_copy_arrives_before_or_after_the_next_response_but_not_inside(
+    early_bytes,
+):
+    async def test(target, node, connection):
+        target.behaviour.stutter_percent = 100
+        address = connection._addresses[0]
+        async with await trio.open_tcp_stream(*address) as stream:
+            await stream.send_all(encode_request('x') + encode_request('y'))
+            data = await receive_responses(stream, 4)
+        heads = [part for part in data.split(b'HTTP/1.1 200') if part]
+        assert len({len(head) for head in heads}) == 1
+        assert sorted(b't-1.1' in head for head in heads) == [
+            False, False, True, True,
+        ]  # fmt: skip
+
+    run_with_target(test, rng=StutterRng(early_bytes))
+
+
+def test_refusal_may_be_sent_twice():
+    async def test(target, node, connection):
+        target.behaviour.stutter_percent = 100
+        address = connection._addresses[0]
+        async with await trio.open_tcp_stream(*address) as stream:
+            await stream.send_all(b'GET / HTTP/1.1\r\nhost: h\r\n\r\n')
+            data = b''
+            while data.count(b'Not-Executed: 1') < 2:
+                data += await stream.receive_some(65_536)
+        assert target.ledger == []
+
+    run_with_target(test, slots=0, rng=StutterRng(0))
+
+
+def run_with_nested_target(test, nested_handler):
+    """Run a test function with a target that makes nested calls.
+
+    :param test: coroutine function of the target and a connection to it
+    :param nested_handler: coroutine function that answers the nested calls
+    """
+
+    async def outer(target, node, connection):
+        async with trio.open_nursery() as nursery:
+            server = http_server.Server('127.0.0.1', 0, nested_handler)
+            await server.start(nursery)
+            target._outbound_address = ('127.0.0.1', server.port)
+            await test(target, connection)
+            nursery.cancel_scope.cancel()
+
+    run_with_target(outer, nested_path_prefix='/i/')
+
+
+@pytest.mark.parametrize(
+    ('status', 'stamp', 'expected'),
+    [(200, 's-1.4', 200), (200, '', 500), (500, 's-1.4', 500)],
+)
+def test_each_run_makes_its_nested_call_again_with_the_same_id(
+    status, stamp, expected
+):
+    requests = []
+
+    async def handle_nested(request):
+        requests.append(request)
+        return http_server.Response(
+            status,
+            mesh_target.expected_body('x.1', stamp),
+            (('Pumicestand-Server-Stamp', stamp),) if stamp else (),
+        )
+
+    async def test(target, connection):
+        for _ in range(2):
+            assert (await send_request(connection)).status == expected
+        headers = [request.headers for request in requests]
+        ids = [h['pumicestand-request-id'] for h in headers]
+        assert ids == ['x.1', 'x.1']
+        callers = [h['x-caller-run'] for h in headers]
+        assert callers == ['t-1.1', 't-1.2']
+        received = target.nested_responses
+        assert [r.caller for r in received] == callers
+        assert {(r.request_id, r.status, r.stamp) for r in received} == {
+            ('x.1', status, stamp)
+        }
+
+    run_with_nested_target(test, handle_nested)
+
+
+def test_run_tells_the_run_that_called_it():
+    async def test(target, node, connection):
+        await send_request(connection, **{'x-caller-run': 'p-1.3'})
+        await send_request(connection)
+        assert [run.caller for run in target.ledger] == ['p-1.3', '']
+
+    run_with_target(test)
--- a/tests/soak/test_checks.py
+++ b/tests/soak/test_checks.py
@@ -1,5 +1,7 @@
 """Tests that each check finds violations of its promise and no others."""
 
+import dataclasses
+
 import pytest
 
 from pumicestand_standins import mesh_target
@@ -379,3 +381,108 @@
         assert broken_promises(record) == [promise]
     nested = mesh_target.Run('a1.1', 't-1', 20.0, 'acme')
     assert broken_promises(records.Record(runs=[nested])) == [promise]
+
+
+ORIGIN_PROMISE = 'responses are those of the own run'
+
+
+def make_received_record(caller='', status=200, run=None, **fields):
+    """Return the record of a response to `a1`, which ran once.
+
+    :param caller: the run that made the call
+    :param status: what the caller got; the run answered 200
+    :param run: the run, by default the one that the call caused
+    :param fields: of the `mesh_target.Received`
+    """
+    run = run or mesh_target.Run('a1', 't-1', 10.0, number=7, caller=caller)
+    values = {
+        'stamp': run.stamp,
+        'body': mesh_target.expected_body('a1', run.stamp),
+        **fields,
+    }
+    return records.Record(
+        runs=[run],
+        answers={run.stamp: 200},
+        responses=[mesh_target.Received('a1', caller, status, **values)],
+    )
+
+
+@pytest.mark.parametrize('caller', ['', 'p-1.3'])
+def test_response_of_the_own_run_is_no_finding(caller):
+    assert broken_promises(make_received_record(caller)) == []
+    record = make_received_record(caller, 503, stamp='', body=b'refused')
+    assert broken_promises(record) == []
+    record = make_received_record(caller, 0, body=b'')
+    assert broken_promises(record) == []
+
+
+@pytest.mark.parametrize('caller', ['', 'p-1.3'])
+def test_response_of_the_run_of_another_request_is_found(caller):
+    run = mesh_target.Run('b2', 't-1', 10.0, number=7, caller=caller)
+    for request_id in ('a1', 'b2'):
+        body = mesh_target.expected_body(request_id, run.stamp)
+        record = make_received_record(caller, run=run, body=body)
+        assert broken_promises(record) == [ORIGIN_PROMISE]
+
+
+@pytest.mark.parametrize('caller', ['', 'p-1.3'])
+@pytest.mark.parametrize('status', [201, 404, 500])
+def test_other_status_than_that_of_the_run_is_found(caller, status):
+    record = make_received_record(caller, status)
+    assert broken_promises(record) == [ORIGIN_PROMISE]
+
+
+def test_success_whose_run_answered_a_failure_is_found():
+    record = make_received_record()
+    record.answers['t-1.7'] = 500
+    assert broken_promises(record) == [ORIGIN_PROMISE]
+
+
+def test_response_of_a_run_without_a_complete_one_is_found():
+    record = make_received_record()
+    record.answers = {}
+    assert broken_promises(record) == [ORIGIN_PROMISE]
+
+
+@pytest.mark.parametrize('status', [200, 500])
+def test_stamp_without_a_run_is_found(status):
+    record = make_received_record(status=status, stamp='t-1.8')
+    assert broken_promises(record) == [ORIGIN_PROMISE]
+
+
+@pytest.mark.parametrize('caller', ['', 'p-1.3'])
+def test_success_without_a_stamp_is_found(caller):
+    record = make_received_record(caller, 204, stamp='', body=b'')
+    assert broken_promises(record) == [ORIGIN_PROMISE]
+
+
+@pytest.mark.parametrize(
+    'body', [b'', mesh_target.expected_body('a1', 't-1.7')[:-1], b'x' * 64]
+)
+def test_other_body_than_that_of_the_run_is_found(body):
+    record = make_received_record(body=body)
+    assert broken_promises(record) == [ORIGIN_PROMISE]
+
+
+@pytest.mark.parametrize('status', [200, 500])
+def test_copy_of_the_response_to_an_earlier_attempt_is_found(status):
+    """A parent that runs again makes its nested calls with the same ids."""
+    own = mesh_target.Run('a1', 't-1', 11.0, number=8, caller='q-1.4')
+    record = make_received_record('p-1.3', status)
+    record.answers = {'t-1.7': status, own.stamp: 200}
+    record.runs.append(own)
+    (late_copy,) = record.responses
+    record.responses.append(dataclasses.replace(late_copy, caller='q-1.4'))
+    (finding,) = checks.check(record)
+    assert finding.promise == ORIGIN_PROMISE
+    assert 'of the run q-1.4' in finding.detail
+    assert 't-1.8 (200)' in finding.detail
+
+
+def test_second_run_of_one_attempt_is_its_own():
+    """A node sends a call that failed to another target."""
+    retried = mesh_target.Run('a1', 'u-1', 10.5, number=2, caller='p-1.3')
+    record = make_received_record('p-1.3')
+    record.runs.append(retried)
+    record.answers['u-1.2'] = 500
+    assert broken_promises(record) == []
