Soak: end the nodes' processes on SIGTERM

A soak that got SIGTERM left its nodes running: SystemExit, raised in a signal handler, came up inside trio, which ended without any cleanup. The next soak took the same loopback addresses, its nodes could not bind them, and it played against the nodes of the former one.

The signal is now received by a task, so that the nursery and the cluster are closed as after any exception. The test failed before: two processes with the soak's settings were left.

--- a/soak/__main__.py
+++ b/soak/__main__.py
@@ -1,7 +1,6 @@
 """Runs soaks: python -m soak --seed N, or --seeds N for several."""
 
 import argparse
-import signal
 import sys
 
 import trio
@@ -29,8 +28,6 @@
         help=f'play these parts too: {", ".join(records.Part)}',
     )
     options = parser.parse_args(arguments)
-    # On SIGTERM the soak still ends the processes that it started.
-    signal.signal(signal.SIGTERM, lambda *_: sys.exit(1))
     has_failed = False
     for seed in range(options.seed, options.seed + options.seeds):
         verdict, record, start_time = trio.run(
--- a/soak/play.py
+++ b/soak/play.py
@@ -6,6 +6,8 @@
 import json
 import pathlib
 import random
+import signal
+import sys
 import tempfile
 
 import trio
@@ -95,6 +97,7 @@
         )
         try:
             async with trio.open_nursery() as nursery:
+                await nursery.start(_exit_on_sigterm)
                 await cluster.start(nursery)
                 start_time = trio.current_time()
                 injector_findings = await _run_load_and_faults(
@@ -132,6 +135,17 @@
     return verdict, record, start_time
 
 
+async def _exit_on_sigterm(task_status=trio.TASK_STATUS_IGNORED):
+    """Raise `SystemExit` in a task, so that the soak ends its processes.
+
+    Raised in a signal handler it would end trio without any cleanup.
+    """
+    with trio.open_signal_receiver(signal.SIGTERM) as signals:
+        task_status.started()
+        async for _ in signals:
+            sys.exit(1)
+
+
 def check_recovery(record, end):
     """Return a list with a finding unless calls succeed after the faults.
 
--- a/tests/soak/test_play.py
+++ b/tests/soak/test_play.py
@@ -4,8 +4,14 @@
 machine can break them.
 """
 
+import pathlib
+import subprocess
+import sys
+import time
+
 import trio
 
+from soak import clusters
 from soak import play
 from soak import records
 
@@ -24,3 +30,30 @@
     assert any(run.organisation for run in record.runs)
     kinds = {call.kind for call in record.calls}
     assert records.CallKind.LONG in kinds
+
+
+def test_soak_that_is_told_to_stop_leaves_no_process_behind(tmp_path):
+    command = [sys.executable, '-m', 'soak', '--nodes', '2', '--seconds']
+    with subprocess.Popen(
+        [*command, '60', '--logs', str(tmp_path)], cwd=clusters.ROOT
+    ) as process:
+        while len(find_node_processes(tmp_path)) < 2:
+            assert process.poll() is None
+            time.sleep(0.05)
+        process.terminate()
+        assert process.wait() == 1
+    assert find_node_processes(tmp_path) == []
+
+
+def find_node_processes(folder):
+    """Return the ids of the processes with their settings in a folder."""
+    setting = f'PUMICESTAND_SETTINGS={folder}/'.encode()
+    found = []
+    for path in pathlib.Path('/proc').glob('[0-9]*/environ'):
+        try:
+            if setting in path.read_bytes():
+                found.append(path.parent.name)
+        except OSError:
+            # The process has ended or belongs to another user.
+            continue
+    return found
