--- a/tests/soak/test_play.py
+++ b/tests/soak/test_play.py
@@ -30,6 +30,8 @@
     assert any(run.organisation for run in record.runs)
     kinds = {call.kind for call in record.calls}
     assert records.CallKind.LONG in kinds
+    assert 500 in record.answers.values()
+    assert any(received.caller for received in record.responses)
 
 
 def test_soak_that_is_told_to_stop_leaves_no_process_behind(tmp_path):
