Soak: copies of responses that break off

A target may also begin to send a response again, break off, and go on with the next one, which is then read as the rest of the copy. The stand-in now has that kind of copy too.

--- a/packages/pumicestand-standins/pumicestand_standins/http_server.py
+++ b/packages/pumicestand-standins/pumicestand_standins/http_server.py
@@ -76,11 +76,13 @@
     :param delay_s: seconds between the response and the end of the copy
     :param early_bytes: first bytes of the copy that follow the response at
         once; later responses then wait for the end of the copy
+    :param kept_bytes: length at which the copy breaks off, None for never
     """
 
     response: Response
     delay_s: float
     early_bytes: int = 0
+    kept_bytes: int | None = None
 
 
 def json_response(data, status=200):
@@ -142,7 +144,9 @@
             if response.early_bytes:
                 await stream.send_all(data[: response.early_bytes])
                 await trio.sleep(response.delay_s)
-            await stream.send_all(data[response.early_bytes :])
+            await stream.send_all(
+                data[response.early_bytes : response.kept_bytes]
+            )
     except (trio.BrokenResourceError, trio.ClosedResourceError):
         # The client has closed the connection, which ends all its tasks.
         return
--- a/packages/pumicestand-standins/pumicestand_standins/mesh_target.py
+++ b/packages/pumicestand-standins/pumicestand_standins/mesh_target.py
@@ -29,9 +29,11 @@
 COLD_RATIO, COLD_EXTRA = 1.5, 8
 COLD_WINDOW_S = 1.0
 RESTART_DELAY_S = 1.0
-# When the second copy of a response ends, and how much of it comes at once.
+# When the second copy of a response ends, how much of it comes at once, and
+# how much of one that breaks off.
 COPY_DELAYS_S = (0.02, 0.3)
 COPY_EARLY_BYTES = (1, 200)
+COPY_KEPT_BYTES = (1, 40)
 ENDLESS_CHUNK = b'8000\r\n' + b'x' * 0x8000 + b'\r\n'
 
 
@@ -445,14 +447,18 @@
             response, http_server.Response
         ) or not self._happens_by_chance(self.behaviour.stutter_percent):
             return response
-        early_bytes = 0
-        if self._happens_by_chance(50):
+        early_bytes, kept_bytes = 0, None
+        if self._happens_by_chance(40):
             early_bytes = self._rng.randint(*COPY_EARLY_BYTES)
+        elif self._happens_by_chance(30):
+            kept_bytes = self._rng.randint(*COPY_KEPT_BYTES)
         shortest_s, longest_s = COPY_DELAYS_S
         # Short delays, after which a call may have come again, are as likely
         # as long ones.
         delay_s = shortest_s * (longest_s / shortest_s) ** self._rng.random()
-        return http_server.RepeatedResponse(response, delay_s, early_bytes)
+        return http_server.RepeatedResponse(
+            response, delay_s, early_bytes, kept_bytes
+        )
 
     def _happens_by_chance(self, percent):
         return self._rng.random() * 100 < percent
--- a/tests/pumicestand_standins/test_mesh_target.py
+++ b/tests/pumicestand_standins/test_mesh_target.py
@@ -1,5 +1,6 @@
 """Tests of the stand-in for a target of the mesh."""
 
+import itertools
 import json
 import random
 
@@ -411,6 +412,45 @@
     run_with_target(test, rng=StutterRng(early_bytes))
 
 
+class BreakOffRng:
+    """Has a target send each response and the first bytes of a copy."""
+
+    def __init__(self, kept_bytes):
+        self._kept_bytes = kept_bytes
+        # Whether a call fails, stutters, starts the copy at once and breaks
+        # it off, and the delay.
+        self._draws = itertools.cycle((0.9, 0.0, 0.9, 0.0, 0.0))
+
+    def random(self):
+        return next(self._draws)
+
+    def randint(self, low, high):
+        assert low <= self._kept_bytes <= high
+        return self._kept_bytes
+
+
+@pytest.mark.parametrize('kept_bytes', [1, 13, 40])
+def test_next_response_follows_a_copy_that_breaks_off(kept_bytes):
+    async def test(target, node, connection):
+        target.behaviour.stutter_percent = 100
+        target.behaviour.work_s = 0.0
+        address = connection._addresses[0]
+        async with await trio.open_tcp_stream(*address) as stream:
+            await stream.send_all(encode_request('x'))
+            first = await receive_responses(stream, 1)
+            whole_bytes = first.index(b'\r\n\r\n') + 4 + BODY_BYTES
+            first, copy = first[:whole_bytes], first[whole_bytes:]
+            while len(copy) < kept_bytes:
+                copy += await stream.receive_some(65_536)
+            assert copy == first[:kept_bytes]
+            await stream.send_all(encode_request('y'))
+            second = await receive_responses(stream, 1)
+            assert second.startswith(b'HTTP/1.1 200 ')
+            assert b't-1.2' in second
+
+    run_with_target(test, rng=BreakOffRng(kept_bytes))
+
+
 def test_refusal_may_be_sent_twice():
     async def test(target, node, connection):
         target.behaviour.stutter_percent = 100
