Know a call that runs after another with its id has ended

Callers would see: nested calls of a call are refused, for want of a key or since the node stops, although the call still runs.

Cause: running calls are kept by request id. When a parent runs again while its first run goes on, its nested calls have the same ids, and two can run at one target at once; the end of one removed the other.

Change: an id is forgotten when the last call with it has ended.

--- a/packages/pumicestand-node/pumicestand_node/target_calls.py
+++ b/packages/pumicestand-node/pumicestand_node/target_calls.py
@@ -95,7 +95,10 @@
         self._waiting_tickets = {}
         # (route, version) to `hop_messages.Evidence`.
         self._evidence = {}
+        # Id to the call started last with it, and to how many such calls run:
+        # the parent of nested calls may run twice at once.
         self._running_calls = {}
+        self._running_counts = collections.Counter()
         # Id to (call, deadline) of calls that ended here without an answer:
         # the target may go on with them until then.
         self._abandoned_calls = {}
@@ -474,20 +477,28 @@
         is_answered = False
         may_go_on = True
         self._running_calls[call.request_id] = call
+        self._running_counts[call.request_id] += 1
         try:
             result = await self._exchange(call, ticket)
             is_answered = result.outcome is Outcome.ANSWERED
             may_go_on = result.outcome is Outcome.UNKNOWN
         finally:
-            self._running_calls.pop(call.request_id, None)
+            self._record_end(call)
             if may_go_on:
                 self._abandon(call, ticket.deadline)
-            self._nested_failures.discard(call.request_id)
             self._release_slot(ticket, is_answered)
         # The slot has been released, so the load has changed.
         result.load = self.load()
         return result
 
+    def _record_end(self, call):
+        """Record that a call no longer runs, unless others have its id."""
+        self._running_counts[call.request_id] -= 1
+        if not self._running_counts[call.request_id]:
+            del self._running_counts[call.request_id]
+            self._running_calls.pop(call.request_id, None)
+            self._nested_failures.discard(call.request_id)
+
     def _abandon(self, call, deadline):
         """Remember a call that the target may run until its deadline."""
         now = self._clock()
