Answer HEAD requests whose responses state a length

Callers would see: 504 at the deadline of a HEAD request.

Cause: a parser of responses has to know the method of the request. The one for targets did not, and waited for a body of the stated length.

Change: the response to HEAD ends with its head. What follows on the connection, such as the start of a copy, has the connection closed.

--- a/packages/pumicestand-node/pumicestand_node/target_exchange.py
+++ b/packages/pumicestand-node/pumicestand_node/target_exchange.py
@@ -110,6 +110,7 @@
         self.is_clean = False
         self._is_body_sent = False
         self._has_received = False
+        self._parser.start_request(head.startswith(b'HEAD '))
         try:
             if len(body) <= MAX_SEQUENTIAL_BODY_BYTES:
                 await self._send(head + body)
--- a/packages/pumicestand-node/pumicestand_node/target_responses.py
+++ b/packages/pumicestand-node/pumicestand_node/target_responses.py
@@ -53,6 +53,8 @@
         self._received_bytes = 0
         self._head_bytes = 0
         self._interim_count = 0
+        self._is_head_request = False
+        self._has_skipped_body = False
         self._parser = httptools.HttpResponseParser(self)
 
     @property
@@ -60,6 +62,18 @@
         """Whether no byte of a further response was read."""
         return not self._is_in_response
 
+    def start_request(self, is_head_request):
+        """Prepare for the response to the next request.
+
+        :param is_head_request: whether the response has no body, whatever
+            length it states
+        """
+        self._is_head_request = is_head_request
+        if self._has_skipped_body:
+            # The previous parser still waits for the body.
+            self._has_skipped_body = False
+            self._parser = httptools.HttpResponseParser(self)
+
     def feed(self, data):
         """Parse received bytes.
 
@@ -111,11 +125,19 @@
         response.status = self._parser.get_status_code()
         response.has_head = True
         response.keep_alive = self._parser.should_keep_alive()
+        if self._is_head_request and response.status >= 200:
+            self.on_message_complete()
+            self._has_skipped_body = True
 
     def on_body(self, data):
+        if self._has_skipped_body:
+            self._is_in_response = True
+            return
         self._response.body.append(data)
 
     def on_message_complete(self):
+        if self._has_skipped_body:
+            return
         response, self._response = self._response, Response()
         self._is_in_response = False
         if 100 <= response.status < 200:
--- a/tests/pumicestand_node/test_own_responses.py
+++ b/tests/pumicestand_node/test_own_responses.py
@@ -97,14 +97,17 @@
     def make_response(self, method, path, number, request_id, status):
         """Record a response and return it as bytes."""
         body = b'%b run %d' % (path, number)
+        size = len(body)
         if method == b'HEAD' or status in (204, 304):
             body = b''
+        if method != b'HEAD':
+            size = len(body)
         response = Response(status, b'%d' % number, body)
         self.runs.setdefault(path, []).append(response)
         return (
             b'HTTP/1.1 %d X\r\nPumicestand-Request-Id: %b\r\n'
             b'Pumicestand-Server-Stamp: %d\r\ncontent-length: %d\r\n\r\n%b'
-            % (status, request_id, number, len(body), body)
+            % (status, request_id, number, size, body)
         )
 
 
@@ -317,8 +320,10 @@
         return True
 
     async def test(harness):
-        got, _ = await harness.send_request(method='HEAD')
-        assert got == 200
+        for _ in range(2):
+            got, _ = await harness.send_request(method='HEAD')
+            assert got == 200
+        assert harness.script.connect_count == 1
 
     run_test(test, respond)
 
