Give the two HEAD requests of a test ids of their own

The test counts that the second request uses the first one's connection. Both had the same id, and no connection carries an id twice since, so it counted two. Status and connections are checked as before.

--- a/tests/pumicestand_node/test_own_responses.py
+++ b/tests/pumicestand_node/test_own_responses.py
@@ -320,8 +320,10 @@
         return True
 
     async def test(harness):
-        for _ in range(2):
-            got, _ = await harness.send_request(method='HEAD')
+        for request_id in ('i1', 'i2'):
+            got, _ = await harness.send_request(
+                method='HEAD', request_id=request_id
+            )
             assert got == 200
         assert harness.script.connect_count == 1
 
