--- a/benchmarks/load_player/play.py
+++ b/benchmarks/load_player/play.py
@@ -27,9 +27,18 @@
     :param rate_factor: multiple of the rates of the deployment
     :param seed: seed of all random choices; the clients' calls and the slow
         periods depend on it alone, whatever the policy
+    :param make_target: class of the targets
     """
 
-    def __init__(self, deployment, policy, duration_s, rate_factor, seed):
+    def __init__(
+        self,
+        deployment,
+        policy,
+        duration_s,
+        rate_factor,
+        seed,
+        make_target=targets.SimulatedTarget,
+    ):
         self.deployment = deployment
         self.policy = policy
         self.events = event_queue.EventQueue()
@@ -39,6 +48,7 @@
         self.kinds = {kind.name: kind for kind in deployment.kinds}
         self.figures = figures.Figures()
         self._duration_s = duration_s
+        self._make_target = make_target
         day_rng = numpy.random.default_rng(seed)
         self.nodes = self._make_nodes(day_rng)
         self.nodes_by_name = {node.name: node for node in self.nodes}
@@ -80,7 +90,7 @@
                     service.name,
                     link,
                 )
-                node.target = targets.SimulatedTarget(
+                node.target = self._make_target(
                     self,
                     service.name,
                     self.policy.queue(self.policy.queue_policy),
