Close a port although waiting connections can't be accepted

Since the connections that wait are accepted as a port closes, a failure of that (no descriptors left, EMFILE) ended the node with all calls in flight, at the very stop that they were to be spared from, and left the port open. The loop was shielded and had no bound: a connection that is reported but is gone when it is accepted kept the process until it was killed.

Accepting now has 0.2 s, an error is logged, and the port closes in any case. Neither was seen in a run of a node.

--- a/packages/pumicestand-node/pumicestand_node/listeners.py
+++ b/packages/pumicestand-node/pumicestand_node/listeners.py
@@ -4,9 +4,12 @@
 
 import trio
 
+from pumicestand import log
 from pumicestand import tcp_streams
 
 BACKLOG_CONNECTIONS = 512
+# Time in which a closing port accepts the connections that wait, in seconds.
+DRAIN_TIMEOUT_S = 0.2
 
 
 async def open_listeners(host, port, tls=None):
@@ -40,11 +43,22 @@
         return await self._listener.accept()
 
     async def aclose(self):
+        try:
+            with trio.move_on_after(DRAIN_TIMEOUT_S, shield=True):
+                await self._accept_waiting()
+        except OSError as error:
+            log.logger.bind(event='connections-dropped').warning(
+                'connections wait at a port that closes and are reset: {}',
+                error,
+            )
+        finally:
+            with trio.CancelScope(shield=True):
+                await self._listener.aclose()
+
+    async def _accept_waiting(self):
         poll = select.poll()
         poll.register(self._listener.socket.fileno(), select.POLLIN)
-        with trio.CancelScope(shield=True):
-            for _ in range(BACKLOG_CONNECTIONS):
-                if not poll.poll(0):
-                    break
-                self._on_waiting(await self._listener.accept())
-            await self._listener.aclose()
+        for _ in range(BACKLOG_CONNECTIONS):
+            if not poll.poll(0):
+                return
+            self._on_waiting(await self._listener.accept())
