Bound the idle connections that an id has used

A connection carries no id twice, so each call of an id that comes again and again opened a connection, and all stayed open: 20 calls of one id one after the other left 20 idle connections, before one. The last used is reused first, so that nothing closed the others; the target has few.

A call without an id had none to tell its response by. It was sent on a used connection, on which a response without an id is taken for a late copy, so that it waited until its deadline; this was so before ids were remembered.

Now a new connection replaces the one that was idle for longest if four or more have carried the id, and a call without an id gets a new connection. The new tests failed before (20 connections; no result in 1 s).

--- a/packages/pumicestand-node/pumicestand_node/target_exchange.py
+++ b/packages/pumicestand-node/pumicestand_node/target_exchange.py
@@ -31,6 +31,9 @@
 MAX_SEQUENTIAL_BODY_BYTES = 32_768
 # Calls after which a connection is not reused: their ids are remembered.
 MAX_CALLS = 1024
+# Idle connections that are passed over for an id that all have carried. If
+# there are more, a new connection replaces one of them.
+MAX_PASSED_OVER = 4
 
 
 class ExchangeError(Exception):
@@ -80,9 +83,10 @@
     def has_carried(self, request_id):
         """Return whether a call with this id may have been sent on it.
 
-        The target may respond to that call once more, at any time.
+        The target may respond to that call once more, at any time. A response
+        to a call without an id can be told apart on a new connection only.
         """
-        return hash(request_id) in self._carried_ids
+        return not request_id or hash(request_id) in self._carried_ids
 
     def is_reusable(self, now, max_idle_s):
         """Return whether it is open, clean and not idle too long.
@@ -243,6 +247,8 @@
                 connection.record_call(request_id)
                 return connection
             await connection.close()
+        if len(self._idle) >= MAX_PASSED_OVER:
+            await self._idle.pop(0).close()
         try:
             with trio.fail_after(CONNECT_TIMEOUT_S):
                 stream = await self._connect(host, port)
--- a/tests/pumicestand_node/test_target_exchange.py
+++ b/tests/pumicestand_node/test_target_exchange.py
@@ -4,10 +4,13 @@
 
 import trio
 
+from pumicestand import hop_messages
 from pumicestand_node import target_exchange
 from tests.pumicestand_node import test_mesh_calls
 from tests.pumicestand_node import test_target_faults
 
+Outcome = hop_messages.Outcome
+
 # Time after a disruption from which calls are expected to succeed again, in
 # seconds.
 STABLE_WINDOW_S = 3.0
@@ -64,3 +67,45 @@
     monkeypatch.setattr(target_exchange, 'MAX_CALLS', 3)
     assert count_connections(['i1', 'i2', 'i3']) == 1
     assert count_connections(['i1', 'i2', 'i3', 'i4', 'i5']) == 2
+
+
+def test_calls_with_one_id_leave_few_connections_open():
+    counts = []
+
+    async def test(harness):
+        for _ in range(20):
+            await harness.targets.run(test_target_faults.make_call('i1'))
+        counts.append(len(harness.targets._pool._idle))
+
+    test_target_faults.run_scripted(test, respond)
+    assert counts[0] <= target_exchange.MAX_PASSED_OVER
+
+
+def test_call_without_an_id_is_not_sent_on_a_used_connection():
+    """Its response has no id, and was awaited until the deadline."""
+    results = []
+
+    async def respond_to_any(stream, number, request_id):
+        if request_id:
+            return await respond(stream, number, request_id)
+        await stream.send_all(
+            b'HTTP/1.1 400 No Id\r\nPumicestand-Not-Executed: 1\r\n'
+            b'content-length: 0\r\n\r\n'
+        )
+        return True
+
+    async def test(harness):
+        for request_id in ('i1', '', 'i2', ''):
+            with trio.move_on_after(1.0):
+                result = await harness.targets.run(
+                    test_target_faults.make_call(request_id)
+                )
+                results.append(result.outcome)
+
+    test_target_faults.run_scripted(test, respond_to_any)
+    assert results == [
+        Outcome.ANSWERED,
+        Outcome.NOT_RUN,
+        Outcome.ANSWERED,
+        Outcome.NOT_RUN,
+    ]
