Take no response whose body holds another response

Callers could get a success with a body that is not whole: a target that breaks off in a body, keeps the connection and sends the response once more has the head of the second one read as the rest of the body, and a late copy before the end of a response without a length is read as its last bytes.

Cause: as with heads that hold a status line, bytes of two responses are read as one; ids do not help, since both have the right one, or only the copy's id is inside the body. Shown by the new tests, which failed before at each of 18 positions with a length (chunks were rejected) and for both orders of statuses without one. The existing test of copies after a response had left out responses without a length.

A body in which a status line and the header of the request id follow is not taken; the outcome is unknown. Bodies that quote a status line alone are.

--- a/packages/pumicestand-node/pumicestand_node/target_calls.py
+++ b/packages/pumicestand-node/pumicestand_node/target_calls.py
@@ -18,6 +18,7 @@
 from pumicestand import probing
 from pumicestand import rate_limits
 from pumicestand import refusals
+from pumicestand import response_heads
 from pumicestand import shutdown
 from pumicestand import target_queue
 from pumicestand import targets
@@ -573,6 +574,11 @@
         def is_matching(response):
             id_ = response.header(name)
             if id_ in accepted:
+                response.body = [b''.join(response.body)]
+                if response_heads.holds_response(response.body[0], name):
+                    raise target_exchange.ExchangeError(
+                        'a response began in the body', True
+                    )
                 return True
             log.logger.bind(event='foreign-response').warning(
                 'target sent a response with status {} to {!r} on the '
--- a/tests/pumicestand_node/test_repeated_responses.py
+++ b/tests/pumicestand_node/test_repeated_responses.py
@@ -330,3 +330,63 @@
         assert b'via: 1.1 proxy, HTTP/1.1 gate\r\n' in result.headers
 
     test_target_faults.run_scripted(test, respond)
+
+
+BODY = b'x' * 1000
+LONG_BODIES = {
+    'length': b'content-length: 1000\r\n\r\n' + BODY,
+    'chunks': b'transfer-encoding: chunked\r\n\r\n3e8\r\n%b\r\n0\r\n\r\n'
+    % BODY,
+}
+
+
+def run_with_broken_body(framing, kept_bytes):
+    """Have a target break off in the body and send the whole response later.
+
+    :param kept_bytes: bytes of the body before it breaks off
+    :returns: the result, or None if there was none by the deadline
+    """
+    results = []
+    head = format_run('success', 1, b'i1').partition(b'content-length')[0]
+    response = head + LONG_BODIES[framing]
+
+    async def respond(stream, number, request_id):
+        await stream.send_all(response[: response.index(BODY) + kept_bytes])
+        await trio.sleep(STEP_S)
+        await stream.send_all(response)
+        return True
+
+    async def test(harness):
+        result = None
+        with trio.move_on_after(CALL_TIMEOUT_S):
+            result = await harness.targets.run(
+                test_target_faults.make_call('i1')
+            )
+        results.append(result)
+
+    test_target_faults.run_scripted(test, respond)
+    return results[0]
+
+
+@pytest.mark.parametrize('framing', ['length', 'chunks'])
+@pytest.mark.parametrize('kept_bytes', range(0, len(BODY) - 100, 50))
+def test_second_response_is_not_read_as_the_rest_of_a_body(
+    kept_bytes, framing
+):
+    """The body ended in the head of the second response."""
+    result = run_with_broken_body(framing, kept_bytes)
+    assert result is None or result.outcome is Outcome.UNKNOWN
+
+
+def test_start_of_a_second_response_is_not_read_as_the_rest_of_a_body():
+    """The rest is too short to hold the request id of the second response."""
+    for kept_bytes in range(len(BODY) - 60, len(BODY)):
+        result = run_with_broken_body('length', kept_bytes)
+        assert result is None or result.outcome is Outcome.UNKNOWN
+
+
+@pytest.mark.parametrize('kinds', FAILED_KINDS)
+def test_late_copy_is_not_taken_for_the_end_of_a_body_without_a_length(kinds):
+    fault = Fault(kinds, (AFTER, AFTER), 0, ('length', 'no length'))
+    second, _ = play(fault, 'i2')
+    assert second.outcome is Outcome.UNKNOWN
