--- a/tests/pumicestand/test_http_pool.py
+++ b/tests/pumicestand/test_http_pool.py
@@ -125,6 +125,8 @@
         (b'HTTP/1.1 200 OK\r\ncontent-length: 5\r\n\r\nhi',),
         (b'HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n2\r\nhi',),
         (b'HTTP/1.1 200 OK\r\ncontent-le',),
+        b'HTTP/1.1 404 Not' + OK,
+        b'HTTP/1.1 404 Not found\r\nserver: s' + OK,
         b'HTTP/1.1 101 Switching Protocols\r\nupgrade: x\r\n\r\n',
         b'HTTP/1.1 200 OK\r\nx: ' + b'y' * http_pool.MAX_HEAD_BYTES,
     ],
--- a/tests/pumicestand_node/test_calls.py
+++ b/tests/pumicestand_node/test_calls.py
@@ -503,6 +503,30 @@
     assert harness.connection_attempts == 2
 
 
+@pytest.mark.parametrize('position', range(1, OK.index(b'sold')))
+def test_response_is_not_read_as_the_rest_of_a_copy(position):
+    class CopyingHarness(Harness):
+        async def _act(self, action, stream):
+            if len(self.executed_bodies) == 2:
+                await stream.send_all(OK[:position])
+                await trio.sleep(0.05)
+            await stream.send_all(OK.replace(b'200', b'500'))
+            return True
+
+    async def main(harness):
+        stream = await harness.connect()
+        statuses = []
+        for _ in range(2):
+            await stream.send_all(SALE)
+            statuses.append((await read_response(stream)).status)
+        return statuses
+
+    _, statuses = run(
+        main, ['ok'], harness_type=CopyingHarness, target_count=1
+    )
+    assert statuses == [500, 502]
+
+
 class RepeatingHarness(Harness):
     """Targets write the response before the last one once more.
 
