Count a call whose id comes again once

The metric counted such a call for each idle connection that had expired meanwhile as well (found in review). It is counted as the call asks for a connection.

--- a/packages/pumicestand-node/pumicestand_node/target_exchange.py
+++ b/packages/pumicestand-node/pumicestand_node/target_exchange.py
@@ -242,6 +242,9 @@
             await self.close_idle()
             self._address = (host, port)
         now = self._clock()
+        self.repeated_count += any(
+            connection.has_carried(request_id) for connection in self._idle
+        )
         while (connection := self._pop_idle(request_id)) is not None:
             if connection.is_reusable(now, self._current_max_idle_s(now)):
                 connection.idle_s = now - connection.idle_since
@@ -269,9 +272,7 @@
         """Return the last used connection that has not carried the id."""
         for index in reversed(range(len(self._idle))):
             if not self._idle[index].has_carried(request_id):
-                self.repeated_count += index < len(self._idle) - 1
                 return self._idle.pop(index)
-        self.repeated_count += bool(self._idle)
         return None
 
     def _current_max_idle_s(self, now):
--- a/tests/pumicestand_node/test_target_exchange.py
+++ b/tests/pumicestand_node/test_target_exchange.py
@@ -63,6 +63,18 @@
     assert count_connections(['i1', 'i1', 'i2', 'i3', 'i2']) == 2
 
 
+def test_call_whose_id_comes_again_is_counted_once():
+    counts = []
+
+    async def test(harness):
+        for request_id in ('i1', 'i1', 'i1', 'i2'):
+            await harness.targets.run(test_target_faults.make_call(request_id))
+        counts.append(harness.targets.repeated_calls)
+
+    test_target_faults.run_scripted(test, respond)
+    assert counts == [2]
+
+
 def test_connection_that_has_carried_many_calls_is_closed(monkeypatch):
     monkeypatch.setattr(target_exchange, 'MAX_CALLS', 3)
     assert count_connections(['i1', 'i2', 'i3']) == 1
