--- a/tests/pumicestand_node/test_late_calls.py
+++ b/tests/pumicestand_node/test_late_calls.py
@@ -10,7 +10,6 @@
 from pumicestand import documents
 from pumicestand import hop_messages
 from pumicestand import shutdown
-from pumicestand_node import frame_streams
 from pumicestand_node import mesh_settings
 from tests import mock_clock
 from tests.pumicestand import mesh_fakes
@@ -95,6 +94,18 @@
     )
 
 
+def add_node(mesh):
+    """Add a second other node, with a target that has free slots."""
+    report = dataclasses.replace(
+        mesh.new_report(hop_messages.Load(slots=9), (), 0.0),
+        name='other2',
+        target=mesh_fakes.make_target('t2'),
+    )
+    peer = mesh.fleet.get_or_add('other2', '10.0.0.3', 7000, 0.0)
+    mesh.fleet.apply_report(report, 0.0)
+    peer.is_linked = True
+
+
 @pytest.mark.parametrize('sent_at', (2.4, 2.9, 3.1, 4.5, 5.2))
 def test_a_late_call_on_a_new_connection_is_refused_as_not_run(
     monkeypatch, make_node, sent_at
@@ -240,18 +251,10 @@
 
     async def test(node, link):
         await trio.sleep(2.35)
-        size = frame_streams.MAX_PART_BYTES
-        body = LARGE_CALL.body
-        link.frames.send(
-            dataclasses.replace(
-                LARGE_CALL,
-                body=body[:size],
-                remaining_bytes=len(body) - size,
-            )
-        )
+        rest = test_node_stop.send_first_part(link)
         await trio.sleep(0.01)
         assert link.outcomes() == [Outcome.NOT_HANDED_ON]
-        link.frames.send_body(1, body[size:])
+        link.frames.send_body(1, rest)
         await trio.sleep(0.01)
         assert link.outcomes() == [Outcome.NOT_HANDED_ON]
 
@@ -339,14 +342,7 @@
 
     async def test(stopping):
         mesh = stopping._mesh
-        report = dataclasses.replace(
-            mesh.new_report(hop_messages.Load(slots=9), (), 0.0),
-            name='other2',
-            target=mesh_fakes.make_target('t2'),
-        )
-        peer = mesh.fleet.get_or_add('other2', '10.0.0.3', 7000, 0.0)
-        mesh.fleet.apply_report(report, 0.0)
-        peer.is_linked = True
+        add_node(mesh)
         asked = []
         run_call = mesh.send_call
 
@@ -387,14 +383,7 @@
         mesh.configuration = dataclasses.replace(
             configuration, document=documents.Document(routes=(route,))
         )
-        report = dataclasses.replace(
-            mesh.new_report(hop_messages.Load(slots=9), (), 0.0),
-            name='other2',
-            target=mesh_fakes.make_target('t2'),
-        )
-        peer = mesh.fleet.get_or_add('other2', '10.0.0.3', 7000, 0.0)
-        mesh.fleet.apply_report(report, 0.0)
-        peer.is_linked = True
+        add_node(mesh)
         monkeypatch.setattr(
             mesh.retry_quota, 'try_acquire', lambda *arguments: True
         )
--- a/tests/pumicestand_node/test_node_stop.py
+++ b/tests/pumicestand_node/test_node_stop.py
@@ -232,6 +232,18 @@
 )
 
 
+def send_first_part(link):
+    """Send the first part of `LARGE_CALL` and return the rest of its body."""
+    size = frame_streams.MAX_PART_BYTES
+    body = LARGE_CALL.body
+    link.frames.send(
+        dataclasses.replace(
+            LARGE_CALL, body=body[:size], remaining_bytes=len(body) - size
+        )
+    )
+    return body[size:]
+
+
 def test_a_stopping_node_refuses_calls_whose_bodies_still_arrive_at_once(
     monkeypatch, make_node
 ):
@@ -239,18 +251,10 @@
 
     async def test(node, link):
         await trio.sleep(1.0)
-        size = frame_streams.MAX_PART_BYTES
-        body = LARGE_CALL.body
-        link.frames.send(
-            dataclasses.replace(
-                LARGE_CALL,
-                body=body[:size],
-                remaining_bytes=len(body) - size,
-            )
-        )
+        rest = send_first_part(link)
         await trio.sleep(1.35)
         assert link.outcomes() == [Outcome.NOT_HANDED_ON]
-        link.frames.send_body(1, body[size:])
+        link.frames.send_body(1, rest)
         await trio.sleep(0.05)
         assert link.outcomes() == [Outcome.NOT_HANDED_ON]
 
