--- a/packages/pumicestand-node/pumicestand_node/target_calls.py
+++ b/packages/pumicestand-node/pumicestand_node/target_calls.py
@@ -754,6 +754,12 @@
             return self._make_result(
                 call, Outcome.NOT_HANDED_ON, 'connect-failed'
             )
+        log.logger.bind(event='response-lost').warning(
+            'target {} gave no response to call {}: {}',
+            target.instance,
+            call.request_id,
+            error,
+        )
         self._update_failure_ratio(1.0)
         self._add_evidence(call, target, True, None)
         self._suspects.record_lost(
