Ask no question of a closed socket, and check each connection by itself

Callers saw connections end without an answer in the middle of a planned stop, and the process end by itself with exit code 1.

Between the close of a client's socket and the moment at which its connection leaves the set of its port lies a turn of the scheduler. A check of all connections in that turn (close_when_idle, twice in each stop, and enforce_timeouts) asked poll about descriptor -1, and the ValueError ended the task that stops the node. The idle connections to targets and to the store were asked in the same way, and a read waited for descriptor -1.

A closed connection now answers: it is readable, as a read of it ends at once. That neither keeps it for reuse nor counts it as idle. An error in the check of one connection ends this connection, with a log line, and no other one.

--- a/packages/pumicestand-node/pumicestand_node/client_connections.py
+++ b/packages/pumicestand-node/pumicestand_node/client_connections.py
@@ -18,6 +18,7 @@
 from pumicestand_node import client_requests
 from pumicestand_node import heads
 from pumicestand_node import socket_io
+from pumicestand_node import supervision
 
 READ_BYTES = 16_384
 MAX_PIPELINED_REQUESTS = 8
@@ -156,10 +157,15 @@
 
         A connection on which no request has begun yet gets `FIRST_REQUEST_S`
         for it; `enforce_timeouts` ends that time.
+
+        An error ends this connection.
         """
-        if self._state is _State.OPEN:
-            self._state = _State.DRAINING
-        self._close_if_drained()
+        try:
+            if self._state is _State.OPEN:
+                self._state = _State.DRAINING
+            self._close_if_drained()
+        except Exception as error:
+            self._fail(error)
 
     def decide_keep_alive(self, pending_response, is_stopping):
         """Return whether to keep the connection after a response.
@@ -180,10 +186,18 @@
     def enforce_timeouts(self, now):
         """End the connection if a time limit for the client has passed.
 
-        Requests that were read before are still served.
+        Requests that were read before are still served. An error ends this
+        connection.
 
         :param now: monotonic seconds
         """
+        try:
+            self._end_overdue(now)
+        except Exception as error:
+            self._fail(error)
+
+    def _end_overdue(self, now):
+        """End the connection if its client has made no progress in time."""
         idle_s = now - self.last_progress_at
         limit_s = self._idle_limit_s()
         if idle_s <= limit_s:
@@ -208,6 +222,18 @@
             return
         self._accept_no_more()
 
+    def _fail(self, error):
+        """Log an unexpected error and end the connection."""
+        supervision.log_failure(
+            'connection-failed',
+            error,
+            'a check of a connection from a client failed with {} requests '
+            'on it: {!r}',
+            len(self._pending_responses),
+            error,
+        )
+        self._cancel_scope.cancel()
+
     def _idle_limit_s(self):
         """Return for how many seconds the client may make no progress."""
         if self._state in _ACCEPTING:
--- a/packages/pumicestand-node/pumicestand_node/socket_io.py
+++ b/packages/pumicestand-node/pumicestand_node/socket_io.py
@@ -7,22 +7,25 @@
 """
 
 import os
-import select
 
 import trio
 
+from pumicestand import tcp_streams
+
 # Most bytes that are discarded before a socket is closed: 4 MB.
 DISCARD_BYTES = 65_536
 MAX_DISCARDS = 64
 
 
 def is_readable(stream):
-    """Return whether a socket was closed by its peer or has data to read."""
+    """Return whether a read from a stream would end at once.
+
+    It does if there is data to read, the peer has closed the connection or
+    this end has. False for streams that are no sockets.
+    """
     if not isinstance(stream, trio.SocketStream):
         return False
-    poll = select.poll()
-    poll.register(stream.socket.fileno(), select.POLLIN)
-    return bool(poll.poll(0))
+    return tcp_streams.is_readable(stream)
 
 
 def send_nowait(stream, data):
@@ -58,10 +61,13 @@
     """Return up to max_bytes of data, empty at the end of the stream.
 
     :raises trio.BrokenResourceError: if the connection was reset
+    :raises trio.ClosedResourceError: if the stream is closed
     """
     if not isinstance(stream, trio.SocketStream):
         return await stream.receive_some(max_bytes)
     while True:
+        if stream.socket.fileno() < 0:
+            raise trio.ClosedResourceError
         await trio.lowlevel.wait_readable(stream.socket)
         try:
             return os.read(stream.socket.fileno(), max_bytes)
--- a/packages/pumicestand-node/pumicestand_node/supervision.py
+++ b/packages/pumicestand-node/pumicestand_node/supervision.py
@@ -4,6 +4,8 @@
 not the process with all its calls.
 """
 
+import contextlib
+
 import trio
 
 from pumicestand import log
@@ -38,3 +40,20 @@
             )
         await trio.sleep(delay_s)
         delay_s = min(MAX_RESTART_DELAY_S, 2 * delay_s)
+
+
+def log_failure(event, error, message, *args, **fields):
+    """Log an unexpected error; a line that can't be written is left out.
+
+    A log that fails as well, for want of descriptors or memory, must not cost
+    what was just saved from the error.
+
+    :param event: name of the event
+    :param error: the exception, None if there is none
+    :param message: text with places for ``args``
+    :param fields: ids of what the error happened to
+    """
+    with contextlib.suppress(Exception):
+        log.logger.opt(exception=error).bind(event=event, **fields).error(
+            message, *args
+        )
--- a/packages/pumicestand/pumicestand/http_pool.py
+++ b/packages/pumicestand/pumicestand/http_pool.py
@@ -9,7 +9,6 @@
 import dataclasses
 import errno
 import math
-import select
 
 import httptools
 import trio
@@ -79,12 +78,11 @@
         self.idle_since = idle_since
 
     def is_usable(self):
-        """Return whether the server has neither closed it nor sent data."""
-        if not isinstance(self.stream, trio.SocketStream):
-            return True
-        poll = select.poll()
-        poll.register(self.stream.socket.fileno(), select.POLLIN)
-        return not poll.poll(0)
+        """Return whether it is open and the server has sent nothing."""
+        return not (
+            isinstance(self.stream, trio.SocketStream)
+            and tcp_streams.is_readable(self.stream)
+        )
 
 
 class _ResponseReader:
--- a/packages/pumicestand/pumicestand/tcp_streams.py
+++ b/packages/pumicestand/pumicestand/tcp_streams.py
@@ -1,5 +1,7 @@
 """Opens TCP connections."""
 
+import select
+
 import trio
 
 
@@ -11,6 +13,20 @@
     return await trio.open_tcp_stream(encode_host(host), port)
 
 
+def is_readable(stream):
+    """Return whether a read from a `trio.SocketStream` would end at once.
+
+    It does if there is data to read, the peer has closed the connection or
+    this end has.
+    """
+    descriptor = stream.socket.fileno()
+    if descriptor < 0:
+        return True
+    poll = select.poll()
+    poll.register(descriptor, select.POLLIN)
+    return bool(poll.poll(0))
+
+
 def encode_host(host):
     """Return a host in the form that is the cheapest to look up.
 
