Keep a task running whose log line can't be written

With all descriptors in use the first log line can't import the logger. In supervise this error left the except clause and with it the task, so that what it does was over for the life of the process, or the process was.

The line is left out now. The new test fails before the change with the OSError of the import and passes after it.

--- a/packages/pumicestand-node/pumicestand_node/supervision.py
+++ b/packages/pumicestand-node/pumicestand_node/supervision.py
@@ -32,7 +32,9 @@
         except Exception as error:
             if trio.current_time() - started_at > RESET_AFTER_S:
                 delay_s = MIN_RESTART_DELAY_S
-            log.logger.opt(exception=error).bind(event='task-failed').error(
+            log_failure(
+                'task-failed',
+                error,
                 'task {} failed and starts again in {:.1f} s: {!r}',
                 name,
                 delay_s,
--- a/tests/pumicestand_node/test_supervision.py
+++ b/tests/pumicestand_node/test_supervision.py
@@ -1,8 +1,11 @@
 """Tests that unexpected errors do not end the process."""
 
+import errno
+
 import pytest
 import trio
 
+from pumicestand import log
 from pumicestand_node import supervision
 from tests import mock_clock
 
@@ -57,3 +60,24 @@
         assert len(starts) == 1
 
     mock_clock.run(main)
+
+
+def fail_to_load(name):
+    raise OSError(errno.EMFILE, f'no descriptor to read {name}')
+
+
+def test_log_that_cannot_be_loaded_ends_no_task(monkeypatch):
+    async def main():
+        starts = []
+
+        async def fail():
+            starts.append(1)
+            if len(starts) == 1:
+                raise KeyError('unexpected')
+
+        await supervision.supervise('test', fail)
+        assert len(starts) == 2
+
+    monkeypatch.delitem(vars(log), 'logger', raising=False)
+    monkeypatch.setattr(log, '__getattr__', fail_to_load)
+    mock_clock.run(main)
