Keep a node running whatever a reload finds in the settings file

At the start the same file gave a traceback instead of a message and exit code 2.

Cause: `_reload` caught `SettingsError` only, and reading raised others: `UnicodeDecodeError`, and `ValueError` by `int` for what `isdigit` accepts.

Change: a file that can't be read, is too large, is not UTF-8 or names a port outside 1 to 65535 is a `SettingsError`; infinite and not-a-number bounds are as well. A reload logs any error with its code and keeps the settings in use; a start prints any error and ends with code 2.

--- a/tests/pumicestand_platform/test_main.py
+++ b/tests/pumicestand_platform/test_main.py
@@ -1,4 +1,4 @@
-"""Tests of the signals that a node's process gets."""
+"""Tests of how a node's process starts, reloads its settings and stops."""
 
 import signal
 
@@ -51,3 +51,45 @@
     assert not reloads
     # It is delivered once the node has closed.
     assert late == [True]
+
+
+BROKEN_FILES = (
+    b'\xff\xfe',
+    test_settings.replace_value('listen.ready', '10.1.0.8:830²').encode(),
+    b'',
+)
+
+
+@pytest.fixture
+def settings_path(monkeypatch, tmp_path):
+    path = tmp_path / 'node.conf'
+    path.write_text(test_settings.TEXT, encoding='utf-8')
+    monkeypatch.setenv(settings.PATH_VARIABLE, str(path))
+    return path
+
+
+@pytest.mark.parametrize('content', BROKEN_FILES)
+def test_reload_of_a_broken_file_does_not_end_the_process(
+    settings_path, content
+):
+    settings_path.write_bytes(content)
+    main._reload(settings.parse(test_settings.TEXT))
+
+
+def test_unexpected_error_in_a_reload_does_not_end_the_process(monkeypatch):
+    def fail():
+        raise KeyError('unexpected')
+
+    monkeypatch.setattr(settings, 'load', fail)
+    main._reload(settings.parse(test_settings.TEXT))
+
+
+@pytest.mark.parametrize('content', BROKEN_FILES)
+def test_start_with_a_broken_file_ends_with_a_message_and_no_traceback(
+    settings_path, capfd, content
+):
+    settings_path.write_bytes(content)
+    assert main.main() == main.EXIT_SETTINGS_ERROR
+    message = capfd.readouterr().err
+    assert message.startswith('settings: ')
+    assert message.count('\n') == 1
--- a/tests/pumicestand_platform/test_settings.py
+++ b/tests/pumicestand_platform/test_settings.py
@@ -1,5 +1,7 @@
 """Tests of the platform's settings file."""
 
+import errno
+
 import pytest
 
 from pumicestand import errors
@@ -55,6 +57,14 @@
         ('internal_ports', '7620'),
         ('bounds.grace_s', 'soon'),
         ('bounds.budget_window_s', '0'),
+        ('bounds.grace_s', 'inf'),
+        ('bounds.retry_budget_ratio', 'nan'),
+        ('listen.outbound', '10.1.0.8:830²'),
+        ('listen.ready', '10.1.0.8:0'),
+        ('listen.control', '10.1.0.8:65536'),
+        ('listen.control', '10.1.0.8:' + '9' * 5_000),
+        ('internal_ports', '762²,7635'),
+        ('internal_ports', '0,7635'),
     ],
 )
 def test_error_names_invalid_field_and_value(field, value):
@@ -80,3 +90,28 @@
     path.write_text(TEXT, encoding='utf-8')
     environment = {settings.PATH_VARIABLE: str(path)}
     assert settings.load(environment) == settings.parse(TEXT)
+
+
+@pytest.mark.parametrize(
+    ('content', 'problem'),
+    [
+        (TEXT.encode() + b'note=\xff\xfe', 'not UTF-8'),
+        (TEXT.encode() + b'#' * settings.MAX_FILE_BYTES, 'more than'),
+    ],
+)
+def test_file_that_holds_no_settings_is_a_settings_error(
+    tmp_path, content, problem
+):
+    path = tmp_path / 'node.conf'
+    path.write_bytes(content)
+    with pytest.raises(errors.SettingsError, match=problem):
+        settings.load({settings.PATH_VARIABLE: str(path)})
+
+
+def test_file_that_the_system_can_not_open_is_a_settings_error(monkeypatch):
+    def fail(*arguments):
+        raise OSError(errno.EMFILE, 'Too many open files')
+
+    monkeypatch.setattr(settings, 'open', fail, raising=False)
+    with pytest.raises(errors.SettingsError, match='Too many open files'):
+        settings.load({settings.PATH_VARIABLE: 'node.conf'})
