Write the log so that its reader can neither stop nor fail the node

What operators saw: with nobody reading standard output, no space behind it or descriptor 1 closed, `flush` raised in the middle of `close`, before the store and the targets were closed, and the exit code was 1 or 120. A full pipe cut lines in the middle, so that the log was no JSON any more. The descriptor was made non-blocking for all processes that share it.

Cause: the writer handled `BlockingIOError` only, took a partial write for a lost one and dropped the rest of its last line.

A decision that can't be formatted costs its line only.

--- a/packages/pumicestand-node/pumicestand_node/mesh_node.py
+++ b/packages/pumicestand-node/pumicestand_node/mesh_node.py
@@ -9,6 +9,7 @@
 
 from pumicestand import decision_log
 from pumicestand import documents
+from pumicestand import line_output
 from pumicestand import log
 from pumicestand import node_records
 from pumicestand import shutdown
@@ -65,7 +66,7 @@
         self._decisions = decision_log.DecisionLog(
             settings.name,
             time.time,
-            decision_log.make_writer(1),
+            line_output.standard().write,
             lambda: self._decisions_pending.set(),
         )
         identity = node_records.NodeRecord(
--- a/packages/pumicestand/pumicestand/decision_log.py
+++ b/packages/pumicestand/pumicestand/decision_log.py
@@ -7,7 +7,6 @@
 import collections
 import datetime
 import json
-import os
 
 # Limits on the lines buffered between two flushes and on the lines a second.
 # Successful calls get a quarter of the latter, so that they are dropped before
@@ -23,7 +22,8 @@
 
     :param process: name of this process, part of each line
     :param wall_clock: returns seconds since the epoch
-    :param write: writes bytes; returns whether all of them were written
+    :param write: writes bytes of whole lines; returns the number of lines that
+        it has dropped
     :param on_pending: called when the first line after a flush is added
     """
 
@@ -70,32 +70,18 @@
             return
         parts = []
         while self._lines:
-            now, event, fields = self._lines.popleft()
-            time = datetime.datetime.fromtimestamp(now, datetime.UTC)
-            line = {
-                'time': time.isoformat(),
-                'process': self._process,
-                'event': event,
-                **{k: v for k, v in fields.items() if v not in (None, '')},
-            }
-            parts.append(json.dumps(line, default=str) + '\n')
-        if not self._write(''.join(parts).encode()):
-            self._dropped += len(parts)
-
-
-def make_writer(descriptor):
-    """Return a function that writes bytes without blocking.
-
-    Bytes that a full pipe does not accept are dropped.
-
-    :param descriptor: file descriptor; it is made non-blocking
-    """
-    os.set_blocking(descriptor, False)
-
-    def write(data):
-        try:
-            return os.write(descriptor, data) == len(data)
-        except BlockingIOError:
-            return False
-
-    return write
+            try:
+                parts.append(self._format(*self._lines.popleft()))
+            except (TypeError, ValueError, OverflowError):
+                self._dropped += 1
+        self._dropped += self._write(''.join(parts).encode())
+
+    def _format(self, now, event, fields):
+        time = datetime.datetime.fromtimestamp(now, datetime.UTC)
+        line = {
+            'time': time.isoformat(),
+            'process': self._process,
+            'event': event,
+            **{k: v for k, v in fields.items() if v not in (None, '')},
+        }
+        return json.dumps(line, default=str) + '\n'
--- a/tests/pumicestand/test_decision_log.py
+++ b/tests/pumicestand/test_decision_log.py
@@ -5,12 +5,12 @@
 from pumicestand import decision_log
 
 
-def make_log(now=(5.0,), accepts=True):
+def make_log(now=(5.0,), dropped=0):
     written = []
 
     def write(data):
         written.append(data)
-        return accepts
+        return dropped
 
     clock = list(now)
     log = decision_log.DecisionLog('p', lambda: clock[0], write)
@@ -49,7 +49,7 @@
 
 
 def test_lines_that_a_full_pipe_does_not_accept_are_counted():
-    log, _, _ = make_log(accepts=False)
+    log, _, _ = make_log(dropped=2)
     log.note('a')
     log.note('b')
     log.flush()
@@ -59,7 +59,7 @@
 def test_first_line_after_a_flush_is_announced():
     pending = []
     log = decision_log.DecisionLog(
-        'p', lambda: 5.0, lambda data: True, lambda: pending.append(1)
+        'p', lambda: 5.0, lambda data: 0, lambda: pending.append(1)
     )
     log.note('call')
     log.note('call')
@@ -67,3 +67,14 @@
     log.flush()
     log.note('call')
     assert len(pending) == 2
+
+
+def test_a_line_that_can_not_be_written_costs_no_other_line():
+    log, written, _ = make_log()
+    cycle = []
+    cycle.append(cycle)
+    log.note('a', field=cycle)
+    log.note('b')
+    log.flush()
+    assert [line['event'] for line in parse_lines(written)] == ['b']
+    assert log.dropped == 1
--- a/tests/pumicestand_node/test_mesh_node.py
+++ b/tests/pumicestand_node/test_mesh_node.py
@@ -2,6 +2,7 @@
 
 import dataclasses
 import json
+import types
 
 import pytest
 import trio
@@ -22,9 +23,9 @@
 def make_node(monkeypatch):
     """Return a function that makes a node that writes no log."""
     monkeypatch.setattr(
-        mesh_node.decision_log,
-        'make_writer',
-        lambda descriptor: lambda data: True,
+        mesh_node.line_output,
+        'standard',
+        lambda: types.SimpleNamespace(write=lambda data: 0),
     )
 
     def make(is_strict, grace=6.0):
--- a/tests/pumicestand_platform/test_start_modules.py
+++ b/tests/pumicestand_platform/test_start_modules.py
@@ -29,7 +29,8 @@
 pumicestand.freshness
 pumicestand.hop pumicestand.hop_messages pumicestand.http_pool
 pumicestand.json_reading
-pumicestand.latencies pumicestand.link_meter pumicestand.link_probes
+pumicestand.latencies pumicestand.line_output pumicestand.link_meter
+pumicestand.link_probes
 pumicestand.link_resumption pumicestand.link_selection pumicestand.log
 pumicestand.node_records
 pumicestand.organisations
