--- a/packages/pumicestand-node/pumicestand_node/mesh_metrics.py
+++ b/packages/pumicestand-node/pumicestand_node/mesh_metrics.py
@@ -1,5 +1,6 @@
 """The metrics of a node on the platform."""
 
+from pumicestand import log
 from pumicestand import metrics
 
 
@@ -120,8 +121,8 @@
             ),
             (
                 'pumicestand_log_lines_dropped',
-                lambda: mesh.decisions.dropped,
-                'Log lines dropped to keep within the bound',
+                lambda: mesh.decisions.dropped + log.dropped(),
+                'Log lines dropped to keep within the bound, or not taken',
             ),
             (
                 'pumicestand_link_busy',
