--- a/packages/pumicestand-node/pumicestand_node/mesh_settings.py
+++ b/packages/pumicestand-node/pumicestand_node/mesh_settings.py
@@ -67,6 +67,9 @@
         second; 0 if unknown
     :param is_first_start: whether the whole fleet starts for the first time
     :param log_level: lowest level that is logged
+    :param max_descriptors: descriptors that the process may open; None if
+        only the operating system limits them
+    :param memory_bytes: memory that the process may use; None if unknown
     """
 
     name: str
@@ -83,3 +86,5 @@
     link_rate: float = 0.0
     is_first_start: bool = True
     log_level: str = 'INFO'
+    max_descriptors: int | None = None
+    memory_bytes: int | None = None
--- a/tests/pumicestand/test_layers.py
+++ b/tests/pumicestand/test_layers.py
@@ -22,6 +22,7 @@
     'coldness',
     'connection_trust',
     'controllers',
+    'descriptor_budget',
     'dissemination',
     'evacuations',
     'evidence',
--- a/tests/pumicestand_platform/test_settings.py
+++ b/tests/pumicestand_platform/test_settings.py
@@ -18,6 +18,8 @@
 internal_ports=7620,7635
 platform.address=10.200.1.7:8309
 limits.link_mbps=5.0
+limits.max_fds=4100
+limits.memory_mb=150
 bounds.grace_s=6
 bounds.drain_s=2
 bounds.retry_budget_ratio=0.2
@@ -42,6 +44,8 @@
     assert parsed.link == mesh_settings.Address('10.1.0.8', 7620)
     assert parsed.store == mesh_settings.Address('10.200.1.7', 8309)
     assert parsed.link_rate == 625_000
+    assert parsed.max_descriptors == 4100
+    assert parsed.memory_bytes == 150 * 1024 * 1024
     assert parsed.bounds.retry_constant == 60
     assert parsed.bounds.grace == 6
 
@@ -55,6 +59,8 @@
         ('internal_ports', '7620'),
         ('bounds.grace_s', 'soon'),
         ('bounds.budget_window_s', '0'),
+        ('limits.max_fds', '0'),
+        ('limits.memory_mb', 'much'),
     ],
 )
 def test_error_names_invalid_field_and_value(field, value):
@@ -63,6 +69,13 @@
     assert f'{field}={value!r}' in str(caught.value)
 
 
+def test_limits_of_the_process_may_be_missing():
+    lines = (x for x in TEXT.splitlines() if not x.startswith('limits.m'))
+    parsed = settings.parse('\n'.join(lines))
+    assert parsed.max_descriptors is None
+    assert parsed.memory_bytes is None
+
+
 def test_error_names_missing_field():
     text = TEXT.replace('platform.address', 'platform.other')
     with pytest.raises(errors.SettingsError, match=r'platform\.address'):
