Keep clients' connections from using up all descriptors

What callers saw: with a limit of 150 descriptors on one of four nodes and 190 further connections to it, two trials of two seconds each had 1 and 2 calls with no answer and 9 calls each answered 504 although nothing was sent; standard error had a traceback of EMFILE for each try to accept.

Cause: a port accepted connections until none could be opened, so that links, targets, the store, the log and the other ports had none left.

Each port now serves as many connections as descriptor_budget gives it. One more replaces an idle one: first those that never sent a request, then those that have been idle for a second. If none is idle, its request is read and refused as not run, on a few connections at once; others are closed before anything is read, so that their requests can be sent again. The ports for readiness, control and metrics also enforce the time limits for clients now.

Evidence: test_connections_of_clients_leave_descriptors_for_all_others fails before the change (200 connections open).

--- a/packages/pumicestand-node/pumicestand_node/client_connections.py
+++ b/packages/pumicestand-node/pumicestand_node/client_connections.py
@@ -139,6 +139,26 @@
         self._state = _State.OPEN
         self.last_progress_at = clock()
 
+    @property
+    def has_served(self):
+        """Whether a request was served on the connection."""
+        return self._has_served
+
+    @property
+    def idle_since(self):
+        """Monotonic seconds of the last progress, None if not idle.
+
+        The connection is idle while no request is received or served on it.
+        """
+        if (
+            self._state not in _ACCEPTING
+            or self._pending_responses
+            or self._parser.is_in_head
+            or self._parser.request is not None
+        ):
+            return None
+        return self.last_progress_at
+
     async def run(self):
         """Serve requests until the connection ends, then close it."""
         try:
@@ -161,6 +181,19 @@
             self._state = _State.DRAINING
         self._close_if_drained()
 
+    def close_if_idle(self):
+        """Close the connection if it is idle; return whether it was.
+
+        A request that crosses the close stays unread, which tells the client
+        that it can be sent again.
+        """
+        if self._cancel_scope.cancel_called or self.idle_since is None:
+            return False
+        if self._has_begun_request():
+            return False
+        self._cancel_scope.cancel()
+        return True
+
     def decide_keep_alive(self, pending_response, is_stopping):
         """Return whether to keep the connection after a response.
 
--- a/packages/pumicestand-node/pumicestand_node/mesh_node.py
+++ b/packages/pumicestand-node/pumicestand_node/mesh_node.py
@@ -8,12 +8,14 @@
 import trio
 
 from pumicestand import decision_log
+from pumicestand import descriptor_budget
 from pumicestand import documents
 from pumicestand import log
 from pumicestand import node_records
 from pumicestand import shutdown
 from pumicestand import targets
 from pumicestand_node import client_port
+from pumicestand_node import descriptors
 from pumicestand_node import freshness_agent
 from pumicestand_node import listeners
 from pumicestand_node import mesh_links
@@ -132,9 +134,18 @@
         self._links.on_target_restored = self._on_target_changed
         self._freshness = self._make_freshness_agent()
         self._metrics = None
+        self._descriptors = descriptors.Descriptors(
+            settings.max_descriptors, self._read_demand
+        )
         self._client_port = client_port.ClientPort(
-            self._outbound_calls.serve, self._log_refusal, self._client_limits
+            self._outbound_calls.serve,
+            self._log_refusal,
+            self._client_limits,
+            self._descriptors.max_clients,
+            self._descriptors.max_refusals,
         )
+        # Ports of the target and of the platform.
+        self._plain_ports = []
         self._started_at = self._clock()
         self._nursery = None
         self._outbound_scope = trio.CancelScope()
@@ -160,6 +171,7 @@
         """Open all ports and start the background tasks in a nursery."""
         self._nursery = nursery
         settings = self._settings
+        self._descriptors.start()
         await self._listen(settings.link, self._links.serve)
         await self._listen(
             settings.control, self._make_plain_server(self._handle_control)
@@ -315,10 +327,23 @@
             self._quota_agent.refresh(now)
             if now - timeouts_checked_at >= TIMEOUT_CHECK_PERIOD_S:
                 timeouts_checked_at = now
-                self._client_port.enforce_timeouts()
+                self._enforce_timeouts()
             if not mesh.is_stopping:
                 mesh.is_ready = self._should_be_ready(now)
 
+    def _enforce_timeouts(self):
+        self._client_port.enforce_timeouts()
+        for port in self._plain_ports:
+            port.enforce_timeouts()
+
+    def _read_demand(self):
+        """Return the `descriptor_budget.Demand` of this node."""
+        target = self._mesh.target_watch.target
+        return descriptor_budget.Demand(
+            nodes=self._mesh.fleet.known_count - 1,
+            target_slots=0 if target is None else target.slots,
+        )
+
     def _is_active(self):
         mesh = self._mesh
         return (
@@ -379,7 +404,13 @@
             a `plain_http.PlainResponse`
         """
         handler = plain_http.PlainHandler(respond)
-        return client_port.ClientPort(handler.serve, self._log_refusal).serve
+        port = client_port.ClientPort(
+            handler.serve,
+            self._log_refusal,
+            max_connections=self._descriptors.max_port_connections,
+        )
+        self._plain_ports.append(port)
+        return port.serve
 
     async def _handle_readiness(self, method, path, body):
         if self._mesh.is_ready:
--- a/packages/pumicestand-node/pumicestand_node/node.py
+++ b/packages/pumicestand-node/pumicestand_node/node.py
@@ -99,7 +99,7 @@
         self._client_port = client_port.ClientPort(
             self._call_handler.serve,
             self._send_call_refused,
-            max_connections=settings.max_connections,
+            max_connections=lambda: settings.max_connections,
         )
         self._nursery = None
         self._listeners = []
--- a/packages/pumicestand-node/pumicestand_node/settings.py
+++ b/packages/pumicestand-node/pumicestand_node/settings.py
@@ -36,8 +36,8 @@
     :param store: URL of the store
     :param seeds: addresses of other nodes, as host:port, to join by
     :param drain: seconds that calls in flight have to finish at shutdown
-    :param max_connections: number of client connections; further ones are
-        closed at once
+    :param max_connections: number of client connections; a further one
+        replaces the longest idle one, or is closed at once
     :param seed: seed of random choices, None for a random one
     :param tls: must be None, since TLS is not supported yet
     """
--- a/tests/pumicestand_node/test_client_port.py
+++ b/tests/pumicestand_node/test_client_port.py
@@ -1,4 +1,4 @@
-"""Tests of closing the connections of clients to one port."""
+"""Tests of bounding and closing the connections of clients to one port."""
 
 import socket
 
@@ -6,6 +6,7 @@
 import trio.testing
 
 from pumicestand_node import client_port
+from tests import mock_clock
 
 RESPONSE = (
     b'HTTP/1.1 503 Refused\r\ncontent-length: 0\r\nconnection: close\r\n\r\n'
@@ -85,3 +86,199 @@
         assert await receive_all(stream) == RESPONSE
 
     run_with_connection(test, refuse)
+
+
+REQUEST = b'GET /x HTTP/1.1\r\nhost: shop.example\r\n\r\n'
+OK = b'HTTP/1.1 200 OK\r\ncontent-length: 2\r\n\r\nok'
+
+
+class FullPort:
+    """A port with room for two connections, and one whose calls it refuses.
+
+    Requests for /slow are answered after a minute, all others at once.
+    """
+
+    def __init__(self, nursery):
+        self._nursery = nursery
+        self.refusals = []
+        self.port = client_port.ClientPort(
+            self._serve,
+            self.refusals.append,
+            max_connections=lambda: 2,
+            max_refusals=lambda: 1,
+            clock=trio.current_time,
+        )
+
+    async def _serve(self, request, connection):
+        if request.head.path == '/slow':
+            await trio.sleep(60.0)
+        await connection.send(OK)
+        return True
+
+    async def connect(self, path=None):
+        """Return a new client's stream.
+
+        :param path: of a request that is sent on it, None for no request
+        """
+        client, server = trio.testing.memory_stream_pair()
+        self._nursery.start_soon(self.port.serve, server)
+        if path is not None:
+            await client.send_all(REQUEST.replace(b'/x', path))
+        await trio.sleep(0.01)
+        return client
+
+
+def run_with_full_port(test):
+    """Run a test, a coroutine function of a `FullPort`."""
+
+    async def main():
+        async with trio.open_nursery() as nursery:
+            await test(FullPort(nursery))
+            nursery.cancel_scope.cancel()
+
+    mock_clock.run(main)
+
+
+async def is_closed(client):
+    """Return whether a client's connection ends unanswered."""
+    with trio.move_on_after(0.05):
+        return await client.receive_some() == b''
+    return False
+
+
+def test_idle_connections_do_not_keep_out_a_new_one():
+    async def test(full):
+        first = await full.connect(b'/x')
+        assert await first.receive_some() == OK
+        second = await full.connect(b'/x')
+        assert await second.receive_some() == OK
+        await trio.sleep(client_port.MIN_IDLE_S)
+        third = await full.connect(b'/x')
+        assert await third.receive_some() == OK
+        assert await is_closed(first)
+        assert not await is_closed(second)
+        assert full.port.excess_counts == {'replaced': 1}
+
+    run_with_full_port(test)
+
+
+def test_connections_without_a_request_are_replaced_first():
+    async def test(full):
+        used = await full.connect(b'/x')
+        assert await used.receive_some() == OK
+        unused = await full.connect()
+        await trio.sleep(client_port.MIN_IDLE_S)
+        third = await full.connect(b'/x')
+        assert await third.receive_some() == OK
+        assert await is_closed(unused)
+        assert not await is_closed(used)
+
+    run_with_full_port(test)
+
+
+def test_flood_of_connections_closes_none_in_use():
+    async def test(full):
+        used = [await full.connect(b'/x') for _ in range(2)]
+        await trio.sleep(client_port.MIN_IDLE_S / 2)
+        for _ in range(9):
+            await full.connect()
+        for client in used:
+            assert await client.receive_some() == OK
+            await client.send_all(REQUEST)
+            assert await client.receive_some() == OK
+
+    run_with_full_port(test)
+
+
+def test_connection_used_again_is_not_closed_in_favour_of_a_new_one():
+    """It was the longest idle one when they were listed."""
+
+    async def test(full):
+        used = await full.connect()
+        idle = await full.connect()
+        await trio.sleep(1.0)
+        full.port._list_idle(trio.current_time())
+        await used.send_all(REQUEST)
+        assert await used.receive_some() == OK
+        third = await full.connect(b'/x')
+        assert await third.receive_some() == OK
+        assert await is_closed(idle)
+        assert not await is_closed(used)
+
+    run_with_full_port(test)
+
+
+def test_request_beyond_the_limit_is_refused_as_not_run():
+    async def test(full):
+        busy = [await full.connect(b'/slow') for _ in range(2)]
+        await trio.sleep(1.0)
+        third = await full.connect(b'/x')
+        response = await receive_all(third)
+        assert response.startswith(b'HTTP/1.1 503 ')
+        assert b'pumicestand-outcome: not-run\r\n' in response
+        assert b'retry-after: 0.25\r\n' in response
+        assert b'connection: close\r\n' in response
+        assert [r.status for r in full.refusals] == [503]
+        for client in busy:
+            assert await client.receive_some() == OK
+
+    run_with_full_port(test)
+
+
+def test_connection_whose_request_can_not_be_refused_is_closed_unread():
+    async def test(full):
+        for _ in range(2):
+            await full.connect(b'/slow')
+        refused = await full.connect()
+        fourth = await full.connect(b'/x')
+        assert await is_closed(fourth)
+        assert not full.refusals
+        # One that sends nothing does not occupy the place for long.
+        await trio.sleep(client_port.REFUSAL_S)
+        assert await is_closed(refused)
+        assert not full.port._refused
+
+    run_with_full_port(test)
+
+
+def test_connection_with_an_unfinished_request_is_not_taken_for_idle():
+    async def test(full):
+        client = await full.connect()
+        await client.send_all(REQUEST[:20])
+        other = await full.connect(b'/slow')
+        await trio.sleep(1.0)
+        await full.connect(b'/x')
+        await client.send_all(REQUEST[20:])
+        assert await client.receive_some() == OK
+        assert await other.receive_some() == OK
+
+    run_with_full_port(test)
+
+
+def test_new_connections_do_not_replace_one_another():
+    """Each would be closed before its first request arrives."""
+
+    async def test(full):
+        first = [await full.connect() for _ in range(2)]
+        await full.connect()
+        for client in first:
+            await client.send_all(REQUEST)
+            assert await client.receive_some() == OK
+
+    run_with_full_port(test)
+
+
+def test_request_that_has_arrived_is_not_closed_in_favour_of_another():
+    """It waits in the socket, so that the connection looks idle."""
+
+    async def serve(request, connection):
+        await connection.send(RESPONSE)
+        return False
+
+    async def test(port, stream, client_socket):
+        client_socket.send(REQUEST)
+        port._list_idle(float('inf'))
+        assert not port.close_idle()
+        assert await receive_all(stream) == RESPONSE
+
+    run_with_connection(test, serve)
--- a/tests/pumicestand_node/test_descriptors.py
+++ b/tests/pumicestand_node/test_descriptors.py
@@ -4,6 +4,7 @@
 
 import pytest
 
+from pumicestand import descriptor_budget
 from pumicestand_node import descriptors
 
 
@@ -76,3 +77,22 @@
 def test_descriptors_that_can_not_be_listed_are_no_error(monkeypatch):
     monkeypatch.setattr(descriptors, 'OPEN_PATH', '/proc/self/none')
     assert descriptors.count_open() is None
+
+
+def test_clients_get_less_once_the_fleet_is_known(set_limits):
+    set_limits(1024, 1024)
+    demand = descriptor_budget.Demand()
+    process = descriptors.Descriptors(4100, lambda: demand)
+    process.start()
+    before = process.max_clients()
+    demand = descriptor_budget.Demand(nodes=100, target_slots=6)
+    assert process.max_clients() < before - 150
+    assert process.max_refusals() > 0
+    assert process.max_port_connections() > 0
+
+
+def test_connections_are_unlimited_where_descriptors_are(set_limits):
+    set_limits(resource.RLIM_INFINITY, resource.RLIM_INFINITY)
+    process = descriptors.Descriptors(None, descriptor_budget.Demand)
+    process.start()
+    assert process.max_clients() == float('inf')
--- a/tests/pumicestand_node/test_mesh_node.py
+++ b/tests/pumicestand_node/test_mesh_node.py
@@ -54,6 +54,30 @@
     assert node._links.on_freshness is None
 
 
+def test_connections_of_clients_leave_descriptors_for_all_others(make_node):
+    node = make_node(is_strict=False)
+    small = dataclasses.replace(node._settings, max_descriptors=150)
+    node = mesh_node.MeshNode(small, main.make_adapter(small))
+    for index in range(9):
+        node._mesh.fleet.apply_report(mesh_fakes.make_report(f'n{index}'), 0.0)
+    open_count = 0
+
+    async def test():
+        nonlocal open_count
+        clients = []
+        async with trio.open_nursery() as nursery:
+            for _ in range(200):
+                client, server = trio.testing.memory_stream_pair()
+                clients.append(client)
+                nursery.start_soon(node._client_port.serve, server)
+                await trio.testing.wait_all_tasks_blocked()
+            open_count = node._client_port.connection_count
+            nursery.cancel_scope.cancel()
+
+    mock_clock.run(test)
+    assert 10 < open_count <= 150 / 2
+
+
 def test_a_departure_is_acknowledged_only_once_the_store_has_it(
     monkeypatch, make_node
 ):
--- a/tests/pumicestand_platform/test_start_modules.py
+++ b/tests/pumicestand_platform/test_start_modules.py
@@ -22,6 +22,7 @@
 pumicestand pumicestand.admission_by_room
 pumicestand.body_transfers pumicestand.call_headers
 pumicestand.coldness pumicestand.connection_trust pumicestand.decision_log
+pumicestand.descriptor_budget
 pumicestand.evacuations pumicestand.fair_shares
 pumicestand.documents pumicestand.errors pumicestand.fetches
 pumicestand.field_reading pumicestand.fingerprints pumicestand.fleet
@@ -49,6 +50,7 @@
 pumicestand_node pumicestand_node.body_receiver
 pumicestand_node.call_access pumicestand_node.client_connections
 pumicestand_node.client_port pumicestand_node.client_requests
+pumicestand_node.descriptors
 pumicestand_node.frame_streams
 pumicestand_node.freshness_agent
 pumicestand_node.heads pumicestand_node.link_server pumicestand_node.links
@@ -80,9 +82,9 @@
 enum errno fcntl fnmatch functools gc genericpath hashlib heapq hmac importlib
 inspect io ipaddress itertools json keyword linecache locale logging lzma
 marshal math ntpath opcode operator os pathlib platform posix posixpath queue
-random re reprlib select selectors shutil signal socket stat string struct
-subprocess tempfile textwrap threading time token tokenize traceback types
-typing unicodedata urllib urllib.parse warnings weakref zipimport zlib
+random re reprlib resource select selectors shutil signal socket stat string
+struct subprocess tempfile textwrap threading time token tokenize traceback
+types typing unicodedata urllib urllib.parse warnings weakref zipimport zlib
 """
 # Modules of other systems, which the standard library looks for in vain.
 ABSENT = 'msvcrt nt org org.python org.python.core'
