Let no error of accept end a port or the process

What callers saw: an error at accept that the library does not expect, such as EIO, ended the task of the port and with it the process and all its calls; EMFILE wrote a traceback as text every 100 ms, with no code. An unexpected error while a port drained ended a planned stop in the same way.

Cause: the loop of trio raises what it does not know, and the task of a port is not supervised.

listeners.serve accepts instead: any error is counted, logged as one line accept-failed with port and count every ten seconds at most, and tried again after 50 ms. With no descriptor or memory left, it closes an idle connection of a client first, so that readiness, control and links are served. An error on one connection is the line connection-failed, written by the log of decisions, which needs no descriptor; that line imported the logger before. The product's own node and its frames use the same loop.

--- a/packages/pumicestand-node/pumicestand_node/mesh_node.py
+++ b/packages/pumicestand-node/pumicestand_node/mesh_node.py
@@ -220,31 +220,32 @@
         )
         scope = scope or trio.CancelScope()
 
-        async def serve_guarded(stream):
-            try:
-                await serve(stream)
-            except Exception as error:
-                # An error on one connection must not stop the process.
-                log.logger.opt(exception=error).error(
-                    'connection on port {} failed: {!r}',
-                    address.port,
-                    error,
-                )
+        def log_failure(failure):
+            self._decisions.note(
+                failure.code.value,
+                port=address.port,
+                count=failure.count,
+                error=repr(failure.error),
+            )
 
-        drained_listeners = [
-            listeners.DrainedListener(
-                listener,
-                lambda stream: self._nursery.start_soon(serve_guarded, stream),
+        def serve_waiting(stream):
+            self._nursery.start_soon(
+                listeners.serve_stream, stream, serve, log_failure
             )
+
+        drained_listeners = [
+            listeners.DrainedListener(listener, serve_waiting)
             for listener in tcp_listeners
         ]
 
         async def run():
             with scope:
-                await trio.serve_listeners(
-                    serve_guarded,
+                await listeners.serve(
                     drained_listeners,
-                    handler_nursery=self._nursery,
+                    serve,
+                    self._nursery,
+                    log_failure,
+                    self._client_port.close_idle,
                 )
 
         self._nursery.start_soon(run)
--- a/packages/pumicestand-node/pumicestand_node/node.py
+++ b/packages/pumicestand-node/pumicestand_node/node.py
@@ -293,10 +293,12 @@
     async def _serve_calls(self):
         """Accept connections of clients until the node stops."""
         with self._call_listener_scope:
-            await trio.serve_listeners(
-                self._client_port.serve,
+            await listeners.serve(
                 self._listeners,
-                handler_nursery=self._nursery,
+                self._client_port.serve,
+                self._nursery,
+                listeners.log_failure,
+                self._client_port.close_idle,
             )
         for listener in self._listeners:
             await listener.aclose()
--- a/packages/pumicestand-node/pumicestand_node/transport.py
+++ b/packages/pumicestand-node/pumicestand_node/transport.py
@@ -74,7 +74,11 @@
             async with trio.open_nursery() as nursery:
                 nursery.start_soon(self._read_datagrams)
                 nursery.start_soon(
-                    trio.serve_listeners, self._serve_stream, self._listeners
+                    listeners.serve,
+                    self._listeners,
+                    self._serve_stream,
+                    nursery,
+                    listeners.log_failure,
                 )
 
     async def send(self, address, frame):
--- a/packages/pumicestand/pumicestand/errors.py
+++ b/packages/pumicestand/pumicestand/errors.py
@@ -38,6 +38,8 @@
     DIGEST_MISMATCH = 'digest-mismatch'
     PEER_UNAVAILABLE = 'peer-unavailable'
     NO_SUCH_REQUEST = 'no-such-request'
+    ACCEPT_FAILED = 'accept-failed'
+    CONNECTION_FAILED = 'connection-failed'
 
 
 class PumicestandError(Exception):
--- a/tests/pumicestand/test_layers.py
+++ b/tests/pumicestand/test_layers.py
@@ -33,6 +33,7 @@
     'hop_messages',
     'link_probes',
     'link_resumption',
+    'log_throttle',
     'membership',
     'moves',
     'organisations',
--- a/tests/pumicestand_node/test_mesh_node.py
+++ b/tests/pumicestand_node/test_mesh_node.py
@@ -1,6 +1,7 @@
 """Tests of how the components of a node are put together."""
 
 import dataclasses
+import errno
 import json
 
 import pytest
@@ -11,10 +12,12 @@
 from pumicestand import hop_messages
 from pumicestand import targets
 from pumicestand_node import mesh_node
+from pumicestand_node import mesh_settings
 from pumicestand_platform import main
 from pumicestand_platform import settings
 from tests import mock_clock
 from tests.pumicestand import mesh_fakes
+from tests.pumicestand_node import test_listeners
 from tests.pumicestand_platform import test_settings
 
 
@@ -78,6 +81,33 @@
     assert 10 < open_count <= 150 / 2
 
 
+def test_process_lives_on_if_a_connection_can_not_be_accepted(
+    monkeypatch, make_node
+):
+    node = make_node(is_strict=False)
+    served = []
+
+    async def open_listeners(host, port):
+        stream, _ = trio.testing.memory_stream_pair()
+        steps = [OSError(errno.EIO, 'accept'), stream]
+        return [test_listeners.ScriptedListener(steps)]
+
+    async def serve(stream):
+        served.append(stream)
+
+    async def main():
+        async with trio.open_nursery() as node._nursery:
+            await node._listen(mesh_settings.Address('10.0.0.1', 80), serve)
+            await trio.sleep(1.0)
+            node._nursery.cancel_scope.cancel()
+
+    monkeypatch.setattr(mesh_node.listeners, 'open_listeners', open_listeners)
+    mock_clock.run(main)
+    assert len(served) == 1
+    (_, event, fields) = node._decisions._lines[0]
+    assert (event, fields['port']) == ('accept-failed', 80)
+
+
 def test_a_departure_is_acknowledged_only_once_the_store_has_it(
     monkeypatch, make_node
 ):
--- a/tests/pumicestand_platform/test_start_modules.py
+++ b/tests/pumicestand_platform/test_start_modules.py
@@ -32,6 +32,7 @@
 pumicestand.json_reading
 pumicestand.latencies pumicestand.link_meter pumicestand.link_probes
 pumicestand.link_resumption pumicestand.link_selection pumicestand.log
+pumicestand.log_throttle
 pumicestand.node_records
 pumicestand.organisations
 pumicestand.placing pumicestand.probing
