Create metrics once and render them once a second at most

What callers saw: 60 requests on one connection to the metrics address, sent at once, took 0.61 s of processor time in 2 s long after the connection had nothing more to send, and 1,000 took a core for good, so that SIGTERM was not obeyed within 10 s.

Cause: each first scrape asked for the metrics, waited for their import and then set them, so that scrapes at once created instruments several times. All were registered with the library's global registry, so that each text held the series of all of them: the cost grew with the square.

A lock lets one scrape create the metrics, whoever leaves meanwhile, and one text serves all scrapes of a second. A failure to start the thread, to import, create or render costs 503 and a line metrics-failed; the next scrape a second later tries again. Each instance of the metrics has a registry of its own.

Evidence: test_first_scrapes_at_once_create_the_metrics_once fails before the change (8 instances), as does the test of the texts of two instances.

--- a/packages/pumicestand-node/pumicestand_node/mesh_node.py
+++ b/packages/pumicestand-node/pumicestand_node/mesh_node.py
@@ -1,7 +1,6 @@
 """Creates, starts and stops the components of a node on the platform."""
 
 import gc
-import importlib
 import random
 import time
 
@@ -21,6 +20,7 @@
 from pumicestand_node import mesh_links
 from pumicestand_node import mesh_state
 from pumicestand_node import mesh_store
+from pumicestand_node import metrics_page
 from pumicestand_node import outbound_calls
 from pumicestand_node import plain_http
 from pumicestand_node import quota_agent
@@ -133,7 +133,9 @@
         self._links.on_store_era = self._store.hear_era
         self._links.on_target_restored = self._on_target_changed
         self._freshness = self._make_freshness_agent()
-        self._metrics = None
+        self._metrics_page = metrics_page.MetricsPage(
+            self._create_metrics, self._log_failure
+        )
         self._descriptors = descriptors.Descriptors(
             settings.max_descriptors, self._read_demand
         )
@@ -419,20 +421,20 @@
         return plain_http.PlainResponse(503, b'not ready\n')
 
     async def _handle_metrics(self, method, path, body):
-        if self._metrics is None:
-            # Importing the exporter takes as long as an eighth of a start,
-            # so it is left to the first scrape, outside the event loop.
-            module = await trio.to_thread.run_sync(
-                importlib.import_module, 'pumicestand_node.mesh_metrics'
-            )
-            self._metrics = module.MeshMetrics(
-                self._mesh,
-                self._outbound_calls,
-                self._target_calls,
-                self._clock,
-                self._freshness,
-            )
-        return plain_http.PlainResponse(200, self._metrics.text())
+        return await self._metrics_page.respond()
+
+    def _create_metrics(self, module):
+        """Return the metrics that a module defines."""
+        return module.MeshMetrics(
+            self._mesh,
+            self._outbound_calls,
+            self._target_calls,
+            self._clock,
+            self._freshness,
+        )
+
+    def _log_failure(self, code, error):
+        self._decisions.note(code.value, error=repr(error))
 
     def _on_target_changed(self):
         """Apply and report a change of the target beside this node."""
--- a/packages/pumicestand/pumicestand/errors.py
+++ b/packages/pumicestand/pumicestand/errors.py
@@ -40,6 +40,7 @@
     NO_SUCH_REQUEST = 'no-such-request'
     ACCEPT_FAILED = 'accept-failed'
     CONNECTION_FAILED = 'connection-failed'
+    METRICS_FAILED = 'metrics-failed'
 
 
 class PumicestandError(Exception):
--- a/packages/pumicestand/pumicestand/metrics.py
+++ b/packages/pumicestand/pumicestand/metrics.py
@@ -27,7 +27,11 @@
     """
 
     def __init__(self, process, call_latencies=None):
-        self._reader = prometheus.PrometheusMetricReader()
+        # A registry of its own, so that another instance adds nothing to it.
+        self._registry = prometheus_client.CollectorRegistry()
+        self._reader = prometheus.PrometheusMetricReader(
+            registry=self._registry
+        )
         resource = resources.Resource({'service.instance.id': process})
         self._provider = sdk.MeterProvider([self._reader], resource)
         self._meter = self._provider.get_meter('pumicestand')
@@ -95,8 +99,14 @@
                 yield api.Observation(seconds, labels)
 
     def text(self):
-        """Return all metrics in the Prometheus text format, as bytes."""
-        return prometheus_client.generate_latest()
+        """Return all metrics in the Prometheus text format, as bytes.
+
+        The library adds those of the interpreter and the process.
+        """
+        return (
+            prometheus_client.generate_latest()
+            + prometheus_client.generate_latest(self._registry)
+        )
 
     def close(self):
         """Shut the meter provider down."""
--- a/tests/pumicestand_node/test_mesh_metrics.py
+++ b/tests/pumicestand_node/test_mesh_metrics.py
@@ -25,7 +25,10 @@
     )
     outbound.access.counts[('Admitted', 'acme')] += 3
     node_metrics = mesh_metrics.MeshMetrics(mesh, outbound, targets, clock)
+    # Metrics of another instance are no part of the text.
+    mesh_metrics.MeshMetrics(mesh, outbound, targets, clock)
     lines = node_metrics.text().decode().splitlines()
+    assert sum(x.startswith('pumicestand_link_busy') for x in lines) == 1
     values = {
         line.partition('{')[0].partition(' ')[0]: line.rpartition(' ')[2]
         for line in lines
--- a/tests/pumicestand_node/test_mesh_node.py
+++ b/tests/pumicestand_node/test_mesh_node.py
@@ -11,6 +11,7 @@
 from pumicestand import documents
 from pumicestand import hop_messages
 from pumicestand import targets
+from pumicestand_node import mesh_metrics
 from pumicestand_node import mesh_node
 from pumicestand_node import mesh_settings
 from pumicestand_platform import main
@@ -108,6 +109,27 @@
     assert (event, fields['port']) == ('accept-failed', 80)
 
 
+def test_first_scrapes_at_once_create_the_metrics_once(monkeypatch, make_node):
+    node = make_node(is_strict=False)
+    created = []
+
+    class Metrics(mesh_metrics.MeshMetrics):
+        def __init__(self, *args):
+            created.append(self)
+            super().__init__(*args)
+
+    async def main():
+        async with trio.open_nursery() as nursery:
+            for _ in range(8):
+                nursery.start_soon(
+                    node._handle_metrics, 'GET', '/metrics', b''
+                )
+
+    monkeypatch.setattr(mesh_metrics, 'MeshMetrics', Metrics)
+    trio.run(main)
+    assert len(created) == 1
+
+
 def test_a_departure_is_acknowledged_only_once_the_store_has_it(
     monkeypatch, make_node
 ):
--- a/tests/pumicestand_platform/test_start_modules.py
+++ b/tests/pumicestand_platform/test_start_modules.py
@@ -59,6 +59,7 @@
 pumicestand_node.mesh_node pumicestand_node.mesh_records
 pumicestand_node.mesh_settings
 pumicestand_node.mesh_state pumicestand_node.mesh_store
+pumicestand_node.metrics_page
 pumicestand_node.outbound_call pumicestand_node.outbound_calls
 pumicestand_node.plain_http pumicestand_node.quota_agent
 pumicestand_node.socket_io
