Bound the requests of a connection that are served at once

Cause: the bound of 8 requests was looked at between reads only.

The bytes of one read are now parsed by 1 KB, and there must be room for further requests in between, except within a body. Bytes that are not parsed yet count as a request that has begun, so that a node that stops serves it and a full port does not take the connection for idle.

Evidence: test_requests_sent_at_once_do_not_fill_the_memory fails before the change.

--- a/packages/pumicestand-node/pumicestand_node/client_connections.py
+++ b/packages/pumicestand-node/pumicestand_node/client_connections.py
@@ -20,6 +20,8 @@
 from pumicestand_node import socket_io
 
 READ_BYTES = 16_384
+# Bytes that are parsed before there must be room for further requests.
+PARSE_BYTES = 1_024
 MAX_PIPELINED_REQUESTS = 8
 # Requests with these methods are served while earlier ones on the connection
 # are still being served.
@@ -136,6 +138,7 @@
         self._rejected_response = None
         self._nursery = None
         self._has_served = False
+        self._has_unparsed = False
         self._state = _State.OPEN
         self.last_progress_at = clock()
 
@@ -153,6 +156,7 @@
         if (
             self._state not in _ACCEPTING
             or self._pending_responses
+            or self._has_unparsed
             or self._parser.is_in_head
             or self._parser.request is not None
         ):
@@ -243,7 +247,7 @@
 
     def _idle_limit_s(self):
         """Return for how many seconds the client may make no progress."""
-        if self._state in _ACCEPTING:
+        if self._state in _ACCEPTING and not self._has_unparsed:
             if self._parser.is_in_head:
                 return self._limits.head_timeout
             if self._parser.request is not None:
@@ -274,7 +278,8 @@
     def _has_begun_request(self):
         """Return whether a request has arrived in part, read or not."""
         return self._state in _ACCEPTING and (
-            self._parser.is_in_head
+            self._has_unparsed
+            or self._parser.is_in_head
             or self._parser.request is not None
             or socket_io.is_readable(self._stream)
         )
@@ -336,9 +341,7 @@
         close would be a reset, which could lose the last response.
         """
         while True:
-            while self._is_full():
-                self._room_available = trio.Event()
-                await self._room_available.wait()
+            await self._wait_for_room()
             try:
                 data = await socket_io.receive_some(self._stream, READ_BYTES)
             except (trio.BrokenResourceError, trio.ClosedResourceError):
@@ -349,9 +352,28 @@
                 return
             if self._state in _ACCEPTING:
                 self.last_progress_at = self._clock()
-                self._parse(data)
+                await self._parse_all(data)
                 self._close_if_drained()
 
+    async def _wait_for_room(self):
+        while self._is_full():
+            self._room_available = trio.Event()
+            await self._room_available.wait()
+
+    async def _parse_all(self, data):
+        """Parse bytes, those of many requests a few requests at a time."""
+        start = 0
+        while len(data) - start > PARSE_BYTES and self._parser.request is None:
+            self._has_unparsed = True
+            self._parse(data[start : start + PARSE_BYTES])
+            start += PARSE_BYTES
+            await self._wait_for_room()
+            if self._state not in _ACCEPTING:
+                break
+        self._has_unparsed = False
+        if self._state in _ACCEPTING:
+            self._parse(data[start:])
+
     def _parse(self, data):
         """Parse bytes, or refuse the request that they belong to."""
         parser = self._parser
--- a/tests/pumicestand_node/test_client_connections.py
+++ b/tests/pumicestand_node/test_client_connections.py
@@ -617,3 +617,68 @@
         assert second.startswith(b'HTTP/1.1 404')
 
     run_with_target(test, 'late limit')
+
+
+def run_with_pipelined(count, test):
+    """Run a test with requests that were sent at once.
+
+    :param count: number of requests, for /0, /1 and so on
+    :param test: coroutine function (client's stream, connection, paths that
+        are served so far, event that lets them be answered)
+    """
+    served = []
+
+    async def main():
+        released = trio.Event()
+
+        async def serve(request, response):
+            served.append(request.head.path)
+            await released.wait()
+            await response.wait_for_turn()
+            keep_alive = response.decide_keep_alive(False)
+            await response.send(RESPONSE)
+            return keep_alive
+
+        client_end, node_end = trio.testing.memory_stream_pair()
+        connection = client_connections.ClientConnection(
+            node_end, serve, trio.current_time
+        )
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(connection.run)
+            await client_end.send_all(
+                b''.join(
+                    b'GET /%d HTTP/1.1\r\nhost: h\r\n\r\n' % n
+                    for n in range(count)
+                )
+            )
+            await trio.sleep(60.0)
+            await test(client_end, connection, served, released)
+            nursery.cancel_scope.cancel()
+
+    mock_clock.run(main)
+
+
+def test_requests_sent_at_once_do_not_fill_the_memory():
+    """Each waited in a task of its own, hundreds for each connection."""
+    count = 500
+    paths = [f'/{n}' for n in range(count)]
+
+    async def test(client, connection, served, released):
+        assert len(served) < 100
+        connection.enforce_timeouts(trio.current_time())
+        released.set()
+        data = b''
+        while data.count(RESPONSE) < count:
+            data += await client.receive_some()
+        assert sorted(served) == sorted(paths)
+
+    run_with_pipelined(count, test)
+
+
+def test_requests_that_wait_to_be_parsed_are_answered_by_a_stopping_node():
+    async def test(client, connection, served, released):
+        connection.close_when_idle()
+        released.set()
+        assert (await read_to_end(client)).count(RESPONSE) == 100
+
+    run_with_pipelined(100, test)
