Bound the memory for bodies that are held for clients

What callers saw: 500 clients that send 0.88 MB each took a real node from 33 to 487 MB, on a VM with 150 MB, whose process the platform ends with all its calls; 500 whole bodies of 0.9 MB took it to 464 MB.

Cause: each body is bounded, and nothing bounds all of them together. A client that takes no response had no time limit either, however much was held for it.

buffer_budget counts the bodies of all connections to the node's ports, by their announced length from the head on, and responses while their clients do not take them. The ports for readiness, control and metrics take bodies up to 1 MB.

Evidence: the tests of uploads and of clients that take no response fail before the change, for want of a budget.

--- a/packages/pumicestand-node/pumicestand_node/client_connections.py
+++ b/packages/pumicestand-node/pumicestand_node/client_connections.py
@@ -12,6 +12,7 @@
 import httptools
 import trio
 
+from pumicestand import buffer_budget
 from pumicestand import documents
 from pumicestand import log
 from pumicestand import refusals
@@ -22,12 +23,16 @@
 READ_BYTES = 16_384
 # Bytes that are parsed before there must be room for further requests.
 PARSE_BYTES = 1_024
+# Bytes of a response after which it is noticed that the client takes some.
+SEND_BYTES = 65_536
 MAX_PIPELINED_REQUESTS = 8
 # Requests with these methods are served while earlier ones on the connection
 # are still being served.
 CONCURRENT_METHODS = frozenset(('GET', 'HEAD'))
 DEFAULT_LIMITS = documents.ClientLimits()
 BODY_STALL_TIMEOUT_S = 30.0
+# Time after which a body for which there was no room may be sent again.
+BODY_RETRY_AFTER_S = 0.25
 # Time for the client to read the last response before the connection closes.
 CLOSE_LINGER_S = 1.0
 # Time for the first request on a new connection of a node that stops.
@@ -113,6 +118,9 @@
     :param limits: the `documents.ClientLimits` in force when it was opened
     :param on_refusal: called with the `refusals.Refusal` of a request that
         could not be read, or whose serving failed
+    :param budget: `buffer_budget.BufferBudget` for bodies, by default without
+        a limit. A request that does not fit is refused as not run, so that
+        `serve` must not pass on a body before it is complete.
     """
 
     def __init__(
@@ -122,6 +130,7 @@
         clock,
         limits=DEFAULT_LIMITS,
         on_refusal=lambda refusal: None,
+        budget=None,
     ):
         self._stream = stream
         self._serve = serve
@@ -131,9 +140,17 @@
         self._cancel_scope = trio.CancelScope()
         self._limits = limits
         self._on_refusal = on_refusal
+        self._budget = budget or buffer_budget.BufferBudget()
         self._parser = client_requests.RequestParser(
-            self._start_request, self._signal_room, self._accept_no_more
+            self._start_request,
+            self._signal_room,
+            self._accept_no_more,
+            self._budget,
         )
+        # Bytes of responses that the client has not taken, and when it last
+        # took some.
+        self.unsent_bytes = 0
+        self.last_taken_at = clock()
         self._refusal = None
         self._rejected_response = None
         self._nursery = None
@@ -261,12 +278,34 @@
     async def send(self, data):
         """Send bytes of a response."""
         try:
-            await socket_io.send_all(self._stream, data)
+            rest = socket_io.send_nowait(self._stream, data)
+            if rest:
+                await self._send_rest(rest)
         except (trio.BrokenResourceError, trio.ClosedResourceError):
             # The client has disconnected; the responses are not needed.
             self._cancel_scope.cancel()
             raise
 
+    async def _send_rest(self, data):
+        """Send what the socket has no room for, as the client takes it."""
+        unsent = memoryview(data)
+        self.unsent_bytes += len(unsent)
+        self._budget.add(len(unsent))
+        self.last_taken_at = self._clock()
+        try:
+            while unsent:
+                await self._stream.send_all(unsent[:SEND_BYTES])
+                self.last_taken_at = self._clock()
+                unsent = unsent[SEND_BYTES:]
+        finally:
+            # The whole is held until the last byte is sent.
+            self.unsent_bytes -= len(data)
+            self._budget.remove(len(data))
+
+    def close(self):
+        """Close the connection with the requests that are served on it."""
+        self._cancel_scope.cancel()
+
     def _has_later_request(self, pending_response):
         """Return whether a request after this one was received in part."""
         return (
@@ -287,6 +326,7 @@
     def _start_request(self, request):
         """Start a task for a request if the connection accepts it."""
         if self._state not in _ACCEPTING:
+            request.release()
             return
         previous = (
             self._pending_responses[-1].finished
@@ -295,7 +335,7 @@
         )
         pending_response = PendingResponse(self, request, previous)
         self._pending_responses.append(pending_response)
-        self._nursery.start_soon(self._serve_request, pending_response)
+        self._nursery.start_soon(self._serve_and_release, pending_response)
 
     def _accept_no_more(self):
         """Discard from now on what the client sends."""
@@ -398,10 +438,7 @@
         if request is None:
             return
         max_body_bytes = self._limits.body_bytes
-        if (
-            max(request.received_bytes, request.head.body_length or 0)
-            > max_body_bytes
-        ):
+        if request.size > max_body_bytes:
             self._reject(
                 refusals.bad_request(
                     refusals.CallCode.BODY_TOO_LARGE,
@@ -409,6 +446,16 @@
                     status=413,
                 )
             )
+            return
+        if not self._budget.has_room_for(request.size):
+            self._reject(
+                refusals.not_run(
+                    refusals.CallCode.OVERLOADED,
+                    f'no room for a body of {request.size} bytes',
+                    BODY_RETRY_AFTER_S,
+                )
+            )
+            request.release()
 
     def _reject(self, refusal):
         """Refuse a request that breaks the protocol and accept no more.
@@ -433,6 +480,12 @@
                     rejected_response.cancel_scope.cancel()
         self._close_after_last()
 
+    async def _serve_and_release(self, pending_response):
+        try:
+            await self._serve_request(pending_response)
+        finally:
+            pending_response.request.release()
+
     async def _serve_request(self, pending_response):
         """Serve one request and close the connection if it is the last."""
         keep_alive = False
--- a/packages/pumicestand-node/pumicestand_node/client_port.py
+++ b/packages/pumicestand-node/pumicestand_node/client_port.py
@@ -5,6 +5,7 @@
 
 import trio
 
+from pumicestand import buffer_budget
 from pumicestand import documents
 from pumicestand import log
 from pumicestand import refusals
@@ -19,6 +20,9 @@
 # first request, and after others, when its client is likely to go on.
 MIN_UNUSED_S = 0.1
 MIN_IDLE_S = 1.0
+# Time for which a client takes no byte of a response before its connection is
+# closed to free memory.
+MIN_STALL_S = 1.0
 # Period in which the idle connections are listed once at most.
 LISTING_PERIOD_S = 0.02
 
@@ -48,6 +52,8 @@
     :param max_refusals: returns the number of further connections on which
         requests are refused
     :param clock: returns monotonic seconds
+    :param budget: `buffer_budget.BufferBudget` of all ports, see
+        `client_connections.ClientConnection`
     """
 
     def __init__(
@@ -58,6 +64,7 @@
         max_connections=_is_unlimited,
         max_refusals=_refuses_none,
         clock=time.monotonic,
+        budget=None,
     ):
         self._serve = serve
         self._on_refusal = on_refusal
@@ -65,6 +72,7 @@
         self._max_connections = max_connections
         self._max_refusals = max_refusals
         self._clock = clock
+        self._budget = budget or buffer_budget.BufferBudget()
         self._connections = set()
         self._refused = set()
         # Idle connections in the order in which they are replaced, with the
@@ -102,6 +110,7 @@
             self._clock,
             self._limits(),
             self._on_refusal,
+            self._budget,
         )
 
     async def _run(self, connection, connections):
@@ -185,6 +194,35 @@
         self._idle.clear()
         for connection in list(self._connections):
             connection.enforce_timeouts(now)
+        self._close_stalled(now)
+
+    def _close_stalled(self, now):
+        """Close connections whose clients take no response, if need be."""
+        if not self._budget.is_exceeded:
+            return
+        stalled = sorted(
+            (
+                connection
+                for connection in self._connections
+                if connection.unsent_bytes
+                and now - connection.last_taken_at >= MIN_STALL_S
+            ),
+            key=lambda connection: connection.last_taken_at,
+        )
+        excess_bytes = self._budget.held_bytes - self._budget.max_bytes
+        for connection in stalled:
+            if excess_bytes <= 0:
+                return
+            excess_bytes -= connection.unsent_bytes
+            connection.close()
+            self._connections.discard(connection)
+            self.excess_counts['stalled'] += 1
+            log.logger.bind(event='client-stalled').warning(
+                'a client took none of {} bytes for {:.1f} s; its connection '
+                'is closed, as responses use up the memory',
+                connection.unsent_bytes,
+                now - connection.last_taken_at,
+            )
 
     def close_when_idle(self):
         """Close each connection once no request is received or served on it.
--- a/packages/pumicestand-node/pumicestand_node/client_requests.py
+++ b/packages/pumicestand-node/pumicestand_node/client_requests.py
@@ -18,12 +18,19 @@
 class Request:
     """A request whose body may still be incomplete.
 
+    The body counts in the budget from the start until `release` is called.
+
     :param head: the `heads.RequestHead`
     :param on_body_read: called after a chunk of the body was taken
+    :param budget: `buffer_budget.BufferBudget`
     """
 
-    def __init__(self, head, on_body_read):
+    def __init__(self, head, on_body_read, budget):
         self.head = head
+        self._budget = budget
+        self._is_released = False
+        self._counted_bytes = head.body_length or 0
+        budget.add(self._counted_bytes)
         self.is_complete = False
         self.is_broken = False
         self._chunks = collections.deque()
@@ -38,13 +45,27 @@
         """Whether reading must pause until buffered chunks are taken."""
         return self._buffered_bytes >= MAX_BUFFERED_BODY_BYTES
 
+    @property
+    def size(self):
+        """Bytes of the body that are announced or received."""
+        return max(self.head.body_length or 0, self.received_bytes)
+
     def add_body(self, data):
         """Buffer a chunk of the body."""
         self._chunks.append(data)
         self._buffered_bytes += len(data)
         self.received_bytes += len(data)
+        if self.received_bytes > self._counted_bytes and not self._is_released:
+            self._budget.add(self.received_bytes - self._counted_bytes)
+            self._counted_bytes = self.received_bytes
         self._wake_reader()
 
+    def release(self):
+        """Count the body no longer; it is held by nobody."""
+        if not self._is_released:
+            self._is_released = True
+            self._budget.remove(self._counted_bytes)
+
     def end_body(self, is_broken=False):
         """Mark the body as complete, or as broken off."""
         self.is_complete = not is_broken
@@ -95,12 +116,14 @@
     :param on_request: called with each `Request` whose head has been read
     :param on_body_read: called after a chunk of a body was taken
     :param on_last_request: called after a request that ends the connection
+    :param budget: `buffer_budget.BufferBudget` for the bodies
     """
 
-    def __init__(self, on_request, on_body_read, on_last_request):
+    def __init__(self, on_request, on_body_read, on_last_request, budget):
         self._on_request = on_request
         self._on_body_read = on_body_read
         self._on_last_request = on_last_request
+        self._budget = budget
         self._url = b''
         self._headers = []
         self._request = None
@@ -144,7 +167,7 @@
         self.refusal = heads.validate_request(head)
         if self.refusal is not None:
             raise ValueError(self.refusal.detail)
-        self._request = Request(head, self._on_body_read)
+        self._request = Request(head, self._on_body_read, self._budget)
         expect = head.header(b'expect')
         self._request.expects_continue = (
             expect is not None and expect.lower() == b'100-continue'
--- a/packages/pumicestand-node/pumicestand_node/mesh_node.py
+++ b/packages/pumicestand-node/pumicestand_node/mesh_node.py
@@ -6,6 +6,7 @@
 
 import trio
 
+from pumicestand import buffer_budget
 from pumicestand import decision_log
 from pumicestand import descriptor_budget
 from pumicestand import documents
@@ -41,6 +42,8 @@
 # Time for which the links stay open to send final frames once the node
 # accepts no more calls.
 LINK_FLUSH_S = 0.1
+# Limits on the requests of the target and of the platform.
+PLAIN_LIMITS = documents.ClientLimits(body_bytes=1_048_576)
 # Allocations, net of deallocations, that start a collection of generation 0.
 GC_THRESHOLD = 20_000
 
@@ -139,12 +142,16 @@
         self._descriptors = descriptors.Descriptors(
             settings.max_descriptors, self._read_demand
         )
+        self._buffers = buffer_budget.BufferBudget(
+            buffer_budget.limit(settings.memory_bytes)
+        )
         self._client_port = client_port.ClientPort(
             self._outbound_calls.serve,
             self._log_refusal,
             self._client_limits,
             self._descriptors.max_clients,
             self._descriptors.max_refusals,
+            budget=self._buffers,
         )
         # Ports of the target and of the platform.
         self._plain_ports = []
@@ -410,7 +417,9 @@
         port = client_port.ClientPort(
             handler.serve,
             self._log_refusal,
-            max_connections=self._descriptors.max_port_connections,
+            lambda: PLAIN_LIMITS,
+            self._descriptors.max_port_connections,
+            budget=self._buffers,
         )
         self._plain_ports.append(port)
         return port.serve
--- a/tests/pumicestand/test_layers.py
+++ b/tests/pumicestand/test_layers.py
@@ -19,6 +19,7 @@
     'application',
     'balancing',
     'blackboard',
+    'buffer_budget',
     'coldness',
     'connection_trust',
     'controllers',
--- a/tests/pumicestand_node/test_client_connections.py
+++ b/tests/pumicestand_node/test_client_connections.py
@@ -11,6 +11,7 @@
 import trio
 import trio.testing
 
+from pumicestand import buffer_budget
 from pumicestand import documents
 from pumicestand import log
 from pumicestand_node import client_connections
@@ -682,3 +683,104 @@
         assert (await read_to_end(client)).count(RESPONSE) == 100
 
     run_with_pipelined(100, test)
+
+
+class Uploads:
+    """Connections of clients that share 1,000,000 bytes for bodies.
+
+    Each request is answered once its body is complete and `released` is set.
+    """
+
+    def __init__(self, nursery):
+        self._nursery = nursery
+        self.budget = buffer_budget.BufferBudget(1_000_000)
+        self.released = trio.Event()
+        self.bodies = []
+        self.refusals = []
+
+    async def _serve(self, request, response):
+        self.bodies.append(await request.read_all())
+        await self.released.wait()
+        await response.send(RESPONSE)
+        return True
+
+    async def start(self, framing, data=b''):
+        """Return a new client's stream that has sent a part of a request."""
+        client, node_end = trio.testing.memory_stream_pair()
+        connection = client_connections.ClientConnection(
+            node_end,
+            self._serve,
+            trio.current_time,
+            on_refusal=self.refusals.append,
+            budget=self.budget,
+        )
+        self._nursery.start_soon(connection.run)
+        head = b'POST /x HTTP/1.1\r\nhost: h\r\n' + framing + b'\r\n\r\n'
+        await client.send_all(head + data)
+        await trio.testing.wait_all_tasks_blocked()
+        return client
+
+
+def run_uploads(test):
+    """Run a test, a coroutine function of `Uploads`."""
+
+    async def main():
+        async with trio.open_nursery() as nursery:
+            uploads = Uploads(nursery)
+            await test(uploads)
+            nursery.cancel_scope.cancel()
+        assert uploads.budget.held_bytes == 0
+
+    mock_clock.run(main)
+
+
+def test_body_that_can_not_be_held_is_refused_at_once_as_not_run():
+    """The process would be killed for its memory, with all calls."""
+
+    async def test(uploads):
+        length = b'content-length: 300000'
+        held = [await uploads.start(length, b'u') for _ in range(2)]
+        refused = await uploads.start(length)
+        response = await read_to_end(refused)
+        assert response.startswith(b'HTTP/1.1 503 ')
+        assert b'pumicestand-outcome: not-run\r\n' in response
+        assert b'retry-after: ' in response
+        short = await uploads.start(b'content-length: 10', b'0123456789')
+        uploads.released.set()
+        assert await short.receive_some() == RESPONSE
+        for client in held:
+            await client.send_all(b'u' * 299_999)
+            assert await client.receive_some() == RESPONSE
+        assert sorted(map(len, uploads.bodies)) == [10, 300_000, 300_000]
+        assert uploads.budget.held_bytes == 0
+        again = await uploads.start(length, b'u' * 300_000)
+        assert await again.receive_some() == RESPONSE
+
+    run_uploads(test)
+
+
+def test_body_without_a_length_is_refused_once_it_does_not_fit():
+    async def test(uploads):
+        client = await uploads.start(b'transfer-encoding: chunked')
+        chunk = b'%x\r\n' % 100_000 + b'u' * 100_000 + b'\r\n'
+        for _ in range(7):
+            await client.send_all(chunk)
+        await trio.testing.wait_all_tasks_blocked()
+        assert not uploads.refusals
+        await client.send_all(chunk)
+        assert (await read_to_end(client)).startswith(b'HTTP/1.1 503 ')
+        assert uploads.bodies == []
+        assert uploads.budget.held_bytes == 0
+
+    run_uploads(test)
+
+
+def test_body_of_a_client_that_leaves_is_held_no_longer():
+    async def test(uploads):
+        client = await uploads.start(b'content-length: 700000', b'u' * 9)
+        assert uploads.budget.held_bytes == 700_000
+        await client.aclose()
+        await trio.testing.wait_all_tasks_blocked()
+        assert uploads.budget.held_bytes == 0
+
+    run_uploads(test)
--- a/tests/pumicestand_node/test_client_port.py
+++ b/tests/pumicestand_node/test_client_port.py
@@ -2,9 +2,11 @@
 
 import socket
 
+import pytest
 import trio
 import trio.testing
 
+from pumicestand import buffer_budget
 from pumicestand_node import client_port
 from tests import mock_clock
 
@@ -282,3 +284,66 @@
         assert await receive_all(stream) == RESPONSE
 
     run_with_connection(test, serve)
+
+
+class SlowReaders:
+    """Clients that get a long response each and take it as told.
+
+    :param max_bytes: of the budget
+    """
+
+    def __init__(self, nursery, max_bytes):
+        self._nursery = nursery
+        self.budget = buffer_budget.BufferBudget(max_bytes)
+        self.port = client_port.ClientPort(
+            self._serve,
+            lambda refusal: None,
+            clock=trio.current_time,
+            budget=self.budget,
+        )
+
+    async def _serve(self, request, connection):
+        await connection.send(
+            b'HTTP/1.1 200 OK\r\ncontent-length: 1000000\r\n\r\n'
+            + bytes(1_000_000)
+        )
+        return True
+
+    async def connect(self):
+        """Return the stream of a client that has taken nothing yet."""
+        client, server = trio.testing.lockstep_stream_pair()
+        self._nursery.start_soon(self.port.serve, server)
+        await client.send_all(REQUEST)
+        await trio.testing.wait_all_tasks_blocked()
+        return client
+
+
+@pytest.mark.parametrize(('max_bytes', 'open_count'), [(1.5e6, 1), (9e6, 3)])
+def test_clients_that_take_no_response_do_not_fill_the_memory(
+    max_bytes, open_count
+):
+    async def main():
+        async with trio.open_nursery() as nursery:
+            readers = SlowReaders(nursery, max_bytes)
+            for _ in range(2):
+                await readers.connect()
+                await trio.sleep(0.2)
+            taking = await readers.connect()
+            assert readers.budget.held_bytes > 3_000_000
+            readers.port.enforce_timeouts()
+            await trio.testing.wait_all_tasks_blocked()
+            assert readers.port.connection_count == 3
+            await trio.sleep(client_port.MIN_STALL_S)
+            for _ in range(2):
+                await taking.receive_some(65_536)
+            readers.port.enforce_timeouts()
+            await trio.testing.wait_all_tasks_blocked()
+            assert readers.port.connection_count == open_count
+            # The one that takes its response is served to the end.
+            data = b''
+            while len(data) < 800_000:
+                data += await taking.receive_some(65_536)
+            nursery.cancel_scope.cancel()
+        assert readers.budget.held_bytes == 0
+
+    mock_clock.run(main)
