--- a/packages/pumicestand-node/pumicestand_node/mesh_node.py
+++ b/packages/pumicestand-node/pumicestand_node/mesh_node.py
@@ -1,12 +1,12 @@
 """Creates, starts and stops the components of a node on the platform."""
 
 import gc
-import importlib
 import random
 import time
 
 import trio
 
+from pumicestand import buffer_budget
 from pumicestand import decision_log
 from pumicestand import descriptor_budget
 from pumicestand import documents
@@ -22,6 +22,7 @@
 from pumicestand_node import mesh_links
 from pumicestand_node import mesh_state
 from pumicestand_node import mesh_store
+from pumicestand_node import metrics_page
 from pumicestand_node import outbound_calls
 from pumicestand_node import plain_http
 from pumicestand_node import quota_agent
@@ -42,6 +43,8 @@
 # Time for which the links stay open to send final frames once the node
 # accepts no more calls.
 LINK_FLUSH_S = 0.1
+# Limits on the requests of the target and of the platform.
+PLAIN_LIMITS = documents.ClientLimits(body_bytes=1_048_576)
 # Allocations, net of deallocations, that start a collection of generation 0.
 GC_THRESHOLD = 20_000
 
@@ -134,16 +137,22 @@
         self._links.on_store_era = self._store.hear_era
         self._links.on_target_restored = self._on_target_changed
         self._freshness = self._make_freshness_agent()
-        self._metrics = None
+        self._metrics_page = metrics_page.MetricsPage(
+            self._create_metrics, self._log_failure
+        )
         self._descriptors = descriptors.Descriptors(
             settings.max_descriptors, self._read_demand
         )
+        self._buffers = buffer_budget.BufferBudget(
+            buffer_budget.limit(settings.memory_bytes)
+        )
         self._client_port = client_port.ClientPort(
             self._outbound_calls.serve,
             self._log_refusal,
             self._client_limits,
             self._descriptors.max_clients,
             self._descriptors.max_refusals,
+            budget=self._buffers,
         )
         # Ports of the target and of the platform.
         self._plain_ports = []
@@ -221,31 +230,32 @@
         )
         scope = scope or trio.CancelScope()
 
-        async def serve_guarded(stream):
-            try:
-                await serve(stream)
-            except Exception as error:
-                # An error on one connection must not stop the process.
-                log.logger.opt(exception=error).error(
-                    'connection on port {} failed: {!r}',
-                    address.port,
-                    error,
-                )
+        def log_failure(failure):
+            self._decisions.note(
+                failure.code.value,
+                port=address.port,
+                count=failure.count,
+                error=repr(failure.error),
+            )
 
-        drained_listeners = [
-            listeners.DrainedListener(
-                listener,
-                lambda stream: self._nursery.start_soon(serve_guarded, stream),
+        def serve_waiting(stream):
+            self._nursery.start_soon(
+                listeners.serve_stream, stream, serve, log_failure
             )
+
+        drained_listeners = [
+            listeners.DrainedListener(listener, serve_waiting)
             for listener in tcp_listeners
         ]
 
         async def run():
             with scope:
-                await trio.serve_listeners(
-                    serve_guarded,
+                await listeners.serve(
                     drained_listeners,
-                    handler_nursery=self._nursery,
+                    serve,
+                    self._nursery,
+                    log_failure,
+                    self._client_port.close_idle,
                 )
 
         self._nursery.start_soon(run)
@@ -408,7 +418,9 @@
         port = client_port.ClientPort(
             handler.serve,
             self._log_refusal,
-            max_connections=self._descriptors.max_port_connections,
+            lambda: PLAIN_LIMITS,
+            self._descriptors.max_port_connections,
+            budget=self._buffers,
         )
         self._plain_ports.append(port)
         return port.serve
@@ -419,20 +431,20 @@
         return plain_http.PlainResponse(503, b'not ready\n')
 
     async def _handle_metrics(self, method, path, body):
-        if self._metrics is None:
-            # Importing the exporter takes as long as an eighth of a start,
-            # so it is left to the first scrape, outside the event loop.
-            module = await trio.to_thread.run_sync(
-                importlib.import_module, 'pumicestand_node.mesh_metrics'
-            )
-            self._metrics = module.MeshMetrics(
-                self._mesh,
-                self._outbound_calls,
-                self._target_calls,
-                self._clock,
-                self._freshness,
-            )
-        return plain_http.PlainResponse(200, self._metrics.text())
+        return await self._metrics_page.respond()
+
+    def _create_metrics(self, module):
+        """Return the metrics that a module defines."""
+        return module.MeshMetrics(
+            self._mesh,
+            self._outbound_calls,
+            self._target_calls,
+            self._clock,
+            self._freshness,
+        )
+
+    def _log_failure(self, code, error):
+        self._decisions.note(code.value, error=repr(error))
 
     def _on_target_changed(self):
         """Apply and report a change of the target beside this node."""
--- a/packages/pumicestand/pumicestand/errors.py
+++ b/packages/pumicestand/pumicestand/errors.py
@@ -38,6 +38,9 @@
     DIGEST_MISMATCH = 'digest-mismatch'
     PEER_UNAVAILABLE = 'peer-unavailable'
     NO_SUCH_REQUEST = 'no-such-request'
+    ACCEPT_FAILED = 'accept-failed'
+    CONNECTION_FAILED = 'connection-failed'
+    METRICS_FAILED = 'metrics-failed'
 
 
 class PumicestandError(Exception):
--- a/tests/pumicestand_node/test_client_connections.py
+++ b/tests/pumicestand_node/test_client_connections.py
@@ -11,6 +11,7 @@
 import trio
 import trio.testing
 
+from pumicestand import buffer_budget
 from pumicestand import documents
 from pumicestand import log
 from pumicestand_node import client_connections
@@ -617,3 +618,169 @@
         assert second.startswith(b'HTTP/1.1 404')
 
     run_with_target(test, 'late limit')
+
+
+def run_with_pipelined(count, test):
+    """Run a test with requests that were sent at once.
+
+    :param count: number of requests, for /0, /1 and so on
+    :param test: coroutine function (client's stream, connection, paths that
+        are served so far, event that lets them be answered)
+    """
+    served = []
+
+    async def main():
+        released = trio.Event()
+
+        async def serve(request, response):
+            served.append(request.head.path)
+            await released.wait()
+            await response.wait_for_turn()
+            keep_alive = response.decide_keep_alive(False)
+            await response.send(RESPONSE)
+            return keep_alive
+
+        client_end, node_end = trio.testing.memory_stream_pair()
+        connection = client_connections.ClientConnection(
+            node_end, serve, trio.current_time
+        )
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(connection.run)
+            await client_end.send_all(
+                b''.join(
+                    b'GET /%d HTTP/1.1\r\nhost: h\r\n\r\n' % n
+                    for n in range(count)
+                )
+            )
+            await trio.sleep(60.0)
+            await test(client_end, connection, served, released)
+            nursery.cancel_scope.cancel()
+
+    mock_clock.run(main)
+
+
+def test_requests_sent_at_once_do_not_fill_the_memory():
+    """Each waited in a task of its own, hundreds for each connection."""
+    count = 500
+    paths = [f'/{n}' for n in range(count)]
+
+    async def test(client, connection, served, released):
+        assert len(served) < 100
+        connection.enforce_timeouts(trio.current_time())
+        released.set()
+        data = b''
+        while data.count(RESPONSE) < count:
+            data += await client.receive_some()
+        assert sorted(served) == sorted(paths)
+
+    run_with_pipelined(count, test)
+
+
+def test_requests_that_wait_to_be_parsed_are_answered_by_a_stopping_node():
+    async def test(client, connection, served, released):
+        connection.close_when_idle()
+        released.set()
+        assert (await read_to_end(client)).count(RESPONSE) == 100
+
+    run_with_pipelined(100, test)
+
+
+class Uploads:
+    """Connections of clients that share 1,000,000 bytes for bodies.
+
+    Each request is answered once its body is complete and `released` is set.
+    """
+
+    def __init__(self, nursery):
+        self._nursery = nursery
+        self.budget = buffer_budget.BufferBudget(1_000_000)
+        self.released = trio.Event()
+        self.bodies = []
+        self.refusals = []
+
+    async def _serve(self, request, response):
+        self.bodies.append(await request.read_all())
+        await self.released.wait()
+        await response.send(RESPONSE)
+        return True
+
+    async def start(self, framing, data=b''):
+        """Return a new client's stream that has sent a part of a request."""
+        client, node_end = trio.testing.memory_stream_pair()
+        connection = client_connections.ClientConnection(
+            node_end,
+            self._serve,
+            trio.current_time,
+            on_refusal=self.refusals.append,
+            budget=self.budget,
+        )
+        self._nursery.start_soon(connection.run)
+        head = b'POST /x HTTP/1.1\r\nhost: h\r\n' + framing + b'\r\n\r\n'
+        await client.send_all(head + data)
+        await trio.testing.wait_all_tasks_blocked()
+        return client
+
+
+def run_uploads(test):
+    """Run a test, a coroutine function of `Uploads`."""
+
+    async def main():
+        async with trio.open_nursery() as nursery:
+            uploads = Uploads(nursery)
+            await test(uploads)
+            nursery.cancel_scope.cancel()
+        assert uploads.budget.held_bytes == 0
+
+    mock_clock.run(main)
+
+
+def test_body_that_can_not_be_held_is_refused_at_once_as_not_run():
+    """The process would be killed for its memory, with all calls."""
+
+    async def test(uploads):
+        length = b'content-length: 300000'
+        held = [await uploads.start(length, b'u') for _ in range(2)]
+        refused = await uploads.start(length)
+        response = await read_to_end(refused)
+        assert response.startswith(b'HTTP/1.1 503 ')
+        assert b'pumicestand-outcome: not-run\r\n' in response
+        assert b'retry-after: ' in response
+        short = await uploads.start(b'content-length: 10', b'0123456789')
+        uploads.released.set()
+        assert await short.receive_some() == RESPONSE
+        for client in held:
+            await client.send_all(b'u' * 299_999)
+            assert await client.receive_some() == RESPONSE
+        assert sorted(map(len, uploads.bodies)) == [10, 300_000, 300_000]
+        assert uploads.budget.held_bytes == 0
+        again = await uploads.start(length, b'u' * 300_000)
+        assert await again.receive_some() == RESPONSE
+
+    run_uploads(test)
+
+
+def test_body_without_a_length_is_refused_once_it_does_not_fit():
+    async def test(uploads):
+        client = await uploads.start(b'transfer-encoding: chunked')
+        chunk = b'%x\r\n' % 100_000 + b'u' * 100_000 + b'\r\n'
+        for _ in range(7):
+            await client.send_all(chunk)
+        await trio.testing.wait_all_tasks_blocked()
+        assert not uploads.refusals
+        await client.send_all(chunk)
+        assert (await read_to_end(client)).startswith(b'HTTP/1.1 503 ')
+        assert uploads.bodies == []
+        assert uploads.budget.held_bytes == 0
+
+    run_uploads(test)
+
+
+def test_body_of_a_client_that_leaves_is_held_no_longer():
+    async def test(uploads):
+        client = await uploads.start(b'content-length: 700000', b'u' * 9)
+        assert uploads.budget.held_bytes == 700_000
+        await client.aclose()
+        await trio.testing.wait_all_tasks_blocked()
+        assert uploads.budget.held_bytes == 0
+
+    run_uploads(test)
--- a/tests/pumicestand_platform/test_start_modules.py
+++ b/tests/pumicestand_platform/test_start_modules.py
@@ -20,7 +20,7 @@
 
 OWN = """
 pumicestand pumicestand.admission_by_room
-pumicestand.body_transfers pumicestand.call_headers
+pumicestand.body_transfers pumicestand.buffer_budget pumicestand.call_headers
 pumicestand.coldness pumicestand.connection_trust pumicestand.decision_log
 pumicestand.descriptor_budget
 pumicestand.evacuations pumicestand.fair_shares
@@ -33,6 +33,7 @@
 pumicestand.latencies pumicestand.line_output pumicestand.link_meter
 pumicestand.link_probes
 pumicestand.link_resumption pumicestand.link_selection pumicestand.log
+pumicestand.log_throttle
 pumicestand.node_records
 pumicestand.organisations
 pumicestand.placing pumicestand.probing
@@ -59,6 +60,7 @@
 pumicestand_node.mesh_node pumicestand_node.mesh_records
 pumicestand_node.mesh_settings
 pumicestand_node.mesh_state pumicestand_node.mesh_store
+pumicestand_node.metrics_page
 pumicestand_node.outbound_call pumicestand_node.outbound_calls
 pumicestand_node.plain_http pumicestand_node.quota_agent
 pumicestand_node.socket_io
