Let no signal and no output change how the process ends, and say why it did

What operators saw: SIGTERM during the imports ended the process with -15, and so did a second one after the stop, as `open_signal_receiver` delivers it again when it has closed. SIGTERM was heard only once the node had started. SIGHUP in the imports of the first lines ended it. A closed descriptor 1 was given to the next file or socket, and decisions were written there. Output that failed at the end made the exit code 120, a failing message on standard error 1. No line told why a process ended.

Change: handlers are in place before anything is imported, by modules that are part of the interpreter: SIGTERM ends an importing process with code 0, and /dev/null takes the place of closed standard streams. From `main` on signals are recorded, during the start they end it, and after the stop they are ignored. Standard error is written like the log, without waiting or raising.

--- a/packages/pumicestand/pumicestand/errors.py
+++ b/packages/pumicestand/pumicestand/errors.py
@@ -38,6 +38,7 @@
     DIGEST_MISMATCH = 'digest-mismatch'
     PEER_UNAVAILABLE = 'peer-unavailable'
     NO_SUCH_REQUEST = 'no-such-request'
+    PORT_UNAVAILABLE = 'port-unavailable'
 
 
 class PumicestandError(Exception):
@@ -155,3 +156,15 @@
 
     def __init__(self, message, *, step, peer):
         super().__init__(Code.PEER_UNAVAILABLE, message, step=step, peer=peer)
+
+
+class PortError(PumicestandError):
+    """A port of this process can't be opened."""
+
+    def __init__(self, message):
+        super().__init__(
+            Code.PORT_UNAVAILABLE,
+            message,
+            step='open ports',
+            remedy='free the port or change the setting',
+        )
--- a/packages/pumicestand/pumicestand/line_output.py
+++ b/packages/pumicestand/pumicestand/line_output.py
@@ -5,6 +5,7 @@
 """
 
 import functools
+import io
 import os
 import stat
 
@@ -47,6 +48,24 @@
         return pending.count(b'\n', end)
 
 
+class TextOutput(io.TextIOBase):
+    """A text stream whose lines go to a `LineOutput`."""
+
+    def __init__(self, output):
+        super().__init__()
+        self._output = output
+        self._begun = ''
+
+    def write(self, text):
+        """Write text, each line once it is whole."""
+        *lines, self._begun = f'{self._begun}{text}'.split('\n')
+        if lines:
+            self._output.write(
+                '\n'.join([*lines, '']).encode(errors='replace')
+            )
+        return len(text)
+
+
 @functools.cache
 def standard():
     """Return the `LineOutput` of standard output."""
@@ -63,6 +82,18 @@
     return LineOutput(_without_blocking(descriptor))
 
 
+def open_text(descriptor):
+    """Return a `TextOutput` for a descriptor.
+
+    :param descriptor: file descriptor, which may be closed
+    """
+    try:
+        is_standard = os.path.sameopenfile(descriptor, STANDARD_OUTPUT)
+    except OSError:
+        is_standard = False
+    return TextOutput(standard() if is_standard else open_output(descriptor))
+
+
 def _without_blocking(descriptor):
     """Return a descriptor of the same file that does not block.
 
--- a/tests/pumicestand_platform/test_main.py
+++ b/tests/pumicestand_platform/test_main.py
@@ -1,15 +1,36 @@
 """Tests of how a node's process starts, reloads its settings and stops."""
 
+import functools
+import json
 import signal
+import sys
 
 import pytest
 import trio
 
+from pumicestand import errors
+from pumicestand import line_output
+from pumicestand import log
 from pumicestand_platform import main
 from pumicestand_platform import settings
+from tests import mock_clock
 from tests.pumicestand_platform import test_settings
 
 STOP_S = 0.05
+SIGNALS = (signal.SIGTERM, signal.SIGINT, signal.SIGHUP)
+
+
+@pytest.fixture(autouse=True)
+def _process(monkeypatch):
+    """Restore what `main` changes for the whole process."""
+    handlers = {number: signal.getsignal(number) for number in SIGNALS}
+    monkeypatch.setattr(sys, 'stderr', sys.stderr)
+    monkeypatch.setattr(log._state, 'sink', log._state.sink)
+    line_output.standard.cache_clear()
+    yield
+    line_output.standard.cache_clear()
+    for number, handler in handlers.items():
+        signal.signal(number, handler)
 
 
 class FakeNode:
@@ -93,3 +114,103 @@
     message = capfd.readouterr().err
     assert message.startswith('settings: ')
     assert message.count('\n') == 1
+
+
+def read_exit_lines(capfd):
+    lines = capfd.readouterr().out.splitlines()
+    events = [json.loads(line) for line in lines]
+    return [
+        (line['code'], line['reason'])
+        for line in events
+        if line.get('event') == 'exit'
+    ]
+
+
+@pytest.fixture
+def run_main(monkeypatch, settings_path, capfd):
+    """Return a function that runs `main` with another `run`.
+
+    It returns the exit code, and the codes and reasons that were logged.
+    """
+
+    def run_main(run):
+        monkeypatch.setattr(main, 'run', run)
+        return main.main(), read_exit_lines(capfd)
+
+    return run_main
+
+
+def test_end_by_a_signal_is_logged_with_its_reason(run_main):
+    async def run(node_settings, early_signals):
+        return 'SIGTERM'
+
+    assert run_main(run) == (0, [(0, 'SIGTERM')])
+
+
+def test_end_by_an_unexpected_error_is_logged_with_its_reason(run_main):
+    async def run(node_settings, early_signals):
+        raise KeyError('unexpected')
+
+    assert run_main(run) == (1, [(1, "KeyError('unexpected')")])
+
+
+def test_end_as_a_port_is_in_use_has_a_code_of_its_own(run_main):
+    async def run(node_settings, early_signals):
+        raise errors.PortError('127.0.0.1:80: in use')
+
+    code, ((logged_code, reason),) = run_main(run)
+    assert code == logged_code == 3
+    assert reason.startswith('port-unavailable: 127.0.0.1:80')
+
+
+@pytest.mark.parametrize('number', SIGNALS)
+def test_no_signal_changes_the_exit_code_of_a_node_that_has_stopped(
+    run_main, number
+):
+    """SIGTERM was delivered again once the node had closed: exit code -15."""
+
+    async def run(node_settings, early_signals):
+        with trio.open_signal_receiver(*SIGNALS):
+            signal.raise_signal(number)
+        return 'SIGTERM'
+
+    signal.signal(signal.SIGHUP, signal.SIG_IGN)
+    assert run_main(run) == (0, [(0, 'SIGTERM')])
+    signal.raise_signal(number)
+
+
+def test_a_stop_before_the_node_starts_is_obeyed(monkeypatch):
+    reason = trio.run(
+        main.run, settings.parse(test_settings.TEXT), [signal.SIGTERM]
+    )
+    assert reason == 'SIGTERM'
+
+
+class SlowNode(FakeNode):
+    """Waits for a port while it is asked to stop, and fails if it may."""
+
+    error = None
+
+    async def start(self, nursery):
+        if self.error is not None:
+            raise self.error
+        signal.raise_signal(signal.SIGTERM)
+        await trio.sleep(100.0)
+        raise AssertionError
+
+    async def close(self):
+        raise AssertionError
+
+
+def test_a_stop_while_a_node_starts_does_not_wait_for_the_start(monkeypatch):
+    monkeypatch.setattr(main.mesh_node, 'MeshNode', SlowNode)
+    run = functools.partial(main.run, settings.parse(test_settings.TEXT))
+    reason = mock_clock.run(run)
+    assert reason == 'SIGTERM'
+
+
+def test_a_port_that_can_not_be_opened_ends_the_start(monkeypatch):
+    monkeypatch.setattr(main.mesh_node, 'MeshNode', SlowNode)
+    monkeypatch.setattr(SlowNode, 'error', errors.PortError('in use'))
+    with pytest.raises(errors.PortError):
+        trio.run(main.run, settings.parse(test_settings.TEXT))
