--- a/packages/pumicestand/pumicestand/errors.py
+++ b/packages/pumicestand/pumicestand/errors.py
@@ -41,6 +41,7 @@
     ACCEPT_FAILED = 'accept-failed'
     CONNECTION_FAILED = 'connection-failed'
     METRICS_FAILED = 'metrics-failed'
+    PORT_UNAVAILABLE = 'port-unavailable'
 
 
 class PumicestandError(Exception):
@@ -158,3 +159,15 @@
 
     def __init__(self, message, *, step, peer):
         super().__init__(Code.PEER_UNAVAILABLE, message, step=step, peer=peer)
+
+
+class PortError(PumicestandError):
+    """A port of this process can't be opened."""
+
+    def __init__(self, message):
+        super().__init__(
+            Code.PORT_UNAVAILABLE,
+            message,
+            step='open ports',
+            remedy='free the port or change the setting',
+        )
