Export descriptors, connections and held bodies as metrics

Neither logs nor metrics told a process that had no descriptor or no memory left from a busy one. Export open descriptors and their limit, connections by port, connections over the limit by what was done with them, what ports could not accept or serve, and the bodies held and their limit. The line 'limits' of a start says how many descriptors the process may open after it has tried to raise its limit.

--- a/packages/pumicestand-node/pumicestand_node/listeners.py
+++ b/packages/pumicestand-node/pumicestand_node/listeners.py
@@ -32,7 +32,8 @@
 
     :param code: `errors.Code`
     :param error: the last exception
-    :param count: number of connections or tries, of which this is the last
+    :param count: number of failures to log, of which this is the last; 0 if
+        it is too early for another line
     """
 
     code: errors.Code
@@ -50,7 +51,7 @@
     :param listeners: trio listeners
     :param handle: coroutine function that serves one stream
     :param nursery: the nursery in which connections are served
-    :param on_failure: called with each `Failure` to log
+    :param on_failure: called with each `Failure`
     :param make_room: called when the system has no descriptor left; closes an
         idle connection and returns whether there was one
     """
@@ -70,9 +71,8 @@
             except trio.ClosedResourceError:
                 return
             except Exception as error:
-                if count := throttle.count(trio.current_time()):
-                    code = errors.Code.ACCEPT_FAILED
-                    on_failure(Failure(code, error, count))
+                count = throttle.count(trio.current_time())
+                on_failure(Failure(errors.Code.ACCEPT_FAILED, error, count))
                 if getattr(error, 'errno', None) in SHORTAGES:
                     make_room()
                 await trio.sleep(RETRY_DELAY_S)
@@ -109,7 +109,9 @@
 
 
 def log_failure(failure):
-    """Log a `Failure`."""
+    """Log a `Failure`, unless it is too early for another line."""
+    if not failure.count:
+        return
     log.logger.bind(event=failure.code.value, count=failure.count).error(
         'connection failed: {!r}', failure.error
     )
--- a/packages/pumicestand-node/pumicestand_node/mesh_metrics.py
+++ b/packages/pumicestand-node/pumicestand_node/mesh_metrics.py
@@ -12,9 +12,18 @@
     :param clock: returns monotonic seconds
     :param agent: `freshness_agent.FreshnessAgent` of this node, None if keys
         need no proofs
+    :param usage: `port_usage.PortUsage` of this node, None to leave it out
     """
 
-    def __init__(self, mesh, outbound_calls, target_calls, clock, agent=None):
+    def __init__(
+        self,
+        mesh,
+        outbound_calls,
+        target_calls,
+        clock,
+        agent=None,
+        usage=None,
+    ):
         registry = metrics.Metrics(
             mesh.identity.name, outbound_calls.durations
         )
@@ -142,6 +151,52 @@
             registry.create_gauge(name, read_value, description)
         if agent is not None:
             self._register_freshness(agent)
+        if usage is not None:
+            self._register_usage(usage)
+
+    def _register_usage(self, usage):
+        registry = self._registry
+        registry.observe_gauge(
+            'pumicestand_connections',
+            usage.connections,
+            ('port',),
+            'Open connections of clients, of the target and of the platform',
+        )
+        registry.observe_counter(
+            'pumicestand_excess_connections',
+            usage.excess_connections,
+            ('port', 'action'),
+            'Connections over the limit of a port, by what was done',
+        )
+        registry.export_counter(
+            'pumicestand_port_failures',
+            usage.failures,
+            ('port', 'code'),
+            'Connections that could not be accepted or served',
+        )
+        for name, read_value, description in (
+            (
+                'pumicestand_descriptors_open',
+                lambda: usage.open_descriptors,
+                'Open descriptors',
+            ),
+            (
+                'pumicestand_descriptors_limit',
+                lambda: usage.max_descriptors,
+                'Descriptors that may be open, if they are limited',
+            ),
+            (
+                'pumicestand_bodies_held_bytes',
+                lambda: usage.buffers.held_bytes,
+                'Bytes of bodies that are held for clients',
+            ),
+            (
+                'pumicestand_bodies_limit_bytes',
+                lambda: usage.buffers.max_bytes,
+                'Bytes of bodies that may be held',
+            ),
+        ):
+            registry.create_gauge(name, read_value, description)
 
     def _register_freshness(self, agent):
         self._registry.export_counter(
--- a/packages/pumicestand-node/pumicestand_node/mesh_node.py
+++ b/packages/pumicestand-node/pumicestand_node/mesh_node.py
@@ -24,6 +24,7 @@
 from pumicestand_node import metrics_page
 from pumicestand_node import outbound_calls
 from pumicestand_node import plain_http
+from pumicestand_node import port_usage
 from pumicestand_node import quota_agent
 from pumicestand_node import supervision
 from pumicestand_node import target_calls
@@ -153,8 +154,8 @@
             self._descriptors.max_refusals,
             budget=self._buffers,
         )
-        # Ports of the target and of the platform.
-        self._plain_ports = []
+        self._usage = port_usage.PortUsage(self._descriptors, self._buffers)
+        self._usage.add('clients', self._client_port)
         self._started_at = self._clock()
         self._nursery = None
         self._outbound_scope = trio.CancelScope()
@@ -181,15 +182,19 @@
         self._nursery = nursery
         settings = self._settings
         self._descriptors.start()
+        self._decisions.note('limits', descriptors=self._descriptors.limit)
         await self._listen(settings.link, self._links.serve)
         await self._listen(
-            settings.control, self._make_plain_server(self._handle_control)
+            settings.control,
+            self._make_plain_server('control', self._handle_control),
         )
         await self._listen(
-            settings.ready, self._make_plain_server(self._handle_readiness)
+            settings.ready,
+            self._make_plain_server('ready', self._handle_readiness),
         )
         await self._listen(
-            settings.metrics, self._make_plain_server(self._handle_metrics)
+            settings.metrics,
+            self._make_plain_server('metrics', self._handle_metrics),
         )
         await self._listen(
             settings.outbound, self._client_port.serve, self._outbound_scope
@@ -230,8 +235,12 @@
         scope = scope or trio.CancelScope()
 
         def log_failure(failure):
+            code = failure.code.value
+            self._usage.failures[(str(address.port), code)] += 1
+            if not failure.count:
+                return
             self._decisions.note(
-                failure.code.value,
+                code,
                 port=address.port,
                 count=failure.count,
                 error=repr(failure.error),
@@ -342,8 +351,7 @@
                 mesh.is_ready = self._should_be_ready(now)
 
     def _enforce_timeouts(self):
-        self._client_port.enforce_timeouts()
-        for port in self._plain_ports:
+        for port in self._usage.ports:
             port.enforce_timeouts()
 
     def _read_demand(self):
@@ -407,9 +415,10 @@
             why=refusal.detail,
         )
 
-    def _make_plain_server(self, respond):
+    def _make_plain_server(self, name, respond):
         """Return a coroutine function that serves plain HTTP on a stream.
 
+        :param name: name of the port
         :param respond: coroutine function (method, path, body) that returns
             a `plain_http.PlainResponse`
         """
@@ -421,7 +430,7 @@
             self._descriptors.max_port_connections,
             budget=self._buffers,
         )
-        self._plain_ports.append(port)
+        self._usage.add(name, port)
         return port.serve
 
     async def _handle_readiness(self, method, path, body):
@@ -440,6 +449,7 @@
             self._target_calls,
             self._clock,
             self._freshness,
+            self._usage,
         )
 
     def _log_failure(self, code, error):
--- a/packages/pumicestand/pumicestand/metrics.py
+++ b/packages/pumicestand/pumicestand/metrics.py
@@ -61,13 +61,37 @@
         :param labels: names of the labels; each key of the counter is a
             tuple with their values
         """
+        self.observe_counter(name, lambda: counts, labels, description, unit)
+
+    def observe_counter(self, name, read_counts, labels, description, unit=''):
+        """Create a counter whose values are read on each scrape.
+
+        :param read_counts: returns the counts by tuples with label values
+        :param labels: names of the labels
+        """
         self._meter.create_observable_counter(
             name,
-            callbacks=[lambda options: list(_to_observations(counts, labels))],
+            callbacks=[
+                lambda options: list(_to_observations(read_counts(), labels))
+            ],
             unit=unit,
             description=description,
         )
 
+    def observe_gauge(self, name, read_values, labels, description):
+        """Create a gauge with labels whose values are read on each scrape.
+
+        :param read_values: returns numbers by tuples with label values
+        :param labels: names of the labels
+        """
+        self._meter.create_observable_gauge(
+            name,
+            callbacks=[
+                lambda options: list(_to_observations(read_values(), labels))
+            ],
+            description=description,
+        )
+
     def create_gauge(self, name, read_value, description):
         """Create a gauge whose value is read on each scrape.
 
--- a/tests/pumicestand_node/test_listeners.py
+++ b/tests/pumicestand_node/test_listeners.py
@@ -156,8 +156,10 @@
 def test_errors_that_go_on_do_not_flood_the_log():
     script = [OSError(errno.EMFILE, 'full')] * 1000
     result, _ = play(script, seconds=1000 * listeners.RETRY_DELAY_S + 0.01)
-    assert len(result.failures) == 5
-    assert sum(f.count for f in result.failures) > 500
+    assert len(result.failures) == 1000
+    lines = [f.count for f in result.failures if f.count]
+    assert len(lines) == 5
+    assert sum(lines) > 500
 
 
 def test_room_is_made_if_no_descriptor_is_left():
--- a/tests/pumicestand_platform/test_start_modules.py
+++ b/tests/pumicestand_platform/test_start_modules.py
@@ -61,7 +61,8 @@
 pumicestand_node.mesh_state pumicestand_node.mesh_store
 pumicestand_node.metrics_page
 pumicestand_node.outbound_call pumicestand_node.outbound_calls
-pumicestand_node.plain_http pumicestand_node.quota_agent
+pumicestand_node.plain_http pumicestand_node.port_usage
+pumicestand_node.quota_agent
 pumicestand_node.socket_io
 pumicestand_node.store_access pumicestand_node.supervision
 pumicestand_node.target_calls
