Answer each request that was read whatever fails on its connection

A trace shows the cause: the target could not be connected to, the line about it could not import the logger for want of a descriptor, and the line about that error could not either. The second error left the task of the request, whose nursery cancelled all others on the connection. The same held for an error in the function that counts refusals, in the parser, in a read and in the check of whether a socket has more to read.

Such an error now costs at most the request that it belongs to, which gets 502 if it may have run, else 503. What was read before is answered in order, and the line about the error names each request and how far it was. A request that waits for its turn has not run, and an error of the node's own while it parses is no longer called a malformed request. A response that is cut names those behind it that get none.

Before the change four of the five new tests failed and the last did not end within 15 s; all pass now.

--- a/packages/pumicestand-node/pumicestand_node/client_connections.py
+++ b/packages/pumicestand-node/pumicestand_node/client_connections.py
@@ -13,7 +13,6 @@
 import trio
 
 from pumicestand import documents
-from pumicestand import log
 from pumicestand import refusals
 from pumicestand_node import client_requests
 from pumicestand_node import heads
@@ -47,6 +46,7 @@
     CLOSING = enum.auto()
 
 
+_PROTOCOL_ERRORS = (httptools.HttpParserError, httptools.HttpParserUpgrade)
 _ACCEPTING = (_State.OPEN, _State.DRAINING)
 # Responses with these first bytes are followed by the final one.
 _INTERIM_RESPONSE = b'HTTP/1.1 1'
@@ -61,6 +61,7 @@
     ``has_begun`` is true once any of the final response was sent. Whoever
     serves the request may set ``may_have_run`` to false while it has certainly
     not been sent to a target: it tells what the client learns after an error.
+    ``request_id`` is the id of the request for the log, if it is known.
 
     :param connection: the `ClientConnection`
     :param request: the `client_requests.Request`
@@ -73,10 +74,22 @@
         self._previous = previous
         self.request = request
         self.has_begun = False
-        self.may_have_run = True
+        self.may_have_run = False
+        self.request_id = ''
         self.finished = trio.Event()
         self.cancel_scope = trio.CancelScope()
 
+    def describe(self):
+        """Return what the request is and how far it has come, for the log."""
+        head = self.request.head
+        return {
+            'id': self.request_id,
+            'method': head.method,
+            'path': head.path,
+            'may_have_run': self.may_have_run,
+            'has_begun_response': self.has_begun,
+        }
+
     def decide_keep_alive(self, is_stopping):
         """Return whether the connection is kept after this response.
 
@@ -174,11 +187,15 @@
         """
         request = pending_response.request
         is_open = self._state is _State.OPEN and not is_stopping
-        keep_alive = (
-            request.head.keep_alive
-            and request.is_complete
-            and (is_open or self._has_later_request(pending_response))
-        )
+        try:
+            keep_alive = (
+                request.head.keep_alive
+                and request.is_complete
+                and (is_open or self._has_later_request(pending_response))
+            )
+        except Exception as error:
+            self._log_failure(error)
+            keep_alive = False
         if not keep_alive:
             self._accept_no_more()
         return keep_alive
@@ -224,15 +241,21 @@
 
     def _fail(self, error):
         """Log an unexpected error and end the connection."""
+        self._log_failure(error)
+        self._cancel_scope.cancel()
+
+    def _log_failure(self, error):
+        """Log an error on the connection, with what was to be answered."""
         supervision.log_failure(
             'connection-failed',
             error,
-            'a check of a connection from a client failed with {} requests '
-            'on it: {!r}',
+            'a connection from a client failed with {} requests on it: {!r}',
             len(self._pending_responses),
             error,
+            requests=[
+                pending.describe() for pending in self._pending_responses
+            ],
         )
-        self._cancel_scope.cancel()
 
     def _idle_limit_s(self):
         """Return for how many seconds the client may make no progress."""
@@ -336,6 +359,12 @@
                 data = await socket_io.receive_some(self._stream, READ_BYTES)
             except (trio.BrokenResourceError, trio.ClosedResourceError):
                 data = b''
+            except Exception as error:
+                # What was read before is still answered.
+                self._log_failure(error)
+                self._accept_no_more()
+                self._close_after_last()
+                return
             if not data:
                 # The client has disconnected; the responses are not needed.
                 self._cancel_scope.cancel()
@@ -343,43 +372,59 @@
             if self._state in _ACCEPTING:
                 self.last_progress_at = self._clock()
                 self._parse(data)
-                self._close_if_drained()
+                self._check_drained()
 
     def _parse(self, data):
         """Parse bytes, or refuse the request that they belong to."""
         parser = self._parser
         try:
             parser.parser.feed_data(data)
-        except (httptools.HttpParserError, httptools.HttpParserUpgrade) as e:
-            if self._state in _ACCEPTING:
-                self._reject(parser.refusal or _malformed(e))
-            return
+            refusal = self._check_size(len(data))
+        except Exception as error:
+            refusal = parser.refusal or self._explain(error)
+        if refusal is not None and self._state in _ACCEPTING:
+            self._reject(refusal)
+
+    def _explain(self, error):
+        """Return the `refusals.Refusal` of a request that was not parsed."""
+        if isinstance(error, _PROTOCOL_ERRORS) and not isinstance(
+            error, httptools.HttpParserCallbackError
+        ):
+            return _malformed(error)
+        self._log_failure(error.__context__ or error)
+        last = self._pending_responses[-1] if self._pending_responses else None
+        if last is None or last.request is not self._parser.request:
+            return _unexpected(may_have_run=False)
+        return _unexpected(last.may_have_run)
+
+    def _check_size(self, size):
+        """Return a `refusals.Refusal` if a request is too large, else None.
+
+        :param size: bytes that were parsed
+        """
+        parser = self._parser
         if parser.is_in_head:
-            parser.head_bytes += len(data)
+            parser.head_bytes += size
             if parser.head_bytes > self._limits.head_bytes:
-                self._reject(
-                    refusals.bad_request(
-                        refusals.CallCode.HEADERS_TOO_LARGE,
-                        f'a head of over {self._limits.head_bytes} bytes',
-                        status=431,
-                    )
+                return refusals.bad_request(
+                    refusals.CallCode.HEADERS_TOO_LARGE,
+                    f'a head of over {self._limits.head_bytes} bytes',
+                    status=431,
                 )
-                return
         request = parser.request
         if request is None:
-            return
+            return None
         max_body_bytes = self._limits.body_bytes
         if (
             max(request.received_bytes, request.head.body_length or 0)
-            > max_body_bytes
+            <= max_body_bytes
         ):
-            self._reject(
-                refusals.bad_request(
-                    refusals.CallCode.BODY_TOO_LARGE,
-                    f'a body of over {max_body_bytes} bytes',
-                    status=413,
-                )
-            )
+            return None
+        return refusals.bad_request(
+            refusals.CallCode.BODY_TOO_LARGE,
+            f'a body of over {max_body_bytes} bytes',
+            status=413,
+        )
 
     def _reject(self, refusal):
         """Refuse a request that breaks the protocol and accept no more.
@@ -389,7 +434,7 @@
         A response that has begun is not cut, and no refusal follows it.
         """
         self._refusal = refusal
-        self._on_refusal(refusal)
+        self._report_refusal(refusal)
         self._accept_no_more()
         rejected_request = self._parser.request
         if rejected_request is not None:
@@ -404,18 +449,32 @@
                     rejected_response.cancel_scope.cancel()
         self._close_after_last()
 
+    def _report_refusal(self, refusal):
+        """Pass on a refusal; the client gets it even if that fails."""
+        try:
+            self._on_refusal(refusal)
+        except Exception as error:
+            self._log_failure(error)
+
     async def _serve_request(self, pending_response):
-        """Serve one request and close the connection if it is the last."""
+        """Serve one request and close the connection if it is the last.
+
+        An error costs no other request its response.
+        """
         keep_alive = False
-        with pending_response.cancel_scope:
-            if pending_response.request.head.method not in CONCURRENT_METHODS:
+        try:
+            with pending_response.cancel_scope:
+                method = pending_response.request.head.method
+                if method not in CONCURRENT_METHODS:
+                    await pending_response.wait_for_turn()
+                # The request may have been rejected before this task ran.
+                await trio.lowlevel.checkpoint_if_cancelled()
+                keep_alive = await self._respond(pending_response)
+                # Even without a response of its own, a request lets later
+                # ones respond only after all earlier ones have.
                 await pending_response.wait_for_turn()
-            # The request may have been rejected before this task ran.
-            await trio.lowlevel.checkpoint_if_cancelled()
-            keep_alive = await self._respond(pending_response)
-            # Even without a response of its own, a request lets later ones
-            # respond only after all earlier ones have.
-            await pending_response.wait_for_turn()
+        except Exception as error:
+            self._log_failure(error)
         if not keep_alive:
             self._cut_after(pending_response)
         self._pending_responses.remove(pending_response)
@@ -423,9 +482,16 @@
         self._signal_room()
         self.last_progress_at = self._clock()
         self._has_served = True
-        self._close_if_drained()
+        self._check_drained()
         self._close_after_last()
 
+    def _check_drained(self):
+        """Close a draining connection that is idle, or on an error."""
+        try:
+            self._close_if_drained()
+        except Exception as error:
+            self._fail(error)
+
     async def _respond(self, pending_response):
         """Respond to a request and return whether to keep the connection.
 
@@ -433,18 +499,19 @@
         the error does not end the connection with all of its requests.
         """
         request = pending_response.request
+        pending_response.may_have_run = True
         try:
             keep_alive = await self._serve(request, pending_response)
             if pending_response.has_begun or request.is_broken:
                 return keep_alive
-            _log_failure(request, None)
+            _log_request(pending_response, None)
         except client_requests.IncompleteRequestError:
             return False
         except Exception as error:
             if self._cancel_scope.cancel_called:
                 # The client has disconnected.
                 return False
-            _log_failure(request, error)
+            _log_request(pending_response, error)
         if pending_response.has_begun:
             # It may be incomplete.
             return False
@@ -452,12 +519,8 @@
 
     async def _refuse_failed(self, pending_response):
         """Refuse a request whose serving failed; return as `_respond`."""
-        detail = 'an unexpected error in the node'
-        if pending_response.may_have_run:
-            refusal = refusals.unknown(refusals.CallCode.ANSWER_LOST, detail)
-        else:
-            refusal = refusals.not_run(refusals.CallCode.NO_TARGET, detail)
-        self._on_refusal(refusal)
+        refusal = _unexpected(pending_response.may_have_run)
+        self._report_refusal(refusal)
         await pending_response.wait_for_turn()
         keep_alive = pending_response.decide_keep_alive(is_stopping=False)
         with_body = pending_response.request.head.method != 'HEAD'
@@ -478,9 +541,20 @@
         """
         self._accept_no_more()
         position = self._pending_responses.index(pending_response)
-        for later_response in itertools.islice(
-            self._pending_responses, position + 1, None
-        ):
+        later_responses = list(
+            itertools.islice(self._pending_responses, position + 1, None)
+        )
+        if not later_responses or self._cancel_scope.cancel_called:
+            return
+        supervision.log_failure(
+            'connection-cut',
+            None,
+            'the response to a request is incomplete; {} requests behind it '
+            'get none',
+            len(later_responses),
+            requests=[pending.describe() for pending in later_responses],
+        )
+        for later_response in later_responses:
             later_response.cancel_scope.cancel()
 
     async def _close(self):
@@ -508,22 +582,36 @@
         except (trio.BrokenResourceError, trio.ClosedResourceError):
             # The client has disconnected.
             pass
+        except Exception as error:
+            self._log_failure(error)
         self._cancel_scope.cancel()
 
 
-def _log_failure(request, error):
+def _log_request(pending_response, error):
     """Log why a request got no response from the function that serves it.
 
     :param error: the exception, None if the function has returned
     """
-    log.logger.opt(exception=error).bind(event='request-failed').error(
+    head = pending_response.request.head
+    supervision.log_failure(
+        'request-failed',
+        error,
         'request {} {} failed: {!r}',
-        request.head.method,
-        request.head.path,
+        head.method,
+        head.path,
         error or 'no response',
+        request=pending_response.describe(),
     )
 
 
+def _unexpected(may_have_run):
+    """Return the `refusals.Refusal` of a request that an error has ended."""
+    detail = 'an unexpected error in the node'
+    if may_have_run:
+        return refusals.unknown(refusals.CallCode.ANSWER_LOST, detail)
+    return refusals.not_run(refusals.CallCode.NO_TARGET, detail)
+
+
 def _malformed(error):
     detail = str(error) or type(error).__name__
     return refusals.bad_request(refusals.CallCode.MALFORMED, detail)
--- a/packages/pumicestand-node/pumicestand_node/outbound_calls.py
+++ b/packages/pumicestand-node/pumicestand_node/outbound_calls.py
@@ -423,6 +423,7 @@
 
     async def _execute(self, call, request, connection):
         connection.may_have_run = True
+        connection.request_id = call.request_id
         # The stop may have begun since the call arrived.
         self._limit(call)
         result = None
--- a/tests/pumicestand_node/test_client_connections.py
+++ b/tests/pumicestand_node/test_client_connections.py
@@ -5,6 +5,7 @@
 
 import contextlib
 import dataclasses
+import errno
 import random
 
 import pytest
@@ -15,6 +16,7 @@
 from pumicestand import log
 from pumicestand_node import client_connections
 from pumicestand_node import client_port
+from pumicestand_node import heads
 from pumicestand_node import socket_io
 from tests import mock_clock
 from tests.pumicestand_node import test_mesh_calls
@@ -255,6 +257,102 @@
     assert ('Traceback' in line) == (error is not None)
 
 
+def fail(*_):
+    raise OSError(errno.EMFILE, 'no descriptor')
+
+
+@pytest.fixture
+def failing_log(monkeypatch):
+    """No line can be logged, as the logger can't be loaded."""
+    monkeypatch.delitem(vars(log), 'logger', raising=False)
+    monkeypatch.setattr(log, '__getattr__', fail)
+
+
+def test_error_that_cannot_be_logged_costs_no_request_its_answer(failing_log):
+    async def serve(request, response):
+        if request.head.path == '/bad':
+            raise OSError(errno.EMFILE, 'no descriptor')
+        await response.send(RESPONSE)
+        return request.head.keep_alive
+
+    data = exchange_with_port(
+        serve,
+        make_request(close=False)
+        + make_request('/bad', close=False)
+        + make_request(),
+    )
+    assert data.startswith(RESPONSE + b'HTTP/1.1 502')
+    assert data.endswith(RESPONSE)
+
+
+@pytest.mark.parametrize(
+    ('request_data', 'status'),
+    [(make_request('/bad'), b' 502 '), (b'\0\r\n\r\n', b' 400 ')],
+    ids=['error', 'malformed'],
+)
+def test_refusal_that_cannot_be_recorded_reaches_the_client(
+    request_data, status
+):
+    async def serve(request, response):
+        if request.head.path == '/bad':
+            raise ValueError('bug')
+        await response.send(RESPONSE)
+        return True
+
+    data = exchange_with_port(
+        serve, make_request(close=False) + request_data, on_refusal=fail
+    )
+    assert data.startswith(RESPONSE + b'HTTP/1.1' + status)
+
+
+def test_unexpected_error_of_the_parser_costs_no_earlier_request_its_answer(
+    monkeypatch,
+):
+    async def serve(request, response):
+        await trio.sleep(0.2)
+        await response.send(RESPONSE)
+        return True
+
+    def validate(head):
+        if head.path == '/bad':
+            raise KeyError('bug')
+
+    monkeypatch.setattr(heads, 'validate_request', validate)
+    data = exchange_with_port(
+        serve, make_request(close=False) + make_request('/bad')
+    )
+    assert data.startswith(RESPONSE + b'HTTP/1.1 503')
+    assert b'pumicestand-outcome: not-run' in data
+
+
+def test_connection_that_cannot_be_read_answers_what_it_has_read(monkeypatch):
+    async def receive_some(stream, max_bytes):
+        monkeypatch.setattr(socket_io, 'receive_some', fail)
+        return 2 * make_request(close=False)
+
+    async def serve(request, response):
+        await trio.sleep(0.2)
+        await response.send(RESPONSE)
+        return True
+
+    monkeypatch.setattr(socket_io, 'receive_some', receive_some)
+    assert exchange_with_port(serve) == 2 * RESPONSE
+
+
+def test_state_of_a_socket_that_cannot_be_read_costs_no_response(monkeypatch):
+    async def serve(request, response):
+        if request.head.path == '/last':
+            monkeypatch.setattr(socket_io, 'is_readable', fail)
+        keep_alive = response.decide_keep_alive(is_stopping=True)
+        await response.send(RESPONSE)
+        return keep_alive
+
+    data = exchange_with_port(
+        serve, make_request(close=False) + make_request('/last', close=False)
+    )
+    assert data == 2 * RESPONSE
+
+
 def test_no_refusal_follows_a_part_of_a_response():
     """The client would take it for the rest of the response."""
 
