Take a shortage on the VM for no crash of the target

With all descriptors in use, or no memory or port left for a connection, a call could not be sent to the target beside the node. The node took this for a crash: it suspected the requests whose responses had been lost before of having caused it, which quarantines them after three, told the fleet so, and refused all calls for 0.3 s, also those for which idle connections were at hand.

Such an error now costs the call its place on this node alone: it is placed at another one, and its client gets 503, not run, at once if there is none. The log line connection-shortage names the call. An error while options are set on a new connection closes it and counts as no connection; before, it left the socket open and ended the call as one that may have run.

Of the new tests six of seven failed before the change; that a client is refused at once where the log works held before as well.

--- a/packages/pumicestand-node/pumicestand_node/target_calls.py
+++ b/packages/pumicestand-node/pumicestand_node/target_calls.py
@@ -738,6 +738,18 @@
         )
 
     def _handle_exchange_error(self, call, target, error):
+        if error.is_shortage:
+            # The target may be sound, and other nodes may have room.
+            log.logger.bind(event='connection-shortage').warning(
+                'call {} was not sent to target {} for want of resources on '
+                'this VM: {}',
+                call.request_id,
+                target.instance,
+                error,
+            )
+            return self._make_result(
+                call, Outcome.NOT_HANDED_ON, 'connection-shortage'
+            )
         if not error.may_be_sent:
             self._unreachable_until = self._clock() + UNREACHABLE_PAUSE_S
             self._on_change()
--- a/packages/pumicestand-node/pumicestand_node/target_exchange.py
+++ b/packages/pumicestand-node/pumicestand_node/target_exchange.py
@@ -40,11 +40,13 @@
     """The call got no complete response.
 
     :param may_be_sent: whether any of the request may have reached the target
+    :param is_shortage: whether this VM lacks what a connection needs
     """
 
-    def __init__(self, message, may_be_sent):
+    def __init__(self, message, may_be_sent, is_shortage=False):
         super().__init__(message)
         self.may_be_sent = may_be_sent
+        self.is_shortage = is_shortage
 
 
 class TargetConnection:
@@ -253,20 +255,33 @@
             await connection.close()
         if len(self._idle) >= MAX_PASSED_OVER:
             await self._idle.pop(0).close()
+        stream = await self._open(host, port)
+        self.opened_count += 1
+        connection = TargetConnection(stream, self._buffers)
+        connection.record_call(request_id)
+        return connection
+
+    async def _open(self, host, port):
+        """Return a new stream to the target.
+
+        :raises ExchangeError: if the target can't be connected to
+        """
+        stream = None
         try:
             with trio.fail_after(CONNECT_TIMEOUT_S):
                 stream = await self._connect(host, port)
+            if isinstance(stream, trio.SocketStream):
+                for option in tcp_options.KEEPALIVE:
+                    stream.setsockopt(*option)
         except (OSError, trio.TooSlowError) as error:
+            if stream is not None:
+                await trio.aclose_forcefully(stream)
             raise ExchangeError(
-                f'connection failed: {error}', False
+                f'connection failed: {error.__cause__ or error}',
+                may_be_sent=False,
+                is_shortage=tcp_streams.is_shortage(error),
             ) from error
-        if isinstance(stream, trio.SocketStream):
-            for option in tcp_options.KEEPALIVE:
-                stream.setsockopt(*option)
-        self.opened_count += 1
-        connection = TargetConnection(stream, self._buffers)
-        connection.record_call(request_id)
-        return connection
+        return stream
 
     def _pop_idle(self, request_id):
         """Return the last used connection that has not carried the id."""
--- a/packages/pumicestand/pumicestand/tcp_streams.py
+++ b/packages/pumicestand/pumicestand/tcp_streams.py
@@ -1,9 +1,22 @@
 """Opens TCP connections."""
 
+import errno
 import select
 
 import trio
 
+# Errors for want of descriptors, memory or ports on this VM, which say nothing
+# of the other end.
+SHORTAGES = frozenset(
+    (
+        errno.EMFILE,
+        errno.ENFILE,
+        errno.ENOBUFS,
+        errno.ENOMEM,
+        errno.EADDRNOTAVAIL,
+    )
+)
+
 
 async def open_stream(host, port):
     """Return a `trio.SocketStream` to a host.
@@ -13,6 +26,18 @@
     return await trio.open_tcp_stream(encode_host(host), port)
 
 
+def is_shortage(error):
+    """Return whether a connection was not opened for want of resources here.
+
+    :param error: `OSError` of `open_stream`
+    """
+    causes = getattr(error.__cause__, 'exceptions', ())
+    return any(
+        getattr(cause, 'errno', None) in SHORTAGES
+        for cause in (error, *causes)
+    )
+
+
 def is_readable(stream):
     """Return whether a read from a `trio.SocketStream` would end at once.
 
--- a/tests/pumicestand_node/test_target_exchange.py
+++ b/tests/pumicestand_node/test_target_exchange.py
@@ -1,7 +1,9 @@
 """Tests of the connections to the target on the same VM."""
 
+import errno
 import socket
 
+import pytest
 import trio
 
 from pumicestand import hop_messages
@@ -121,3 +123,85 @@
         Outcome.ANSWERED,
         Outcome.NOT_RUN,
     ]
+
+
+@pytest.mark.parametrize(
+    'code',
+    [
+        errno.EMFILE,
+        errno.ENFILE,
+        errno.ENOBUFS,
+        errno.ENOMEM,
+        errno.EADDRNOTAVAIL,
+    ],
+)
+def test_shortage_on_the_vm_is_no_crash_of_the_target(code):
+    is_short = [False]
+
+    async def test(harness):
+        connect = harness.targets._pool._connect
+
+        async def fail(host, port):
+            if is_short[0]:
+                # As trio reports that no attempt to connect has succeeded.
+                errors = ExceptionGroup('attempts', [OSError(code, 'short')])
+                raise OSError('all attempts failed') from errors
+            return await connect(host, port)
+
+        harness.targets._pool._connect = fail
+        lost = await harness.targets.run(test_target_faults.make_call('i1'))
+        assert lost.outcome is Outcome.UNKNOWN
+        is_short[0] = True
+        result = await harness.targets.run(test_target_faults.make_call('i2'))
+        assert result.outcome is Outcome.NOT_HANDED_ON
+        assert result.code == 'connection-shortage'
+        assert harness.targets._suspects.has_any is False
+        is_short[0] = False
+        result = await harness.targets.run(test_target_faults.make_call('i3'))
+        assert result.outcome is Outcome.ANSWERED
+
+    async def respond_or_lose(stream, number, request_id):
+        if number > 1:
+            return await respond(stream, number, request_id)
+        await stream.aclose()
+        return False
+
+    test_target_faults.run_scripted(test, respond_or_lose)
+
+
+def test_client_gets_a_refusal_at_once_while_descriptors_are_used_up():
+    async def test(harness):
+        async def fail(host, port):
+            errors = ExceptionGroup('attempts', [OSError(errno.EMFILE, 'x')])
+            raise OSError('all attempts failed') from errors
+
+        harness.targets._pool._connect = fail
+        status, data = await harness.send_request('/o/1', 'POST', 'i1')
+        assert status == 503
+        assert b'pumicestand-outcome: not-run' in data
+        assert trio.current_time() < 0.1
+
+    test_target_faults.run_scripted(test, respond)
+
+
+def test_option_that_cannot_be_set_leaves_no_connection_open(monkeypatch):
+    async def main():
+        (listener,) = await trio.open_tcp_listeners(0, host='127.0.0.1')
+        async with listener:
+            opened = []
+
+            async def connect(host, port):
+                opened.append(await trio.open_tcp_stream(host, port))
+                monkeypatch.setattr(opened[0], 'setsockopt', fail)
+                return opened[0]
+
+            def fail(*option):
+                raise OSError(errno.EINVAL, 'reset')
+
+            pool = target_exchange.TargetPool(trio.current_time, connect)
+            with pytest.raises(target_exchange.ExchangeError) as raised:
+                await pool.acquire(*listener.socket.getsockname())
+            assert not raised.value.may_be_sent
+            assert opened[0].socket.fileno() < 0
+
+    trio.run(main)
