Let an error in one message or call cost no other on its link

An error that nobody expected, in one message, in the run of one call or in the encoding of its result, ended the connection between two nodes. At the node that serves the link it cancelled all calls of the other one that ran there: their clients got 502, and targets were cut off. At the node that had opened it, an error while a connection was opened beside a silent one ended the calls on that one. A call that could not be encoded stayed pending for ever.

A message now costs itself. A call that fails gets a result of its own: not handed on if it has not started, else unknown, with the code internal-error. A connection that fails is logged, and its calls go on until they are asked for on the next one, as after a reset. What can't be opened is tried again later.

--- a/packages/pumicestand-node/pumicestand_node/link_server.py
+++ b/packages/pumicestand-node/pumicestand_node/link_server.py
@@ -9,7 +9,10 @@
 from pumicestand import log
 from pumicestand import refusals
 from pumicestand_node import frame_streams
+from pumicestand_node import supervision
 
+# Code of calls that ended with an error which nobody expected.
+INTERNAL_ERROR = 'internal-error'
 # Period at which a server without a connection checks whether its calls have
 # ended, in seconds.
 DETACHED_CHECK_S = 0.5
@@ -98,6 +101,19 @@
                 self._nursery = nursery
                 try:
                     await self.frames.run(self._handle_message)
+                except Exception as error:
+                    # The opener may ask for the calls on another connection.
+                    supervision.log_failure(
+                        'link-failed',
+                        error,
+                        'the link of node {} failed with {} calls on it: {!r}',
+                        self.peer_name,
+                        len(self._running),
+                        error,
+                        calls=[
+                            call.request_id for call in self._running.values()
+                        ],
+                    )
                 finally:
                     self._detach()
                     on_end()
@@ -200,10 +216,29 @@
             scope.cancel()
 
     def _handle_message(self, message):
-        """Handle a message from the node that opened the link."""
+        """Handle a message; an error costs this message or its call only."""
         if self._is_detached:
             # What has been read together with earlier frames comes too late.
             return
+        try:
+            self._apply_message(message)
+        except Exception as error:
+            supervision.log_failure(
+                'message-failed',
+                error,
+                'a message {} of node {} failed: {!r}',
+                type(message).__name__,
+                self.peer_name,
+                error,
+                id=getattr(message, 'id', None),
+            )
+            match message:
+                case hop_messages.Call(id=id_) | hop_messages.Part(id=id_):
+                    if id_ not in self._running:
+                        self._refuse_unstarted(id_, INTERNAL_ERROR)
+
+    def _apply_message(self, message):
+        """Handle a message from the node that opened the link."""
         match message:
             case hop_messages.Call():
                 self.last_call_at = self._clock()
@@ -262,6 +297,14 @@
 
     async def _request_body(self, call, scope):
         """Ask for the body of a call, or refuse the call without it."""
+        try:
+            await self._ask_for_body(call, scope)
+        except Exception as error:
+            self._log_call_failure(call, error)
+            self._refuse_unstarted(call.id, INTERNAL_ERROR)
+        self._cancel_scopes.pop(call.id, None)
+
+    async def _ask_for_body(self, call, scope):
         with scope:
             await trio.lowlevel.checkpoint_if_cancelled()
             result = self._target_calls.refuse_before_body(
@@ -280,7 +323,6 @@
             if result is not None:
                 self._received_at.pop(call.id, None)
                 self._send_result(result)
-        self._cancel_scopes.pop(call.id, None)
 
     def _withdraw(self, id_):
         """End a call that has not started and report that it has not run."""
@@ -302,13 +344,33 @@
 
     def _refuse_unstarted(self, id_, code):
         self._discard_unstarted(id_)
-        self._send_result(
-            hop_messages.Result(
+        self._send_own_result(id_, hop_messages.Outcome.NOT_HANDED_ON, code)
+
+    def _send_own_result(self, id_, outcome, code):
+        """Send a result without a response; an error ends no other call."""
+        try:
+            load = self._target_calls.load()
+            self._send_result(
+                hop_messages.Result(id_, outcome, code, load=load)
+            )
+        except Exception as error:
+            supervision.log_failure(
+                'result-lost',
+                error,
+                'node {} gets no result of call {}: {!r}',
+                self.peer_name,
                 id_,
-                hop_messages.Outcome.NOT_HANDED_ON,
-                code,
-                load=self._target_calls.load(),
+                error,
             )
+
+    def _log_call_failure(self, call, error):
+        supervision.log_failure(
+            'call-failed',
+            error,
+            'call {} of node {} failed: {!r}',
+            call.request_id,
+            self.peer_name,
+            error,
         )
 
     def _send_result(self, result):
@@ -348,11 +410,18 @@
 
     async def _run_call(self, call, scope):
         """Run a call and send its result unless the scope is cancelled."""
-        with scope:
-            # A node that was frozen reads a call along with its cancellation.
-            await trio.lowlevel.checkpoint_if_cancelled()
-            result = await self._target_calls.run(call)
-            self._send_result(result)
+        try:
+            with scope:
+                # A node that was frozen reads a call along with its
+                # cancellation.
+                await trio.lowlevel.checkpoint_if_cancelled()
+                result = await self._target_calls.run(call)
+                self._send_result(result)
+        except Exception as error:
+            self._log_call_failure(call, error)
+            self._send_own_result(
+                call.id, hop_messages.Outcome.UNKNOWN, INTERNAL_ERROR
+            )
         self._received.record_end(call.id)
         self._running.pop(call.id, None)
         self._cancel_scopes.pop(call.id, None)
--- a/packages/pumicestand-node/pumicestand_node/links.py
+++ b/packages/pumicestand-node/pumicestand_node/links.py
@@ -188,16 +188,16 @@
                     await trio.sleep(self._reconnect_delay_s())
                 continue
             stream = await self._connect()
-            if stream is None:
+            if stream is not None and not self._needs_connection():
+                delay = MIN_RECONNECT_DELAY_S
+                await trio.aclose_forcefully(stream)
+                continue
+            if stream is None or not await self._open(stream):
                 self._end_calls(self._uncarried_calls())
                 await trio.sleep(delay * (0.5 + self._rng.random()))
                 delay = min(MAX_RECONNECT_DELAY_S, delay * 2)
                 continue
             delay = MIN_RECONNECT_DELAY_S
-            if not self._needs_connection():
-                await trio.aclose_forcefully(stream)
-                continue
-            await self._open(stream)
             if self._current is None:
                 # It was closed unanswered: the peer has ended.
                 self._end_calls(self._uncarried_calls())
@@ -213,26 +213,38 @@
 
     async def _connect(self):
         """Return a stream to the peer, None if it can't be reached."""
+        stream = None
         try:
             with trio.fail_after(CONNECT_TIMEOUT_S):
                 stream = await tcp_streams.open_stream(*self.address)
-        except (OSError, trio.TooSlowError):
+            set_tcp_user_timeout(stream)
+        except Exception as error:
+            if not isinstance(error, OSError | trio.TooSlowError):
+                self._log_failure(error)
+            if stream is not None:
+                await trio.aclose_forcefully(stream)
             return None
-        set_tcp_user_timeout(stream)
         return stream
 
     async def _open(self, stream):
-        """Use a new connection; wait until the peer has reported on it."""
+        """Use a new connection; wait until the peer has reported on it.
+
+        :returns: whether it could be used
+        """
         frames = frame_streams.FrameStream(
             stream, self._peer.name, self._meter, self._clock
         )
         try:
             hello = self._make_hello()
-        except Exception:
+            frames.is_cross_zone = self._peer.zone not in (
+                '',
+                hello.report.zone,
+            )
+            frames.send(hello)
+        except Exception as error:
+            self._log_failure(error)
             await trio.aclose_forcefully(stream)
-            raise
-        frames.is_cross_zone = self._peer.zone not in ('', hello.report.zone)
-        frames.send(hello)
+            return False
         connection = _Connection(
             hello.connection,
             frames,
@@ -247,6 +259,18 @@
             await connection.is_answered.wait()
         if connection is self._candidate:
             self._drop_candidate()
+        return True
+
+    def _log_failure(self, error):
+        """Log an unexpected error of a connection to the peer."""
+        supervision.log_failure(
+            'link-failed',
+            error,
+            'link to {} failed with {} calls pending: {!r}',
+            self._peer.name,
+            len(self._pending),
+            error,
+        )
 
     def _drop_candidate(self):
         candidate, self._candidate = self._candidate, None
@@ -259,10 +283,7 @@
                 functools.partial(self._handle_message, connection)
             )
         except Exception as error:
-            # One message must not end the process.
-            log.logger.opt(exception=error).error(
-                'link to {} failed: {!r}', self._peer.name, error
-            )
+            self._log_failure(error)
         finally:
             self._record_end(connection)
 
@@ -325,6 +346,21 @@
             connection.frames.send(message)
 
     def _handle_message(self, connection, message):
+        """Handle a message from the peer; an error costs only this one."""
+        try:
+            self._apply_message(connection, message)
+        except Exception as error:
+            supervision.log_failure(
+                'message-failed',
+                error,
+                'a message {} of node {} failed: {!r}',
+                type(message).__name__,
+                self._peer.name,
+                error,
+                id=getattr(message, 'id', None),
+            )
+
+    def _apply_message(self, connection, message):
         """Handle a message from the peer."""
         match message:
             case hop_messages.Pong(number):
@@ -503,15 +539,13 @@
         pending = self._pending[id_] = _PendingCall(
             id_, connection, call.body if holds_body else None
         )
-        if holds_body:
-            frame_streams.send_without_body(connection.frames, call)
-        else:
-            frame_streams.send_with_parts(connection.frames, call)
         remaining_s = call.remaining_ms / 1000
         withdraw_in_s = max(
             remaining_s / 2, remaining_s - WITHDRAW_BEFORE_DEADLINE_S
         )
         try:
+            if not self._send_first(connection, call, holds_body):
+                return _not_handed_on('internal-error')
             with trio.move_on_after(withdraw_in_s) as pending.withdrawal:
                 await pending.done.wait()
             if not pending.done.is_set():
@@ -528,6 +562,25 @@
             return _not_handed_on('link-lost')
         return pending.result
 
+    def _send_first(self, connection, call, holds_body):
+        """Send a call; return whether the peer may have got it whole."""
+        try:
+            if holds_body:
+                frame_streams.send_without_body(connection.frames, call)
+            else:
+                frame_streams.send_with_parts(connection.frames, call)
+        except Exception as error:
+            supervision.log_failure(
+                'call-failed',
+                error,
+                'call {} was not sent to node {}: {!r}',
+                call.request_id,
+                self._peer.name,
+                error,
+            )
+            return False
+        return True
+
     def withdraw_call(self, id_, in_s):
         """Withdraw a call after a time if it has not ended by then.
 
--- a/tests/pumicestand_node/test_link_resume.py
+++ b/tests/pumicestand_node/test_link_resume.py
@@ -495,3 +495,96 @@
         assert by_outcome[Outcome.ANSWERED]
 
     run_test(test)
+
+
+def run_beside_a_failure(run_test, harm):
+    """Return the results of call 1, which is harmed, and call 2.
+
+    :param harm: called with the `TwoNodes`
+    """
+
+    async def test(nodes):
+        nodes.targets.work_s = 0.3
+        nodes.nursery.start_soon(nodes.call, 2)
+        await trio.sleep(0.1)
+        harm(nodes)
+        await nodes.call(1, timeout_s=1.0)
+        await trio.sleep(1)
+        results.update(nodes.results)
+        assert nodes.targets.cancelled == []
+        assert len(nodes.streams) == 1
+
+    results = {}
+    run_test(test)
+    return results[1], results[2]
+
+
+def test_call_that_fails_unexpectedly_costs_no_other_on_its_link(run_test):
+    def harm(nodes):
+        run = nodes.targets.run
+
+        async def fail(call):
+            if call.id == 1:
+                raise KeyError('unexpected')
+            return await run(call)
+
+        nodes.targets.run = fail
+
+    failed, other = run_beside_a_failure(run_test, harm)
+    assert (failed.outcome, failed.code) == (Outcome.UNKNOWN, 'internal-error')
+    assert other.outcome is Outcome.ANSWERED
+
+
+def test_call_that_cannot_be_received_is_not_handed_on(run_test):
+    def harm(nodes):
+        def fail(id_):
+            raise KeyError('unexpected')
+
+        (server,) = nodes.far._link_servers
+        server._received.record_received = fail
+
+    failed, other = run_beside_a_failure(run_test, harm)
+    assert failed.outcome is Outcome.NOT_HANDED_ON
+    assert other.outcome is Outcome.ANSWERED
+
+
+def test_result_that_cannot_be_encoded_leaves_an_unknown_outcome(run_test):
+    def harm(nodes):
+        run = nodes.targets.run
+
+        async def spoil(call):
+            result = await run(call)
+            if call.id == 1:
+                result.status = 'a word'
+            return result
+
+        nodes.targets.run = spoil
+
+    failed, other = run_beside_a_failure(run_test, harm)
+    assert failed.outcome is Outcome.UNKNOWN
+    assert other.outcome is Outcome.ANSWERED
+
+
+def test_connection_that_fails_unexpectedly_costs_no_result(run_test):
+    """The opener asks for it on the next connection."""
+
+    async def test(nodes):
+        def fail(*_):
+            (server,) = nodes.far._link_servers
+            server.frames._meter.record_received = keep
+            raise KeyError('unexpected')
+
+        (server,) = nodes.far._link_servers
+        meter = server.frames._meter
+        keep = meter.record_received
+        nodes.targets.work_s = 0.5
+        nodes.nursery.start_soon(nodes.call, 1)
+        await trio.sleep(0.1)
+        meter.record_received = fail
+        nodes.link.send(hop_messages.Ping(1))
+        await trio.sleep(1.5)
+        assert nodes.targets.cancelled == []
+        assert nodes.targets.started == [1]
+        assert nodes.results[1].outcome is Outcome.ANSWERED
+
+    run_test(test)
