--- a/tests/pumicestand_node/test_supervision.py
+++ b/tests/pumicestand_node/test_supervision.py
@@ -1,12 +1,11 @@
 """Tests that unexpected errors do not end the process."""
 
-import errno
-
 import pytest
 import trio
 
 from pumicestand import log
 from pumicestand_node import supervision
+from tests import fakes
 from tests import mock_clock
 
 
@@ -62,11 +61,7 @@
     mock_clock.run(main)
 
 
-def fail_to_load(name):
-    raise OSError(errno.EMFILE, f'no descriptor to read {name}')
-
-
-def test_log_that_cannot_be_loaded_ends_no_task(monkeypatch):
+def test_log_that_fails_ends_no_task(monkeypatch):
     async def main():
         starts = []
 
@@ -78,6 +73,5 @@
         await supervision.supervise('test', fail)
         assert len(starts) == 2
 
-    monkeypatch.delitem(vars(log), 'logger', raising=False)
-    monkeypatch.setattr(log, '__getattr__', fail_to_load)
+    monkeypatch.setattr(log, 'logger', fakes.FailingLogger())
     mock_clock.run(main)
