Have the soak check the exit codes of processes

wait_for_exit returns the exit code; any but 0 is a finding, with the last lines of its output. A process that ends without having been told to is a finding at once and is started again, in place of a soak that goes on without it.

--- a/benchmarks/harness.py
+++ b/benchmarks/harness.py
@@ -54,19 +54,26 @@
     :param command: arguments of the Python interpreter
     :param log: path of the file to which its output is appended
     :param environment: environment variables added to those of this process
+    :param options: arguments of `subprocess.Popen` that replace the usual
+        ones
+
+    ``was_told_to_end`` is whether SIGTERM or SIGKILL was sent to it.
     """
 
-    def __init__(self, name, command, log, environment=None):
+    def __init__(self, name, command, log, environment=None, **options):
         self.name = name
         self.command = command
         self.log = pathlib.Path(log)
+        self.was_told_to_end = False
         self._log_file = self.log.open('ab')
+        usual_options = {
+            'stdout': self._log_file,
+            'stderr': self._log_file,
+            'stdin': subprocess.DEVNULL,
+            'env': {**os.environ, **(environment or {})},
+        }
         self._popen = subprocess.Popen(
-            [sys.executable, *command],
-            stdout=self._log_file,
-            stderr=self._log_file,
-            stdin=subprocess.DEVNULL,
-            env={**os.environ, **(environment or {})},
+            [sys.executable, *command], **{**usual_options, **options}
         )
 
     @property
@@ -79,10 +86,24 @@
         """Whether the process is still running."""
         return self._popen.poll() is None
 
+    @property
+    def exit_code(self):
+        """The exit code, negative for a signal; None while it is running."""
+        return self._popen.poll()
+
+    def last_errors(self, count=3):
+        """Return the last lines of its log that are not JSON, in one line."""
+        lines = self.log.read_text(encoding='utf-8', errors='replace')
+        others = [x for x in lines.splitlines() if not x.startswith('{')]
+        return ' | '.join(others[-count:])
+
     def send_signal(self, signal_number):
         """Send a signal to this process if it is running."""
-        if self.is_running:
-            self._popen.send_signal(signal_number)
+        if not self.is_running:
+            return
+        if signal_number in (signal.SIGTERM, signal.SIGKILL):
+            self.was_told_to_end = True
+        self._popen.send_signal(signal_number)
 
     def terminate(self):
         """Send SIGTERM to the process."""
--- a/soak/clusters.py
+++ b/soak/clusters.py
@@ -31,6 +31,7 @@
 # A stopping node takes new calls for about this time.
 ACCEPT_AFTER_STOP_S = 2.2
 READY_PERIOD_S = 0.2
+WATCH_PERIOD_S = 0.05
 OUTBOUND_PORT, READY_PORT, CONTROL_PORT = 8304, 8302, 8306
 # Bound by a soak while it uses its loopback network.
 LOCK_PORT = 8300
@@ -105,6 +106,30 @@
     return spec
 
 
+def describe_end(process):
+    """Return how a `harness.Process` ended, for a finding."""
+    return (
+        f'{process.name} ended with {process.exit_code}: '
+        f'{process.last_errors() or "no error in its output"}'
+    )
+
+
+async def wait_for_exit(process, timeout):
+    """Wait for the end of a `harness.Process`; return its exit code.
+
+    It is killed after the time-out, and None returned.
+
+    :param timeout: seconds
+    """
+    with trio.move_on_after(timeout):
+        while process.is_running:
+            await trio.sleep(0.02)
+    exit_code = process.exit_code
+    process.kill()
+    process.wait()
+    return exit_code
+
+
 class NodeUnderTest:
     """The process of one node, its target and its proxies.
 
@@ -124,6 +149,8 @@
         # clock.
         self.stop_at = float('-inf')
         self.process = None
+        self.findings = []
+        self._is_watched = False
         self._folder = folder
         self._parts = parts
         self.zone = ZONES[index % len(ZONES)]
@@ -176,9 +203,16 @@
         await self.target_proxy.start(nursery)
         await self.target.start(nursery)
         await self.start_process()
+        nursery.start_soon(self._watch)
+        self._is_watched = True
 
     async def start_process(self):
-        """Start a new process; return once the node is ready."""
+        """Start a process if none runs; return once the node is ready."""
+        if self.process is None or not self.process.is_running:
+            self._spawn()
+        await self.wait_until_ready()
+
+    def _spawn(self):
         path = self.write_settings('start')
         self.start_count += 1
         self.process = harness.Process(
@@ -187,19 +221,18 @@
             self._folder / f'{self.name}.log',
             {'PUMICESTAND_SETTINGS': str(path)},
         )
-        await self.wait_until_ready()
 
     async def wait_until_ready(self):
         """Wait until the node is ready, at most `START_TIMEOUT_S`.
 
-        :raises RuntimeError: if the process has ended
+        :raises RuntimeError: if the process has ended during the first start
         """
         with trio.move_on_after(START_TIMEOUT_S):
             while not await self._is_ready():
-                if not self.process.is_running:
+                if not self.process.is_running and not self._is_watched:
                     raise RuntimeError(f'{self.name} ended during its start')
                 await trio.sleep(READY_PERIOD_S)
-        if not self.process.is_running:
+        if not self.process.is_running and not self._is_watched:
             raise RuntimeError(
                 f'{self.name} ended, but another process responds at '
                 f'{self.ip}:{READY_PORT}'
@@ -220,19 +253,28 @@
                 return False
 
     async def wait_for_exit(self, timeout):
-        """Wait for the end of the process; return whether it ended by itself.
+        """Wait for the end of the process; return its exit code.
 
-        The process is killed after the time-out.
+        The process is killed after the time-out, and None returned.
 
         :param timeout: seconds
         """
-        with trio.move_on_after(timeout):
-            while self.process.is_running:
-                await trio.sleep(0.02)
-        has_ended = not self.process.is_running
-        self.process.kill()
-        self.process.wait()
-        return has_ended
+        return await wait_for_exit(self.process, timeout)
+
+    async def _watch(self):
+        """Start a new process whenever one ends that was not told to end."""
+        while True:
+            await trio.sleep(WATCH_PERIOD_S)
+            process = self.process
+            if process.is_running or process.was_told_to_end:
+                continue
+            self.findings.append(
+                records.Finding(
+                    'processes end only when they are told to',
+                    describe_end(process),
+                )
+            )
+            self._spawn()
 
     def kill(self):
         """Kill the process, even if it is paused."""
--- a/soak/faults.py
+++ b/soak/faults.py
@@ -212,7 +212,7 @@
             case Fault.STOP:
                 limit_s = clusters.GRACE_S + clusters.EXIT_MARGIN_S
                 at = self._terminate(node)
-                if not await self._wait_for_exit(node, at, limit_s):
+                if await self._wait_for_exit(node, at, limit_s) is None:
                     self.findings.append(
                         records.Finding(
                             'nodes stop within the grace period',
@@ -237,18 +237,26 @@
         return at
 
     async def _wait_for_exit(self, node, at, limit_s):
-        """Wait for a node to stop; return whether it did by itself.
+        """Wait for a node to stop; return its exit code, None if killed.
 
         :param at: time of its SIGTERM, in seconds of trio's clock
         :param limit_s: seconds from then until it is killed
         """
-        has_ended = await node.wait_for_exit(
+        process = node.process
+        exit_code = await node.wait_for_exit(
             at + limit_s - trio.current_time()
         )
         self._record.stops.append(
             records.Stop(node.name, at, trio.current_time())
         )
-        return has_ended
+        if exit_code:
+            self.findings.append(
+                records.Finding(
+                    'processes that are told to end exit with code 0',
+                    clusters.describe_end(process),
+                )
+            )
+        return exit_code
 
     async def _stop_under_calls(self, entry, node):
         """Stop a node, and kill it at the end of the grace like the platform.
--- a/soak/play.py
+++ b/soak/play.py
@@ -117,7 +117,11 @@
         record.departures += node.target.departures
         record.cold_crashes += node.target.cold_crashes
         record.limits += [(node.name, p) for p in node.target.limit_periods]
-    findings = [*injector_findings, *checks.check(record, checks_timing)]
+    findings = [
+        *injector_findings,
+        *(finding for node in cluster.nodes for finding in node.findings),
+        *checks.check(record, checks_timing),
+    ]
     if checks_timing:
         findings += check_recovery(record, end)
     status_counts = collections.Counter(call.status for call in record.calls)
