Play what machines do to a process in a part of the soak

Its faults: connections that use up descriptors, clients that leave in uploads and pipelined calls or read nothing, scrapers, reloads of torn settings, stops with repeated signals, starts beside a stopping process, and processor hogs.

--- a/benchmarks/harness.py
+++ b/benchmarks/harness.py
@@ -97,6 +97,20 @@
         others = [x for x in lines.splitlines() if not x.startswith('{')]
         return ' | '.join(others[-count:])
 
+    def handles(self, signal_number):
+        """Whether the process catches or ignores a signal by now.
+
+        Until then, the signal ends it whatever its code does.
+        """
+        status = pathlib.Path(f'/proc/{self.pid}/status')
+        fields = dict(
+            line.split(':', 1)
+            for line in status.read_text(encoding='ascii').splitlines()
+        )
+        mask = int(fields.get('SigCgt', '0'), 16)
+        mask |= int(fields.get('SigIgn', '0'), 16)
+        return bool(mask >> (signal_number - 1) & 1)
+
     def send_signal(self, signal_number):
         """Send a signal to this process if it is running."""
         if not self.is_running:
--- a/soak/__main__.py
+++ b/soak/__main__.py
@@ -1,10 +1,13 @@
 """Runs soaks: python -m soak --seed N, or --seeds N for several."""
 
 import argparse
+import pathlib
 import sys
 
 import trio
 
+from soak import clusters
+from soak import machines
 from soak import pictures
 from soak import play
 from soak import records
@@ -27,7 +30,16 @@
         metavar='PART',
         help=f'play these parts too: {", ".join(records.Part)}',
     )
+    parser.add_argument(
+        '--root',
+        type=pathlib.Path,
+        default=clusters.ROOT,
+        help='source tree whose nodes the part machine builds and starts',
+    )
     options = parser.parse_args(arguments)
+    deployment = None
+    if records.Part.MACHINE in options.parts:
+        deployment = machines.Deployment.build(options.root.resolve())
     has_failed = False
     for seed in range(options.seed, options.seed + options.seeds):
         verdict, record, start_time = trio.run(
@@ -38,6 +50,7 @@
             True,
             options.logs,
             options.parts,
+            deployment,
         )
         print(verdict.to_json(), flush=True)
         has_failed = has_failed or bool(verdict.findings)
--- a/soak/checks.py
+++ b/soak/checks.py
@@ -177,7 +177,10 @@
     """
     last_runs = {run.request_id: run for run in record.runs}
     ignored_faults = (
-        records.PLANNED_FAULTS | records.STORE_FAULTS | records.TARGET_FAULTS
+        records.PLANNED_FAULTS
+        | records.STORE_FAULTS
+        | records.TARGET_FAULTS
+        | records.MACHINE_FAULTS
     )
     for call in record.calls:
         if call.status:
--- a/soak/clusters.py
+++ b/soak/clusters.py
@@ -11,6 +11,7 @@
 from pumicestand_standins import http_server
 from pumicestand_standins import mesh_target
 from pumicestand_standins import objects
+from soak import machines
 from soak import proxies
 from soak import records
 
@@ -32,6 +33,8 @@
 ACCEPT_AFTER_STOP_S = 2.2
 READY_PERIOD_S = 0.2
 WATCH_PERIOD_S = 0.05
+# Time between the end of a process and its next start by the platform.
+RESTART_DELAY_S = 0.3
 OUTBOUND_PORT, READY_PORT, CONTROL_PORT = 8304, 8302, 8306
 # Bound by a soak while it uses its loopback network.
 LOCK_PORT = 8300
@@ -139,9 +142,13 @@
     :param folder: path for settings and logs
     :param parts: the `records.Part`s to play
     :param seed: determines what happens at the target by chance
+    :param machine: the `machines.Machine` that it runs on, None to start it
+        from the environment of the soak
     """
 
-    def __init__(self, index, network_number, folder, parts=(), seed=0):
+    def __init__(
+        self, index, network_number, folder, parts=(), seed=0, machine=None
+    ):
         self.name = f'node-{index}'
         self.ip = f'127.{network_number}.0.{index + 10}'
         self.start_count = 0
@@ -150,7 +157,9 @@
         self.stop_at = float('-inf')
         self.process = None
         self.findings = []
-        self._is_watched = False
+        self._processes = []
+        self._nursery = None
+        self.machine = machine
         self._folder = folder
         self._parts = parts
         self.zone = ZONES[index % len(ZONES)]
@@ -179,6 +188,27 @@
         """The (host, port) that receives the calls of clients."""
         return (self.ip, OUTBOUND_PORT)
 
+    @property
+    def metrics_address(self):
+        """The (host, port) of the metrics."""
+        return (self.ip, self.machine.deployment.metrics_address[0])
+
+    @property
+    def other_addresses(self):
+        """The (host, port) of the ports that clients do not use."""
+        ports = (READY_PORT, CONTROL_PORT, self.metrics_address[1])
+        return [(self.ip, port) for port in ports]
+
+    @property
+    def folder(self):
+        """The path for settings and logs."""
+        return self._folder
+
+    @property
+    def settings_path(self):
+        """The path of the settings file."""
+        return self._folder / f'{self.name}.conf'
+
     def write_settings(self, note):
         """Write the settings file and return its path.
 
@@ -193,46 +223,71 @@
             bootstrap='true' if self.start_count == 0 else 'false',
         )
         text += ''.join(PART_SETTINGS.get(part, '') for part in self._parts)
-        path = self._folder / f'{self.name}.conf'
+        if self.machine is not None:
+            text += self.machine.settings
+        # A process that starts meanwhile must not read half of it.
+        path = self._folder / f'{self.name}.conf.new'
         path.write_text(text, encoding='utf-8')
-        return path
+        return path.replace(self.settings_path)
+
+    def hang_up(self, note):
+        """Change the settings and tell the process, once it can be told.
+
+        :param note: see `write_settings`
+        """
+        self.write_settings(note)
+        self.send_hangup()
+
+    def send_hangup(self):
+        """Send SIGHUP, unless the interpreter itself is still starting."""
+        if self.process.is_running and self.process.handles(signal.SIGHUP):
+            self.process.send_signal(signal.SIGHUP)
 
     async def start(self, nursery):
         """Start proxies, target and process; return once the node is ready."""
         await self.store_proxy.start(nursery)
         await self.target_proxy.start(nursery)
         await self.target.start(nursery)
-        await self.start_process()
+        self._nursery = nursery
+        self.spawn()
         nursery.start_soon(self._watch)
-        self._is_watched = True
+        await self.wait_until_ready()
 
     async def start_process(self):
         """Start a process if none runs; return once the node is ready."""
         if self.process is None or not self.process.is_running:
-            self._spawn()
+            self.spawn()
         await self.wait_until_ready()
 
-    def _spawn(self):
+    def spawn(self):
+        """Start a new process, even beside one that is still stopping."""
         path = self.write_settings('start')
         self.start_count += 1
-        self.process = harness.Process(
-            self.name,
-            [str(ROOT / 'platform' / 'node.py')],
-            self._folder / f'{self.name}.log',
-            {'PUMICESTAND_SETTINGS': str(path)},
-        )
+        if self.machine is not None:
+            log = self._folder / f'{self.name}-{self.start_count}.log'
+            self.process = self.machine.start(
+                self.name, path, log, self._nursery
+            )
+        else:
+            self.process = harness.Process(
+                self.name,
+                [str(ROOT / 'platform' / 'node.py')],
+                self._folder / f'{self.name}.log',
+                {'PUMICESTAND_SETTINGS': str(path)},
+            )
+        self._processes.append(self.process)
 
     async def wait_until_ready(self):
         """Wait until the node is ready, at most `START_TIMEOUT_S`.
 
-        :raises RuntimeError: if the process has ended during the first start
+        :raises RuntimeError: if the process has ended and is not watched
         """
         with trio.move_on_after(START_TIMEOUT_S):
             while not await self._is_ready():
-                if not self.process.is_running and not self._is_watched:
+                if not self.process.is_running and self._nursery is None:
                     raise RuntimeError(f'{self.name} ended during its start')
                 await trio.sleep(READY_PERIOD_S)
-        if not self.process.is_running and not self._is_watched:
+        if not self.process.is_running and self._nursery is None:
             raise RuntimeError(
                 f'{self.name} ended, but another process responds at '
                 f'{self.ip}:{READY_PORT}'
@@ -252,15 +307,6 @@
             except trio.BrokenResourceError:
                 return False
 
-    async def wait_for_exit(self, timeout):
-        """Wait for the end of the process; return its exit code.
-
-        The process is killed after the time-out, and None returned.
-
-        :param timeout: seconds
-        """
-        return await wait_for_exit(self.process, timeout)
-
     async def _watch(self):
         """Start a new process whenever one ends that was not told to end."""
         while True:
@@ -274,7 +320,9 @@
                     describe_end(process),
                 )
             )
-            self._spawn()
+            await trio.sleep(RESTART_DELAY_S)
+            if self.process is process:
+                self.spawn()
 
     def kill(self):
         """Kill the process, even if it is paused."""
@@ -282,6 +330,13 @@
         self.process.kill()
         self.process.wait()
 
+    def close(self):
+        """Kill all processes that still run."""
+        for process in self._processes:
+            process.send_signal(signal.SIGCONT)
+            process.kill()
+            process.wait()
+
 
 class LoopbackNetwork:
     """A range of loopback addresses that is reserved for one soak.
@@ -328,10 +383,21 @@
     :param key_ring: the `key_rings.KeyRing` of the organisations, None if
         there are none
     :param seed: see `NodeUnderTest`
+    :param deployment: the `machines.Deployment` of nodes that run on machines
+        of their own, None to start them from the environment of the soak
     """
 
-    def __init__(self, node_count, folder, parts=(), key_ring=None, seed=0):
+    def __init__(
+        self,
+        node_count,
+        folder,
+        parts=(),
+        key_ring=None,
+        seed=0,
+        deployment=None,
+    ):
         self._parts = parts
+        self.folder = folder
         self.key_ring = key_ring
         self._network = LoopbackNetwork()
         self._network.start()
@@ -341,7 +407,14 @@
             f'127.{network_number}.0.2', STORE_PORT, self.store.handle
         )
         self.nodes = [
-            NodeUnderTest(index, network_number, folder, parts, seed)
+            NodeUnderTest(
+                index,
+                network_number,
+                folder,
+                parts,
+                seed,
+                deployment and machines.Machine(deployment, f'{index} {seed}'),
+            )
             for index in range(node_count)
         ]
         self.generation = 0
@@ -373,7 +446,6 @@
     async def close(self):
         """Kill the processes of all nodes and stop the store."""
         for node in self.nodes:
-            if node.process is not None:
-                node.kill()
+            node.close()
         await self._server.close()
         self._network.close()
--- a/soak/faults.py
+++ b/soak/faults.py
@@ -8,6 +8,7 @@
 import trio
 
 from soak import clusters
+from soak import machine_faults
 from soak import records
 
 Fault = records.Fault
@@ -18,20 +19,25 @@
 # checked.
 LATER_MEAN_GAP_S = 3.0
 LATER_MAX_DURATION_S = 12.0
-# Mean time between the starts, and shortest and longest duration, of the fault
-# of each part.
+# Mean time between the starts, and shortest and longest duration, of the
+# faults of each part.
 PART_TIMES_S = {
     records.Part.COLD: (2.0, 2.0, 6.0),
     records.Part.EVACUATION: (5.0, 8.0, 12.0),
     records.Part.KEYS: (4.0, 7.0, 9.0),
     records.Part.STOPS: (2.5, 9.0, 9.0),
     records.Part.STUTTER: (1.0, 3.0, 10.0),
+    records.Part.MACHINE: (0.9, 0.5, 4.0),
 }
 # Time before a stop under calls from which clients prepare for it by calls
 # that end late in the grace period, and least time from then until the node
 # has started again.
 PREPARATION_S = 2.0
 STOP_DURATION_S = 9.0
+# Faults of a process of which only one is active at a time.
+EXCLUSIVE_FAULTS = records.PROCESS_FAULTS | {Fault.MACHINE_RELOADED}
+# A process is told to stop within this time after its start, if at all.
+EARLY_S = 0.5
 # Percentages of a stuttering target; those of overlapping faults add up.
 FAIL_PERCENT, STUTTER_PERCENT = 20, 30
 # Rate limit of a target in calls a second, about a fifth of what it gets.
@@ -83,7 +89,7 @@
             random.Random(f'{part} {seed}'),
             seconds,
             node_count,
-            (records.PART_FAULTS[part],),
+            records.PART_FAULTS[part],
             mean_gap_s,
             max_duration_s,
             min_duration_s,
@@ -150,7 +156,7 @@
     async def _inject_and_record(self, entry):
         node = self._cluster.nodes[entry.node_index]
         busy_name = None
-        if entry.fault in records.PROCESS_FAULTS:
+        if entry.fault in EXCLUSIVE_FAULTS:
             busy_name = node.name
         elif entry.fault in records.ORDERS:
             busy_name = entry.fault
@@ -194,6 +200,8 @@
             await self._evacuate(node.zone, entry.duration_s)
         elif entry.fault is Fault.KEY_WITHDRAWN:
             await self._withdraw_key(entry)
+        elif entry.fault in records.MACHINE_FAULTS:
+            await self._inject_machine_fault(entry, node)
         elif entry.fault in records.TARGET_FAULTS:
             await self._inject_target_fault(entry, node)
         else:
@@ -210,16 +218,8 @@
                 await trio.sleep(entry.duration_s)
                 node.process.send_signal(signal.SIGCONT)
             case Fault.STOP:
-                limit_s = clusters.GRACE_S + clusters.EXIT_MARGIN_S
                 at = self._terminate(node)
-                if await self._wait_for_exit(node, at, limit_s) is None:
-                    self.findings.append(
-                        records.Finding(
-                            'nodes stop within the grace period',
-                            f'{node.name} was still running after '
-                            f'{limit_s:g} s',
-                        )
-                    )
+                await self._wait_for_stop(node, node.process, at)
                 await node.start_process()
             case Fault.STOP_UNDER_CALLS:
                 await self._stop_under_calls(entry, node)
@@ -227,8 +227,7 @@
                 self._hang_up(entry, node)
 
     def _hang_up(self, entry, node):
-        node.write_settings(f'changed at {entry.offset_s:.3f}')
-        node.process.send_signal(signal.SIGHUP)
+        node.hang_up(f'changed at {entry.offset_s:.3f}')
 
     def _terminate(self, node):
         """Send SIGTERM to a node; return the time."""
@@ -236,15 +235,29 @@
         node.process.terminate()
         return at
 
-    async def _wait_for_exit(self, node, at, limit_s):
-        """Wait for a node to stop; return its exit code, None if killed.
+    async def _wait_for_stop(self, node, process, at):
+        """Wait for a process to stop within the grace period.
 
+        :param at: see `_wait_for_exit`
+        """
+        limit_s = clusters.GRACE_S + clusters.EXIT_MARGIN_S
+        if await self._wait_for_exit(node, process, at, limit_s) is None:
+            self.findings.append(
+                records.Finding(
+                    'nodes stop within the grace period',
+                    f'{node.name} was still running after {limit_s:g} s',
+                )
+            )
+
+    async def _wait_for_exit(self, node, process, at, limit_s):
+        """Wait for a process to stop; return its exit code, None if killed.
+
+        :param process: the `harness.Process` of the node that stops
         :param at: time of its SIGTERM, in seconds of trio's clock
         :param limit_s: seconds from then until it is killed
         """
-        process = node.process
-        exit_code = await node.wait_for_exit(
-            at + limit_s - trio.current_time()
+        exit_code = await clusters.wait_for_exit(
+            process, at + limit_s - trio.current_time()
         )
         self._record.stops.append(
             records.Stop(node.name, at, trio.current_time())
@@ -270,7 +283,7 @@
         nodes = self._cluster.nodes
         next_node = nodes[(entry.node_index + 1) % len(nodes)]
         self._hang_up(entry, next_node)
-        at = self._terminate(node)
+        process, at = node.process, self._terminate(node)
         await trio.sleep(rng.uniform(0.0, clusters.GRACE_S / 2))
         generation = self._cluster.accept_next_configuration()
         self._record.changes.append(
@@ -278,7 +291,82 @@
         )
         if node.process.is_running:
             self._hang_up(entry, node)
-        await self._wait_for_exit(node, at, clusters.GRACE_S)
+        await self._wait_for_exit(node, process, at, clusters.GRACE_S)
+        await node.start_process()
+
+    async def _inject_machine_fault(self, entry, node):
+        rng = random.Random(f'{entry.fault} {entry.offset_s}')
+        seconds = entry.duration_s
+        match entry.fault:
+            case Fault.MACHINE_FILLED:
+                async with trio.open_nursery() as nursery:
+                    nursery.start_soon(machine_faults.fill, node, rng, seconds)
+                    await trio.sleep(rng.uniform(0.0, seconds))
+                    self._hang_up(entry, node)
+            case Fault.MACHINE_LEFT:
+                await machine_faults.leave(node, rng, seconds)
+            case Fault.MACHINE_UNREAD:
+                await machine_faults.leave_unread(node, rng, seconds)
+            case Fault.MACHINE_SCRAPED:
+                await machine_faults.scrape(node, rng, seconds)
+            case Fault.MACHINE_RELOADED:
+                await machine_faults.reload(node, rng, seconds)
+            case Fault.MACHINE_STOPPED:
+                await self._stop_beside_leavers(node, rng, seconds)
+            case Fault.MACHINE_BUSY:
+                await machine_faults.hog_processors(node.folder, rng, seconds)
+        ports = await machine_faults.find_silent_ports(node)
+        if ports:
+            self.findings.append(
+                records.Finding(
+                    'a node serves again after each fault of its machine',
+                    f'{node.name} did not answer at {ports} for '
+                    f'{machine_faults.SERVE_LIMIT_S:g} s after {entry.fault} '
+                    f'at {entry.offset_s:.2f}',
+                )
+            )
+
+    async def _stop_beside_leavers(self, node, rng, seconds):
+        """Stop a node as on a bad day, and start it again.
+
+        Clients leave before and during the stop, or use up the descriptors;
+        signals are repeated; the next process may start while the first one
+        stops, and be told to stop itself at once.
+        """
+        trouble = rng.choice((machine_faults.leave, machine_faults.fill))
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(trouble, node, rng, seconds)
+            await trio.sleep(rng.uniform(0.0, seconds))
+            if rng.random() < 0.5:
+                machine_faults.tear_settings(node, rng)
+                node.send_hangup()
+            process, at = node.process, self._terminate(node)
+            nursery.start_soon(
+                machine_faults.repeat_signal,
+                process,
+                signal.SIGTERM,
+                rng,
+                clusters.GRACE_S,
+            )
+            nursery.start_soon(self._wait_for_stop, node, process, at)
+            if rng.random() < 0.5:
+                await trio.sleep(rng.uniform(0.0, clusters.GRACE_S))
+                node.spawn()
+                await self._disturb_start(node, rng)
+        if not node.process.is_running:
+            node.spawn()
+            await self._disturb_start(node, rng)
+
+    async def _disturb_start(self, node, rng):
+        """Send signals to a process as soon as its own code runs."""
+        process = node.process
+        while process.is_running and not process.handles(signal.SIGHUP):
+            await trio.sleep(0.001)
+        node.hang_up('changed during the start')
+        if rng.random() < 0.5:
+            await trio.sleep(rng.uniform(0.0, EARLY_S))
+            at = self._terminate(node)
+            await self._wait_for_stop(node, process, at)
         await node.start_process()
 
     async def _inject_store_fault(self, entry, node):
--- a/soak/records.py
+++ b/soak/records.py
@@ -5,6 +5,7 @@
 
 import dataclasses
 import enum
+import itertools
 
 
 class CallKind(enum.StrEnum):
@@ -82,6 +83,7 @@
     reach the store. `STOP_UNDER_CALLS` stops a node in order while long calls
     run, and changes its settings and the configuration meanwhile. With
     `TARGET_STUTTERS` a target fails by chance and sends responses twice.
+    The faults of a machine are told in docs/operations/soak.md.
     """
 
     KILL = 'kill'
@@ -113,15 +115,23 @@
     KEY_WITHDRAWN = 'key-withdrawn'
     STOP_UNDER_CALLS = 'stop-under-calls'
     TARGET_STUTTERS = 'target-stutters'
+    MACHINE_FILLED = 'machine-filled'
+    MACHINE_LEFT = 'machine-left'
+    MACHINE_UNREAD = 'machine-unread'
+    MACHINE_SCRAPED = 'machine-scraped'
+    MACHINE_RELOADED = 'machine-reloaded'
+    MACHINE_STOPPED = 'machine-stopped'
+    MACHINE_BUSY = 'machine-busy'
 
 
-STOPS = frozenset((Fault.STOP, Fault.STOP_UNDER_CALLS))
+STOPS = frozenset((Fault.STOP, Fault.STOP_UNDER_CALLS, Fault.MACHINE_STOPPED))
 PROCESS_FAULTS = frozenset((Fault.KILL, Fault.PAUSE)) | STOPS
 # Orders of the operators, which excuse nothing.
 ORDERS = frozenset((Fault.ZONE_EVACUATED, Fault.KEY_WITHDRAWN))
 PLANNED_FAULTS = frozenset((Fault.HANGUP,)) | STOPS | ORDERS
 STORE_FAULTS = frozenset(f for f in Fault if f.value.startswith('store-'))
 TARGET_FAULTS = frozenset(f for f in Fault if f.value.startswith('target-'))
+MACHINE_FAULTS = frozenset(f for f in Fault if f.value.startswith('machine-'))
 # Faults in which the store can't be reached by all nodes, or by one.
 UNREACHABLE_STORE_FAULTS = frozenset(
     (
@@ -153,18 +163,22 @@
     KEYS = 'keys'
     STOPS = 'stops'
     STUTTER = 'stutter'
+    MACHINE = 'machine'
 
 
-# The fault of each part; those of one part are drawn apart from all others.
+# The faults of each part; those of one part are drawn apart from all others.
 PART_FAULTS = {
-    Part.COLD: Fault.TARGET_COLD,
-    Part.EVACUATION: Fault.ZONE_EVACUATED,
-    Part.KEYS: Fault.KEY_WITHDRAWN,
-    Part.STOPS: Fault.STOP_UNDER_CALLS,
-    Part.STUTTER: Fault.TARGET_STUTTERS,
+    Part.COLD: (Fault.TARGET_COLD,),
+    Part.EVACUATION: (Fault.ZONE_EVACUATED,),
+    Part.KEYS: (Fault.KEY_WITHDRAWN,),
+    Part.STOPS: (Fault.STOP_UNDER_CALLS,),
+    Part.STUTTER: (Fault.TARGET_STUTTERS,),
+    Part.MACHINE: tuple(f for f in Fault if f in MACHINE_FAULTS),
 }
 FIRST_FAULTS = tuple(
-    f for f in Fault if f not in (*LATER_FAULTS, *PART_FAULTS.values())
+    f
+    for f in Fault
+    if f not in (*LATER_FAULTS, *itertools.chain(*PART_FAULTS.values()))
 )
 
 
