Measure idle processors, memory and repeated series in the soak

A node that a thousand pipelined scrapes keep busy for good, or one whose metrics double, answered all the same. After the load of the part "machine", each node is left alone and may use half a core at most; a process that uses more memory than its settings allow is killed, as the platform would; and a scrape may have each series once.

--- a/soak/clusters.py
+++ b/soak/clusters.py
@@ -308,10 +308,16 @@
                 return False
 
     async def _watch(self):
-        """Start a new process whenever one ends that was not told to end."""
+        """Start a new process whenever one ends that was not told to end.
+
+        On a machine of its own, one that uses too much memory is killed.
+        """
         while True:
             await trio.sleep(WATCH_PERIOD_S)
             process = self.process
+            if process.is_running and self.machine is not None:
+                self._check_memory()
+                continue
             if process.is_running or process.was_told_to_end:
                 continue
             self.findings.append(
@@ -324,6 +330,18 @@
             if self.process is process:
                 self.spawn()
 
+    def _check_memory(self):
+        rss_mb = self.process.rss_mb()
+        if rss_mb > machines.MEMORY_MB:
+            self.findings.append(
+                records.Finding(
+                    'processes stay within their memory',
+                    f'{self.name} used {rss_mb:.0f} MB',
+                )
+            )
+            self.kill()
+            self.spawn()
+
     def kill(self):
         """Kill the process, even if it is paused."""
         self.process.send_signal(signal.SIGCONT)
--- a/soak/faults.py
+++ b/soak/faults.py
@@ -309,6 +309,9 @@
                 await machine_faults.leave_unread(node, rng, seconds)
             case Fault.MACHINE_SCRAPED:
                 await machine_faults.scrape(node, rng, seconds)
+                self._check_series(
+                    node, await machine_faults.find_repeated_series(node)
+                )
             case Fault.MACHINE_RELOADED:
                 await machine_faults.reload(node, rng, seconds)
             case Fault.MACHINE_STOPPED:
@@ -326,6 +329,16 @@
                 )
             )
 
+    def _check_series(self, node, repeated):
+        if repeated:
+            self.findings.append(
+                records.Finding(
+                    'metrics have each series once',
+                    f'{node.name} has {len(repeated)} repeated ones, the '
+                    f'first is {repeated[0]}',
+                )
+            )
+
     async def _stop_beside_leavers(self, node, rng, seconds):
         """Stop a node as on a bad day, and start it again.
 
--- a/soak/machine_faults.py
+++ b/soak/machine_faults.py
@@ -1,5 +1,6 @@
 """Does to a node what its machine and other clients do to it."""
 
+import collections
 import contextlib
 import itertools
 
@@ -21,6 +22,10 @@
 # The node serves again this long after a fault of its machine at the latest.
 SERVE_LIMIT_S = 10.0
 ANSWER_TIMEOUT_S = 2.0
+# Time for which the nodes are left alone, and for which their use of the
+# processor is then measured, and the most that is no finding.
+SETTLING_S, IDLE_S = 0.5, 1.0
+MAX_IDLE_CORES = 0.5
 SCRAPE = b'GET %s HTTP/1.1\r\nhost: node\r\n\r\n'
 _HOG = """
 import time
@@ -186,6 +191,33 @@
         process.send_signal(signal_number)
 
 
+async def find_repeated_series(node):
+    """Return the series that one scrape of a node's metrics has twice."""
+    path = node.machine.deployment.metrics_address[1]
+    connection = http_client.Connection(node.metrics_address)
+    response = await connection.call('GET', path)
+    await connection.close()
+    counts = collections.Counter(
+        line.rpartition(b' ')[0]
+        for line in response.body.splitlines()
+        if not line.startswith(b'#')
+    )
+    return sorted(x.decode() for x, count in counts.items() if count > 1)
+
+
+async def measure_idle_cores(nodes):
+    """Return the cores that each node uses though nobody sends it calls."""
+    await trio.sleep(SETTLING_S)
+    used_s = {node: node.process.cpu_seconds() for node in nodes}
+    since = trio.current_time()
+    await trio.sleep(IDLE_S)
+    elapsed_s = trio.current_time() - since
+    return {
+        node.name: (node.process.cpu_seconds() - used_s[node]) / elapsed_s
+        for node in nodes
+    }
+
+
 async def find_silent_ports(node):
     """Return the ports at which a node does not answer in time.
 
@@ -199,8 +231,8 @@
         clusters.CONTROL_PORT: '/',
         metrics_port: metrics_path,
     }
-    deadline = trio.current_time() + SERVE_LIMIT_S
-    while silent and trio.current_time() < deadline:
+    end = trio.current_time() + SERVE_LIMIT_S
+    while silent and trio.current_time() < end:
         if process.was_told_to_end or node.process is not process:
             return []
         for port, path in list(silent.items()):
--- a/soak/play.py
+++ b/soak/play.py
@@ -18,6 +18,7 @@
 from soak import clusters
 from soak import faults
 from soak import key_rings
+from soak import machine_faults
 from soak import machines
 from soak import records
 
@@ -113,6 +114,8 @@
                     cluster, schedule, record, seconds, rng, seed
                 )
                 end = trio.current_time()
+                if deployment is not None:
+                    injector_findings += await check_idle(cluster)
                 nursery.cancel_scope.cancel()
         finally:
             with trio.CancelScope(shield=True):
@@ -166,6 +169,19 @@
             sys.exit(1)
 
 
+async def check_idle(cluster):
+    """Return findings for nodes that are busy though no calls are sent."""
+    cores = await machine_faults.measure_idle_cores(cluster.nodes)
+    return [
+        records.Finding(
+            'nodes without calls leave the processor alone',
+            f'{name} used {used:.2f} of a core',
+        )
+        for name, used in cores.items()
+        if used > machine_faults.MAX_IDLE_CORES
+    ]
+
+
 def check_recovery(record, end):
     """Return a list with a finding unless calls succeed after the faults.
 
