Find connections that nodes close under requests in the soak

A request on a kept connection that is closed within 0.2 s, not having run, was always excused: it may cross the close. Trials with descriptors in use showed that nodes close connections so without a log line, one after the other. The clients now look whether a connection is closed before they send on it, so that only requests that do cross a close are lost; more than three at one node outside its stops and unplanned faults are a finding.

--- a/packages/pumicestand-standins/pumicestand_standins/http_client.py
+++ b/packages/pumicestand-standins/pumicestand_standins/http_client.py
@@ -92,6 +92,9 @@
         """
         started = trio.current_time()
         response_parser = _ResponseParser()
+        if self._stream is not None and self._stream.socket.is_readable():
+            # The server has closed it, or sent what nobody asked for.
+            await self.close()
         used_new_connection = self._stream is None
         was_connected = False
         with trio.move_on_after(CALL_TIMEOUT_S):
--- a/soak/checks.py
+++ b/soak/checks.py
@@ -31,6 +31,8 @@
 RECOVERY_S = 3.0
 # A request that was sent this long ago has been read by the node.
 UNREAD_LIMIT_S = 0.2
+# Requests that may cross the close of a kept connection at one node.
+CROSSING_LIMIT = 3
 # With these statuses a node states that it has not run the request.
 NOT_RUN_STATUSES = frozenset((408, 421, 429, 503))
 NOT_FOUND = 404
@@ -64,6 +66,7 @@
         *check_responses(record),
         *check_origins(record),
         *check_interruptions(record),
+        *check_closed_connections(record),
         *check_regressions(record),
         *check_withdrawals(record),
         *check_organisations(record),
@@ -207,6 +210,44 @@
             )
 
 
+def check_closed_connections(record):
+    """Yield findings for nodes that often close connections under requests.
+
+    The clients do not send on a connection that they can see to be closed, so
+    only a request that crosses the close is lost without having been read.
+    """
+    run_ids = {run.request_id for run in record.runs}
+    unplanned_faults = frozenset((records.Fault.KILL, records.Fault.PAUSE))
+    ids_by_node = collections.defaultdict(list)
+    for call in record.calls:
+        if (
+            not call.status
+            and not call.used_new_connection
+            and call.request_id not in run_ids
+            and not any(
+                stop.node == call.node
+                and stop.at <= call.ended_at
+                and call.sent_at <= stop.ended_at
+                for stop in record.stops
+            )
+            and not _is_disrupted(
+                record,
+                call.node,
+                call.sent_at - RECOVERY_S,
+                call.ended_at,
+                frozenset(records.Fault) - unplanned_faults,
+            )
+        ):
+            ids_by_node[call.node].append(call.request_id)
+    for node, request_ids in ids_by_node.items():
+        if len(request_ids) > CROSSING_LIMIT:
+            yield records.Finding(
+                'nodes do not close connections under requests',
+                f'{node} closed {len(request_ids)} kept connections under '
+                f'requests that had not run, the first is {request_ids[0]}',
+            )
+
+
 def _may_be_unread(record, call):
     """Return whether the node may have closed the connection of a call unread.
 
--- a/tests/soak/test_checks.py
+++ b/tests/soak/test_checks.py
@@ -486,3 +486,47 @@
     record.runs.append(retried)
     record.answers['u-1.2'] = 500
     assert broken_promises(record) == []
+
+
+def make_closed_calls(count, **fields):
+    return [
+        make_call(f'a{number}', CallKind.REPEATABLE, 0, **fields)
+        for number in range(count)
+    ]
+
+
+def test_node_that_often_closes_connections_under_requests_is_found():
+    record = records.Record(calls=make_closed_calls(4))
+    assert broken_promises(record) == [
+        'nodes do not close connections under requests'
+    ]
+    record.calls = make_closed_calls(3)
+    assert broken_promises(record) == []
+
+
+@pytest.mark.parametrize('fault', sorted(records.MACHINE_FAULTS))
+def test_faults_of_a_machine_excuse_no_close_under_requests(fault):
+    record = records.Record(
+        calls=make_closed_calls(4), disruptions=[make_disruption(fault)]
+    )
+    assert broken_promises(record) == [
+        'nodes do not close connections under requests'
+    ]
+
+
+def test_stops_and_unplanned_faults_excuse_closes_under_requests():
+    record = records.Record(calls=make_closed_calls(4))
+    record.stops = [records.Stop('n', 9.0, 12.0)]
+    assert broken_promises(record) == []
+    record.stops = []
+    record.disruptions = [make_disruption(Fault.KILL)]
+    assert broken_promises(record) == []
+
+
+@pytest.mark.parametrize('fault', sorted(records.MACHINE_FAULTS))
+def test_faults_of_a_machine_excuse_no_cut_call(fault):
+    call = make_call(status=0, ended_at=10.5)
+    record = records.Record(
+        calls=[call], runs=[make_run()], disruptions=[make_disruption(fault)]
+    )
+    assert 'only unplanned faults cut calls' in broken_promises(record)
