--- a/tests/soak/test_play.py
+++ b/tests/soak/test_play.py
@@ -9,9 +9,11 @@
 import sys
 import time
 
+import pytest
 import trio
 
 from soak import clusters
+from soak import machines
 from soak import play
 from soak import records
 
@@ -34,6 +36,26 @@
     assert any(received.caller for received in record.responses)
 
 
+@pytest.mark.parametrize('seed', [15, 29])
+def test_short_soak_of_machines_has_no_findings(seed):
+    verdict, record, _ = trio.run(
+        play.run_soak,
+        seed,
+        3,
+        9.0,
+        False,
+        None,
+        (records.Part.MACHINE,),
+        # The build would need the package registry, and an older one in
+        # target/ would hide the sources at hand.
+        machines.Deployment.from_sources(clusters.ROOT),
+    )
+    assert verdict.findings == ()
+    played = {disruption.fault for disruption in record.disruptions}
+    assert len(played & records.MACHINE_FAULTS) >= 4
+    assert len(record.calls) > 50
+
+
 def test_soak_that_is_told_to_stop_leaves_no_process_behind(tmp_path):
     command = [sys.executable, '-m', 'soak', '--nodes', '2', '--seconds']
     with subprocess.Popen(
