--- a/soak/machine_faults.py
+++ b/soak/machine_faults.py
@@ -140,9 +140,15 @@
 
 
 async def reload(node, rng, seconds):
-    """Tell a node to read torn settings files, and a whole one at last."""
+    """Tell a node to read torn settings files, and a whole one at last.
+
+    Only the process that runs at first: the next one starts with whole ones.
+    """
+    process = node.process
     count = rng.randint(1, 6)
     for _ in range(count):
+        if node.process is not process or not process.is_running:
+            return
         tear_settings(node, rng)
         node.send_hangup()
         await trio.sleep(rng.uniform(0.0, seconds / count))
