--- a/soak/clusters.py
+++ b/soak/clusters.py
@@ -332,11 +332,12 @@
 
     def _check_memory(self):
         rss_mb = self.process.rss_mb()
-        if rss_mb > machines.MEMORY_MB:
+        if rss_mb > self.machine.memory_mb:
             self.findings.append(
                 records.Finding(
                     'processes stay within their memory',
-                    f'{self.name} used {rss_mb:.0f} MB',
+                    f'{self.name} used {rss_mb:.0f} MB, more than '
+                    f'{self.machine.memory_mb} MB',
                 )
             )
             self.kill()
--- a/soak/faults.py
+++ b/soak/faults.py
@@ -266,7 +266,8 @@
             self.findings.append(
                 records.Finding(
                     'processes that are told to end exit with code 0',
-                    clusters.describe_end(process),
+                    f'{trio.current_time() - at:.2f} s after its SIGTERM, '
+                    f'{clusters.describe_end(process)}',
                 )
             )
         return exit_code
--- a/soak/machines.py
+++ b/soak/machines.py
@@ -18,7 +18,8 @@
 ROLE = 'node'
 # Limits of descriptors that are drawn; the last one is that of the platform.
 MAX_FDS = (150, 250, 500, 1024, 4100)
-MEMORY_MB = 300
+# Limits of memory that are drawn, as deployments have them.
+MEMORY_MB = (150, 300)
 PACKAGE_FOLDERS = ('packages/pumicestand', 'packages/pumicestand-node')
 READ_BYTES = 65_536
 # Longest time for which a reader of standard output does not read, and for
@@ -99,11 +100,15 @@
         self._soft_limit = self._rng.choice(
             (self.max_fds, min(self.max_fds, MAX_FDS[1]))
         )
+        self.memory_mb = self._rng.choice(MEMORY_MB)
 
     @property
     def settings(self):
         """The lines that the settings file has besides the usual ones."""
-        return f'limits.max_fds={self.max_fds}\nlimits.memory_mb={MEMORY_MB}\n'
+        return (
+            f'limits.max_fds={self.max_fds}\n'
+            f'limits.memory_mb={self.memory_mb}\n'
+        )
 
     def start(self, name, settings_path, log, nursery):
         """Start a process and return the `harness.Process`.
@@ -123,7 +128,7 @@
         output = self._open_output(log, nursery)
         try:
             return harness.Process(
-                name,
+                f'{name} ({self.output}, {self.max_fds} descriptors)',
                 self.deployment.arguments,
                 log.with_suffix('.err'),
                 stdout=output,
