--- a/soak/play.py
+++ b/soak/play.py
@@ -18,6 +18,8 @@
 from soak import clusters
 from soak import faults
 from soak import key_rings
+from soak import machine_faults
+from soak import machines
 from soak import records
 
 CLIENTS_PER_NODE = 2
@@ -69,7 +71,13 @@
 
 
 async def run_soak(
-    seed, node_count, seconds, checks_timing=True, logs=None, parts=()
+    seed,
+    node_count,
+    seconds,
+    checks_timing=True,
+    logs=None,
+    parts=(),
+    deployment=None,
 ):
     """Run a soak; return (`Verdict`, `records.Record`, start time).
 
@@ -81,6 +89,7 @@
     :param checks_timing: see `checks.check`
     :param logs: folder in which the nodes' logs are kept, None to delete them
     :param parts: the `records.Part`s to play
+    :param deployment: see `clusters.Cluster`; needed by `records.Part.MACHINE`
     """
     rng = random.Random(seed)
     schedule = faults.draw_whole_schedule(
@@ -90,10 +99,11 @@
     with tempfile.TemporaryDirectory(prefix='soak-') as temporary_folder:
         cluster = clusters.Cluster(
             node_count,
-            pathlib.Path(logs or temporary_folder),
+            pathlib.Path(logs or temporary_folder).resolve(),
             parts,
             key_rings.KeyRing(seed) if records.Part.KEYS in parts else None,
             seed,
+            deployment,
         )
         try:
             async with trio.open_nursery() as nursery:
@@ -104,10 +114,18 @@
                     cluster, schedule, record, seconds, rng, seed
                 )
                 end = trio.current_time()
+                if deployment is not None:
+                    injector_findings += await check_idle(cluster)
                 nursery.cancel_scope.cancel()
         finally:
             with trio.CancelScope(shield=True):
                 await cluster.close()
+        torn_lines = [
+            records.Finding(
+                'each line of a log is whole JSON', f'{name}: {line[:200]!r}'
+            )
+            for name, line in machines.find_torn_lines(cluster.folder)
+        ]
     for node in cluster.nodes:
         record.runs += node.target.ledger
         record.run_ends |= node.target.ended_at
@@ -117,7 +135,12 @@
         record.departures += node.target.departures
         record.cold_crashes += node.target.cold_crashes
         record.limits += [(node.name, p) for p in node.target.limit_periods]
-    findings = [*injector_findings, *checks.check(record, checks_timing)]
+    findings = [
+        *injector_findings,
+        *(torn_lines if deployment else ()),
+        *(finding for node in cluster.nodes for finding in node.findings),
+        *checks.check(record, checks_timing),
+    ]
     if checks_timing:
         findings += check_recovery(record, end)
     status_counts = collections.Counter(call.status for call in record.calls)
@@ -146,6 +169,19 @@
             sys.exit(1)
 
 
+async def check_idle(cluster):
+    """Return findings for nodes that are busy though no calls are sent."""
+    cores = await machine_faults.measure_idle_cores(cluster.nodes)
+    return [
+        records.Finding(
+            'nodes without calls leave the processor alone',
+            f'{name} used {used:.2f} of a core',
+        )
+        for name, used in cores.items()
+        if used > machine_faults.MAX_IDLE_CORES
+    ]
+
+
 def check_recovery(record, end):
     """Return a list with a finding unless calls succeed after the faults.
 
