Open a node's ports patiently, and let no task of its nursery end it

What operators saw: a port in use at the start, as the process before was still closing, ended the process with a traceback and exit code 1, and so did the metrics port, which no call needs. Any unexpected error in a task that is not supervised (a port, the end of a link, a read of the store, a call's nursery) ended the process with all its calls. So did a task that failed while it was cancelled, since such a group of errors is no `Exception`.

Change: opening a port is tried for 10 s, with a log line, and then ends the start with `PortError`; the metrics port is opened in the background. The port for clients is opened last, when the tasks behind it run. A port whose accept fails unexpectedly is opened again. All tasks of a node's components are started in a `GuardedNursery`, which logs the error of a task; `supervise` and it take groups apart, so that cancellation goes on. Decisions are written when an error ends the process, too.

--- a/packages/pumicestand-node/pumicestand_node/mesh_node.py
+++ b/packages/pumicestand-node/pumicestand_node/mesh_node.py
@@ -9,6 +9,7 @@
 
 from pumicestand import decision_log
 from pumicestand import documents
+from pumicestand import errors
 from pumicestand import line_output
 from pumicestand import log
 from pumicestand import node_records
@@ -34,6 +35,10 @@
 # Delay in which log lines are collected before they are written.
 LOG_FLUSH_DELAY_S = 0.1
 TIMEOUT_CHECK_PERIOD_S = 0.5
+# Time for which a starting node tries to open a port: the process before it
+# may still be closing.
+PORT_TIMEOUT_S = 10.0
+PORT_RETRY_DELAY_S = 0.1
 # Time after the start from which the node reports that it is ready although
 # it has not linked to all nodes listed in the store.
 MAX_READINESS_DELAY_S = 1.5
@@ -158,8 +163,15 @@
         return agent
 
     async def start(self, nursery):
-        """Open all ports and start the background tasks in a nursery."""
-        self._nursery = nursery
+        """Open all ports and start the background tasks in a nursery.
+
+        The port for clients is the last. The one for metrics is opened in the
+        background, since the node can do without.
+
+        :raises errors.PortError: if a port can't be opened within
+            `PORT_TIMEOUT_S`
+        """
+        self._nursery = nursery = supervision.GuardedNursery(nursery)
         settings = self._settings
         await self._listen(settings.link, self._links.serve)
         await self._listen(
@@ -168,12 +180,9 @@
         await self._listen(
             settings.ready, self._make_plain_server(self._handle_readiness)
         )
-        await self._listen(
+        self._start_serving(
             settings.metrics, self._make_plain_server(self._handle_metrics)
         )
-        await self._listen(
-            settings.outbound, self._client_port.serve, self._outbound_scope
-        )
         await self._links.start(nursery)
         await self._store.start(nursery)
         if self._freshness is not None:
@@ -184,6 +193,9 @@
             self._flush_log,
         ):
             nursery.start_soon(supervision.supervise, task.__name__, task)
+        await self._listen(
+            settings.outbound, self._client_port.serve, self._outbound_scope
+        )
         self._decisions.note(
             'started',
             incarnation=self._mesh.incarnation,
@@ -198,15 +210,45 @@
         gc.set_threshold(GC_THRESHOLD, 20, 20)
 
     async def _listen(self, address, serve, scope=None):
+        """Open a port, at which another process may still end, and serve it.
+
+        See `_start_serving`.
+
+        :raises errors.PortError: if it can't be opened
+        """
+        deadline = trio.current_time() + PORT_TIMEOUT_S
+        is_logged = False
+        while True:
+            try:
+                opened = await listeners.open_listeners(
+                    address.host, address.port
+                )
+                break
+            except (OSError, UnicodeError) as error:
+                if trio.current_time() >= deadline:
+                    raise errors.PortError(
+                        f'{address.host}:{address.port}: {error}'
+                    ) from error
+                if not is_logged:
+                    is_logged = True
+                    log.logger.bind(
+                        event='port-unavailable', port=address.port
+                    ).warning(
+                        'port can not be opened, trying for {:g} s: {}',
+                        PORT_TIMEOUT_S,
+                        error,
+                    )
+            await trio.sleep(PORT_RETRY_DELAY_S)
+        self._start_serving(address, serve, scope, opened)
+
+    def _start_serving(self, address, serve, scope=None, opened=None):
         """Serve connections to an address until the scope is cancelled.
 
         :param address: `mesh_settings.Address`
         :param serve: coroutine function that serves one stream
         :param scope: `trio.CancelScope`, None to serve until the node ends
+        :param opened: listeners of the port, None to open it now
         """
-        tcp_listeners = await listeners.open_listeners(
-            address.host, address.port
-        )
         scope = scope or trio.CancelScope()
 
         async def serve_guarded(stream):
@@ -220,23 +262,32 @@
                     error,
                 )
 
-        drained_listeners = [
-            listeners.DrainedListener(
-                listener,
-                lambda stream: self._nursery.start_soon(serve_guarded, stream),
+        async def run():
+            nonlocal opened
+            tcp_listeners, opened = opened, None
+            if tcp_listeners is None:
+                tcp_listeners = await listeners.open_listeners(
+                    address.host, address.port
+                )
+            await trio.serve_listeners(
+                serve_guarded,
+                [
+                    listeners.DrainedListener(
+                        listener,
+                        lambda stream: self._nursery.start_soon(
+                            serve_guarded, stream
+                        ),
+                    )
+                    for listener in tcp_listeners
+                ],
+                handler_nursery=self._nursery,
             )
-            for listener in tcp_listeners
-        ]
 
-        async def run():
+        async def run_in_scope():
             with scope:
-                await trio.serve_listeners(
-                    serve_guarded,
-                    drained_listeners,
-                    handler_nursery=self._nursery,
-                )
+                await supervision.supervise(f'port {address.port}', run)
 
-        self._nursery.start_soon(run)
+        self._nursery.start_soon(run_in_scope)
 
     async def close(self):
         """Stop the node without interrupting calls in flight.
@@ -351,10 +402,14 @@
         )
 
     async def _flush_log(self):
-        while True:
-            await self._decisions_pending.wait()
-            await trio.sleep(LOG_FLUSH_DELAY_S)
-            self._decisions_pending = trio.Event()
+        try:
+            while True:
+                await self._decisions_pending.wait()
+                await trio.sleep(LOG_FLUSH_DELAY_S)
+                self._decisions_pending = trio.Event()
+                self._decisions.flush()
+        finally:
+            # An error may have ended the process.
             self._decisions.flush()
 
     # Requests of clients, the platform and the target
--- a/packages/pumicestand-node/pumicestand_node/supervision.py
+++ b/packages/pumicestand-node/pumicestand_node/supervision.py
@@ -27,14 +27,73 @@
         started_at = trio.current_time()
         try:
             return await run(*args)
-        except Exception as error:
-            if trio.current_time() - started_at > RESET_AFTER_S:
-                delay_s = MIN_RESTART_DELAY_S
-            log.logger.opt(exception=error).bind(event='task-failed').error(
-                'task {} failed and starts again in {:.1f} s: {!r}',
-                name,
-                delay_s,
-                error,
-            )
+        except BaseException as error:
+            failure = _unexpected(error)
+        if trio.current_time() - started_at > RESET_AFTER_S:
+            delay_s = MIN_RESTART_DELAY_S
+        log.logger.opt(exception=failure).bind(event='task-failed').error(
+            'task {} failed and starts again in {:.1f} s: {!r}',
+            name,
+            delay_s,
+            failure,
+        )
         await trio.sleep(delay_s)
         delay_s = min(MAX_RESTART_DELAY_S, 2 * delay_s)
+
+
+async def contain(run, *args):
+    """Run a task; log its error, if it fails, and end it.
+
+    :param run: coroutine function
+    :param args: its arguments
+    """
+    try:
+        await run(*args)
+    except BaseException as error:
+        failure = _unexpected(error)
+        log.logger.opt(exception=failure).bind(event='task-failed').error(
+            'task {} failed: {!r}',
+            getattr(run, '__qualname__', run),
+            failure,
+        )
+
+
+def _unexpected(error):
+    """Return what went wrong in a task; raise an error that only cancels it.
+
+    A task that fails while it is cancelled raises both at once.
+    """
+    if isinstance(error, Exception):
+        return error
+    if isinstance(error, BaseExceptionGroup):
+        failure, rest = error.split(Exception)
+        if failure is not None:
+            log.logger.opt(exception=failure).bind(event='task-failed').error(
+                'a task failed while it was cancelled: {!r}', failure
+            )
+        if rest is not None:
+            raise rest
+    raise error
+
+
+class GuardedNursery:
+    """A nursery whose tasks can fail without ending each other.
+
+    :param nursery: `trio.Nursery`
+    """
+
+    def __init__(self, nursery):
+        self._nursery = nursery
+
+    @property
+    def cancel_scope(self):
+        """The `trio.CancelScope` of the nursery."""
+        return self._nursery.cancel_scope
+
+    def start_soon(self, run, *args):
+        """Start a task; an error in it is logged.
+
+        :param run: coroutine function
+        :param args: its arguments
+        """
+        self._nursery.start_soon(contain, run, *args, name=run)
--- a/tests/pumicestand_node/test_supervision.py
+++ b/tests/pumicestand_node/test_supervision.py
@@ -57,3 +57,57 @@
         assert len(starts) == 1
 
     mock_clock.run(main)
+
+
+async def fail():
+    raise ValueError('unexpected')
+
+
+async def fail_when_cancelled():
+    try:
+        await trio.sleep_forever()
+    finally:
+        raise ValueError('unexpected')
+
+
+def test_a_task_that_fails_does_not_end_the_others():
+    """It ended the process with all its calls."""
+
+    async def main():
+        async with trio.open_nursery() as nursery:
+            guarded = supervision.GuardedNursery(nursery)
+            guarded.start_soon(fail)
+            await trio.sleep(1.0)
+            guarded.start_soon(fail)
+            await trio.sleep(1.0)
+            guarded.cancel_scope.cancel()
+
+    mock_clock.run(main)
+
+
+async def fail_beside_a_cancelled_task():
+    async with trio.open_nursery() as nursery:
+        nursery.start_soon(trio.sleep_forever)
+        nursery.start_soon(fail_when_cancelled)
+
+
+@pytest.mark.parametrize('is_supervised', [True, False])
+@pytest.mark.parametrize(
+    'task', [fail_when_cancelled, fail_beside_a_cancelled_task]
+)
+def test_a_task_that_fails_while_it_is_cancelled_does_not_end_the_others(
+    is_supervised, task
+):
+    """An orderly stop ended with an error."""
+
+    async def main():
+        async with trio.open_nursery() as nursery:
+            guarded = supervision.GuardedNursery(nursery)
+            if is_supervised:
+                nursery.start_soon(supervision.supervise, 'test', task)
+            else:
+                guarded.start_soon(task)
+            await trio.sleep(1.0)
+            guarded.cancel_scope.cancel()
+
+    mock_clock.run(main)
