Carry out each step of a stop although an earlier one fails

What callers saw: an unexpected error in `close` ended the process with all calls in flight, seconds before the end of its grace.

Cause: the steps ran one after another in the main task, unguarded.

Change: each step is guarded, its error is logged (`stop-step-failed`) and the next ones are carried out; if asking for work fails, the node waits until the schedule's end. The closes of the store and the target are bounded in time. The line `stopping` is written at once. A decision with an empty status is noted instead of raising.

--- a/packages/pumicestand-node/pumicestand_node/mesh_node.py
+++ b/packages/pumicestand-node/pumicestand_node/mesh_node.py
@@ -45,6 +45,10 @@
 # Time for which the links stay open to send final frames once the node
 # accepts no more calls.
 LINK_FLUSH_S = 0.1
+# Period at which a stopping node checks for calls in flight, and the time that
+# the close of the store or the target may take.
+WORK_CHECK_PERIOD_S = 0.02
+STEP_TIMEOUT_S = 0.1
 # Allocations, net of deallocations, that start a collection of generation 0.
 GC_THRESHOLD = 20_000
 
@@ -294,45 +298,74 @@
 
         The node first stops accepting calls from clients on its VM, then
         calls from other nodes, and waits for the remaining calls up to the
-        end of the grace period.
+        end of the grace period. An error in one step is logged, and the calls
+        in flight keep their time.
         """
         mesh = self._mesh
-        settings = self._settings
         mesh.is_stopping = True
         mesh.is_ready = False
-        schedule = shutdown.plan(self._clock(), settings.bounds.grace)
-        self._decisions.note(
-            'stopping',
-            outbound=self._outbound_calls.in_flight,
-            inbound=self._target_calls.in_flight,
-        )
-        self._outbound_calls.finish_by(schedule)
-        self._target_calls.finish_by(schedule.targets_end_at)
+        schedule = shutdown.plan(self._clock(), self._settings.bounds.grace)
+        self._note_stop('stopping')
+        with supervision.stop_step('limit calls of clients'):
+            self._outbound_calls.finish_by(schedule)
+        with supervision.stop_step('limit calls of the target'):
+            self._target_calls.finish_by(schedule.targets_end_at)
         # The target stays available until the clients on this VM have been
         # redirected.
         await trio.sleep(max(0.0, schedule.accept_until - self._clock()))
-        self._client_port.close_when_idle()
+        self._close_idle_connections()
         mesh.is_leaving = True
-        self._target_calls.refuse_all()
-        self._links.refuse_arriving()
-        self._links.schedule_report()
+        with supervision.stop_step('refuse calls for the target'):
+            self._target_calls.refuse_all()
+        with supervision.stop_step('refuse calls that arrive'):
+            self._links.refuse_arriving()
+        with supervision.stop_step('report to other nodes'):
+            self._links.schedule_report()
         await trio.sleep(LINK_FLUSH_S)
-        while self._clock() < schedule.close_at and self._has_work():
-            await trio.sleep(0.02)
-        self._outbound_calls.finish_by(schedule.ended(self._clock()))
+        await self._wait_for_work(schedule.close_at)
+        with supervision.stop_step('refuse calls of clients'):
+            self._outbound_calls.finish_by(schedule.ended(self._clock()))
         self._outbound_scope.cancel()
-        self._client_port.close_when_idle()
+        self._close_idle_connections()
         await trio.sleep(LINK_FLUSH_S)
-        self._decisions.note(
-            'stopped',
-            outbound=self._outbound_calls.in_flight,
-            inbound=self._target_calls.in_flight,
-        )
-        self._decisions.flush()
-        await self._store.close()
-        await self._target_calls.close()
+        self._note_stop('stopped')
+        for name, close in (
+            ('close the store', self._store.close),
+            ('close the target', self._target_calls.close),
+        ):
+            with (
+                supervision.stop_step(name),
+                trio.move_on_after(STEP_TIMEOUT_S),
+            ):
+                await close()
+        with supervision.stop_step('write the log'):
+            self._decisions.flush()
         self._nursery.cancel_scope.cancel()
 
+    def _note_stop(self, event):
+        with supervision.stop_step('log'):
+            self._decisions.note(
+                event,
+                outbound=self._outbound_calls.in_flight,
+                inbound=self._target_calls.in_flight,
+            )
+            self._decisions.flush()
+
+    def _close_idle_connections(self):
+        with supervision.stop_step('close idle connections'):
+            self._client_port.close_when_idle()
+
+    async def _wait_for_work(self, close_at):
+        """Wait for calls and what belongs to them.
+
+        :param close_at: time at which to give them up, in monotonic seconds
+        """
+        with supervision.stop_step('wait for calls'):
+            while self._clock() < close_at and self._has_work():
+                await trio.sleep(WORK_CHECK_PERIOD_S)
+            return
+        await trio.sleep(max(0.0, close_at - self._clock()))
+
     def _has_work(self):
         """Return whether calls or what belongs to them are under way."""
         return (
--- a/packages/pumicestand-node/pumicestand_node/supervision.py
+++ b/packages/pumicestand-node/pumicestand_node/supervision.py
@@ -4,6 +4,8 @@
 not the process with all its calls.
 """
 
+import contextlib
+
 import trio
 
 from pumicestand import log
@@ -76,6 +78,20 @@
     raise error
 
 
+@contextlib.contextmanager
+def stop_step(name):
+    """Log an error in a step of a stop, which goes on with the next one.
+
+    :param name: name of the step, for the log
+    """
+    try:
+        yield
+    except Exception as error:
+        log.logger.opt(exception=error).bind(event='stop-step-failed').error(
+            'step {} of the stop failed: {!r}', name, error
+        )
+
+
 class GuardedNursery:
     """A nursery whose tasks can fail without ending each other.
 
--- a/packages/pumicestand/pumicestand/decision_log.py
+++ b/packages/pumicestand/pumicestand/decision_log.py
@@ -52,7 +52,7 @@
         if int(now) != self._second:
             self._second, self._lines_in_second = int(now), 0
         self._lines_in_second += 1
-        is_success = 0 < fields.get('status', 0) < MIN_ERROR_STATUS
+        is_success = 0 < (fields.get('status') or 0) < MIN_ERROR_STATUS
         limit = MAX_LINES_PER_S // 4 if is_success else MAX_LINES_PER_S
         if (
             self._lines_in_second > limit
--- a/tests/pumicestand/test_decision_log.py
+++ b/tests/pumicestand/test_decision_log.py
@@ -78,3 +78,10 @@
     log.flush()
     assert [line['event'] for line in parse_lines(written)] == ['b']
     assert log.dropped == 1
+
+
+def test_a_call_without_a_status_can_be_noted():
+    log, written, _ = make_log()
+    log.note('call', status=None)
+    log.flush()
+    assert 'status' not in parse_lines(written)[0]
