Count the grace of a stop from its signal, and end a busy process in time

What callers saw: with 520 clients that had left 50 pipelined calls each, the node did not end within 8 s of SIGTERM: it was to be killed at 6 s, without the line `stopping`.

Change: the handler of the signal, which runs in the middle of a turn, records its time, from which the schedule of the stop counts. A thread ends the process shortly before the end of the grace if the stop is not over by then: exit code 0, event `exit` with the reason `stop-deadline`. That such a turn occurs is not mended by this; the calls that are left then still end without an answer.

The tests need names that the code before lacks; the fake nodes of test_main get the new argument of `close`.

--- a/packages/pumicestand-node/pumicestand_node/mesh_node.py
+++ b/packages/pumicestand-node/pumicestand_node/mesh_node.py
@@ -293,18 +293,23 @@
 
         self._nursery.start_soon(run_in_scope)
 
-    async def close(self):
+    async def close(self, requested_at=None):
         """Stop the node without interrupting calls in flight.
 
         The node first stops accepting calls from clients on its VM, then
         calls from other nodes, and waits for the remaining calls up to the
         end of the grace period. An error in one step is logged, and the calls
         in flight keep their time.
+
+        :param requested_at: when the stop was requested, in seconds of
+            `boot_clock`, None for now
         """
         mesh = self._mesh
         mesh.is_stopping = True
         mesh.is_ready = False
-        schedule = shutdown.plan(self._clock(), self._settings.bounds.grace)
+        if requested_at is None:
+            requested_at = self._clock()
+        schedule = shutdown.plan(requested_at, self._settings.bounds.grace)
         self._note_stop('stopping')
         with supervision.stop_step('limit calls of clients'):
             self._outbound_calls.finish_by(schedule)
--- a/packages/pumicestand/pumicestand/shutdown.py
+++ b/packages/pumicestand/pumicestand/shutdown.py
@@ -35,6 +35,9 @@
 MIN_CALL_TIME_S = 0.06
 # Share of the exit time in which the last responses are sent.
 LAST_RESPONSES_SHARE = 0.4
+# Share of the exit time that is left when a process which is too busy to stop
+# in order ends itself.
+FORCED_EXIT_SHARE = 0.2
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -47,6 +50,7 @@
     :param close_at: connections are closed then
     :param late_after: calls that are sent later are late
     :param late_targets_end_at: targets are told to end late calls by then
+    :param exit_at: the process ends by then, whatever is still to do
     """
 
     accept_until: float
@@ -55,6 +59,7 @@
     close_at: float
     late_after: float = math.inf
     late_targets_end_at: float = math.inf
+    exit_at: float = math.inf
 
     def end_at(self, sent_at):
         """Return when the target of a call is told to end it.
@@ -113,4 +118,5 @@
         close_at=calls_end_at + LAST_RESPONSES_SHARE * exit_time,
         late_after=now + min(LATE_AFTER_S, LATE_SHARE * grace),
         late_targets_end_at=calls_end_at - LATE_TARGETS_END_SHARE * exit_time,
+        exit_at=now + grace - FORCED_EXIT_SHARE * exit_time,
     )
--- a/tests/pumicestand_platform/test_main.py
+++ b/tests/pumicestand_platform/test_main.py
@@ -45,7 +45,7 @@
     async def start(self, nursery):
         signal.raise_signal(signal.SIGTERM)
 
-    async def close(self):
+    async def close(self, requested_at):
         signal.raise_signal(self.further_signal)
         await trio.sleep(STOP_S)
         FakeNode.has_closed = True
@@ -198,7 +198,7 @@
         await trio.sleep(100.0)
         raise AssertionError
 
-    async def close(self):
+    async def close(self, requested_at):
         raise AssertionError
 
 
@@ -214,3 +214,85 @@
     monkeypatch.setattr(SlowNode, 'error', errors.PortError('in use'))
     with pytest.raises(errors.PortError):
         trio.run(main.run, settings.parse(test_settings.TEXT))
+
+
+@pytest.fixture
+def stop_clock(monkeypatch):
+    """A clock of the stop that tests and sleeps move; no thread is started.
+
+    It is a list of one item, the seconds.
+    """
+    clock = [0.0]
+
+    def sleep(seconds):
+        clock[0] += seconds
+
+    monkeypatch.setattr(main.mesh_node, 'boot_clock', lambda: clock[0])
+    monkeypatch.setattr(main.time, 'sleep', sleep)
+    monkeypatch.setattr(
+        main._thread, 'start_new_thread', lambda function, arguments: None
+    )
+    return clock
+
+
+class BusyNode(FakeNode):
+    """Does not let the event loop run for seconds after a signal."""
+
+    clock = None
+    requested_at = None
+
+    async def start(self, nursery):
+        self.clock[0] = 7.0
+        signal.raise_signal(signal.SIGTERM)
+        self.clock[0] = 10.0
+
+    async def close(self, requested_at):
+        BusyNode.requested_at = requested_at
+
+
+def test_the_time_of_a_stop_counts_from_the_signal_though_the_loop_is_busy(
+    monkeypatch, stop_clock
+):
+    """The process was killed with the calls that it still served."""
+    monkeypatch.setattr(BusyNode, 'clock', stop_clock)
+    monkeypatch.setattr(main.mesh_node, 'MeshNode', BusyNode)
+    trio.run(main.run, settings.parse(test_settings.TEXT))
+    assert BusyNode.requested_at == 7.0
+
+
+@pytest.mark.parametrize('is_over', [False, True])
+def test_a_process_that_is_too_busy_to_stop_ends_before_it_is_killed(
+    monkeypatch, stop_clock, run_main, is_over
+):
+    grace = 6.0
+    exits = []
+    monkeypatch.setattr(
+        main.os, '_exit', lambda code: exits.append((code, stop_clock[0]))
+    )
+
+    async def run(node_settings, early_signals):
+        stop = main._StopRequest(grace)
+        stop._receive(lambda number, frame: None, signal.SIGTERM, None)
+        stop.is_over = is_over
+        stop._end()
+        return 'SIGTERM'
+
+    _, lines = run_main(run)
+    if is_over:
+        assert not exits
+        return
+    ((code, exited_at),) = exits
+    assert code == 0
+    assert grace - 0.5 < exited_at < grace
+    assert lines[0] == (0, 'stop-deadline')
+
+
+def test_a_stop_goes_on_if_no_thread_can_be_started(monkeypatch, stop_clock):
+    def fail(function, arguments):
+        raise RuntimeError("can't start new thread")
+
+    monkeypatch.setattr(main._thread, 'start_new_thread', fail)
+    monkeypatch.setattr(BusyNode, 'clock', stop_clock)
+    monkeypatch.setattr(main.mesh_node, 'MeshNode', BusyNode)
+    run = main.run
+    assert trio.run(run, settings.parse(test_settings.TEXT)) == 'SIGTERM'
