Show that a cut or zeroed file of generated code costs a start only time

Ruled out by test: a file that an interrupted build or a loss of power left cut or filled with zeros at four places. No code is changed; the tests pass on the code before.

--- a/tests/pumicestand_platform/test_cheap_imports.py
+++ b/tests/pumicestand_platform/test_cheap_imports.py
@@ -3,6 +3,8 @@
 import subprocess
 import sys
 
+import pytest
+
 PRELUDE = """
 import sys
 sys.path[:0] = {path!r}
@@ -106,3 +108,19 @@
 
 def test_deferred_modules_are_loaded_at_first_use():
     run(DEFERRED, '-S')
+
+
+@pytest.mark.parametrize('kept', [0.0, 0.02, 0.5, 0.98])
+@pytest.mark.parametrize('is_filled', [False, True])
+def test_file_of_an_interrupted_build_is_passed_over(
+    tmp_path, kept, is_filled
+):
+    """A loss of power leaves it cut, or filled with zeros."""
+    file = tmp_path / 'generated.code'
+    run_data_classes(file, 'recorded')
+    data = file.read_bytes()
+    expected = run_data_classes(tmp_path / 'missing', 'reused')
+    size = int(kept * len(data))
+    rest = bytes(len(data) - size) if is_filled else b''
+    file.write_bytes(data[:size] + rest)
+    assert run_data_classes(file, 'reused') == expected
