--- a/packages/pumicestand-node/pumicestand_node/mesh_node.py
+++ b/packages/pumicestand-node/pumicestand_node/mesh_node.py
@@ -10,6 +10,7 @@
 from pumicestand import decision_log
 from pumicestand import descriptor_budget
 from pumicestand import documents
+from pumicestand import errors
 from pumicestand import line_output
 from pumicestand import log
 from pumicestand import node_records
@@ -38,6 +39,10 @@
 # Delay in which log lines are collected before they are written.
 LOG_FLUSH_DELAY_S = 0.1
 TIMEOUT_CHECK_PERIOD_S = 0.5
+# Time for which a starting node tries to open a port: the process before it
+# may still be closing.
+PORT_TIMEOUT_S = 10.0
+PORT_RETRY_DELAY_S = 0.1
 # Time after the start from which the node reports that it is ready although
 # it has not linked to all nodes listed in the store.
 MAX_READINESS_DELAY_S = 1.5
@@ -46,6 +51,10 @@
 LINK_FLUSH_S = 0.1
 # Limits on the requests of the target and of the platform.
 PLAIN_LIMITS = documents.ClientLimits(body_bytes=1_048_576)
+# Period at which a stopping node checks for calls in flight, and the time that
+# the close of the store or the target may take.
+WORK_CHECK_PERIOD_S = 0.02
+STEP_TIMEOUT_S = 0.1
 # Allocations, net of deallocations, that start a collection of generation 0.
 GC_THRESHOLD = 20_000
 
@@ -179,8 +188,15 @@
         return agent
 
     async def start(self, nursery):
-        """Open all ports and start the background tasks in a nursery."""
-        self._nursery = nursery
+        """Open all ports and start the background tasks in a nursery.
+
+        The port for clients is the last. The one for metrics is opened in the
+        background, since the node can do without.
+
+        :raises errors.PortError: if a port can't be opened within
+            `PORT_TIMEOUT_S`
+        """
+        self._nursery = nursery = supervision.GuardedNursery(nursery)
         settings = self._settings
         self._descriptors.start()
         self._decisions.note('limits', descriptors=self._descriptors.limit)
@@ -193,13 +209,10 @@
             settings.ready,
             self._make_plain_server('ready', self._handle_readiness),
         )
-        await self._listen(
+        self._start_serving(
             settings.metrics,
             self._make_plain_server('metrics', self._handle_metrics),
         )
-        await self._listen(
-            settings.outbound, self._client_port.serve, self._outbound_scope
-        )
         await self._links.start(nursery)
         await self._store.start(nursery)
         if self._freshness is not None:
@@ -210,6 +223,9 @@
             self._flush_log,
         ):
             nursery.start_soon(supervision.supervise, task.__name__, task)
+        await self._listen(
+            settings.outbound, self._client_port.serve, self._outbound_scope
+        )
         self._decisions.note(
             'started',
             incarnation=self._mesh.incarnation,
@@ -224,15 +240,45 @@
         gc.set_threshold(GC_THRESHOLD, 20, 20)
 
     async def _listen(self, address, serve, scope=None):
+        """Open a port, at which another process may still end, and serve it.
+
+        See `_start_serving`.
+
+        :raises errors.PortError: if it can't be opened
+        """
+        deadline = trio.current_time() + PORT_TIMEOUT_S
+        is_logged = False
+        while True:
+            try:
+                opened = await listeners.open_listeners(
+                    address.host, address.port
+                )
+                break
+            except (OSError, UnicodeError) as error:
+                if trio.current_time() >= deadline:
+                    raise errors.PortError(
+                        f'{address.host}:{address.port}: {error}'
+                    ) from error
+                if not is_logged:
+                    is_logged = True
+                    log.logger.bind(
+                        event='port-unavailable', port=address.port
+                    ).warning(
+                        'port can not be opened, trying for {:g} s: {}',
+                        PORT_TIMEOUT_S,
+                        error,
+                    )
+            await trio.sleep(PORT_RETRY_DELAY_S)
+        self._start_serving(address, serve, scope, opened)
+
+    def _start_serving(self, address, serve, scope=None, opened=None):
         """Serve connections to an address until the scope is cancelled.
 
         :param address: `mesh_settings.Address`
         :param serve: coroutine function that serves one stream
         :param scope: `trio.CancelScope`, None to serve until the node ends
+        :param opened: listeners of the port, None to open it now
         """
-        tcp_listeners = await listeners.open_listeners(
-            address.host, address.port
-        )
         scope = scope or trio.CancelScope()
 
         def log_failure(failure):
@@ -252,67 +298,108 @@
                 listeners.serve_stream, stream, serve, log_failure
             )
 
-        drained_listeners = [
-            listeners.DrainedListener(listener, serve_waiting)
-            for listener in tcp_listeners
-        ]
-
         async def run():
-            with scope:
-                await listeners.serve(
-                    drained_listeners,
-                    serve,
-                    self._nursery,
-                    log_failure,
-                    self._client_port.close_idle,
+            nonlocal opened
+            tcp_listeners, opened = opened, None
+            if tcp_listeners is None:
+                tcp_listeners = await listeners.open_listeners(
+                    address.host, address.port
                 )
+            await listeners.serve(
+                [
+                    listeners.DrainedListener(listener, serve_waiting)
+                    for listener in tcp_listeners
+                ],
+                serve,
+                self._nursery,
+                log_failure,
+                self._client_port.close_idle,
+            )
+
+        async def run_in_scope():
+            with scope:
+                await supervision.supervise(f'port {address.port}', run)
 
-        self._nursery.start_soon(run)
+        self._nursery.start_soon(run_in_scope)
 
-    async def close(self):
+    async def close(self, requested_at=None):
         """Stop the node without interrupting calls in flight.
 
         The node first stops accepting calls from clients on its VM, then
         calls from other nodes, and waits for the remaining calls up to the
-        end of the grace period.
+        end of the grace period. An error in one step is logged, and the calls
+        in flight keep their time.
+
+        :param requested_at: when the stop was requested, in seconds of
+            `boot_clock`, None for now
         """
         mesh = self._mesh
-        settings = self._settings
         mesh.is_stopping = True
         mesh.is_ready = False
-        schedule = shutdown.plan(self._clock(), settings.bounds.grace)
-        self._decisions.note(
-            'stopping',
-            outbound=self._outbound_calls.in_flight,
-            inbound=self._target_calls.in_flight,
-        )
-        self._outbound_calls.finish_by(schedule)
-        self._target_calls.finish_by(schedule.targets_end_at)
+        if requested_at is None:
+            requested_at = self._clock()
+        schedule = shutdown.plan(requested_at, self._settings.bounds.grace)
+        self._note_stop('stopping')
+        with supervision.stop_step('limit calls of clients'):
+            self._outbound_calls.finish_by(schedule)
+        with supervision.stop_step('limit calls of the target'):
+            self._target_calls.finish_by(schedule.targets_end_at)
         # The target stays available until the clients on this VM have been
         # redirected.
         await trio.sleep(max(0.0, schedule.accept_until - self._clock()))
-        self._client_port.close_when_idle()
+        self._close_idle_connections()
         mesh.is_leaving = True
-        self._target_calls.refuse_all()
-        self._links.refuse_arriving()
-        self._links.schedule_report()
+        with supervision.stop_step('refuse calls for the target'):
+            self._target_calls.refuse_all()
+        with supervision.stop_step('refuse calls that arrive'):
+            self._links.refuse_arriving()
+        with supervision.stop_step('report to other nodes'):
+            self._links.schedule_report()
         await trio.sleep(LINK_FLUSH_S)
-        while self._clock() < schedule.close_at and self._has_work():
-            await trio.sleep(0.02)
-        self._outbound_calls.finish_by(schedule.ended(self._clock()))
+        await self._wait_for_work(schedule.close_at)
+        with supervision.stop_step('refuse calls of clients'):
+            self._outbound_calls.finish_by(schedule.ended(self._clock()))
         self._outbound_scope.cancel()
-        self._client_port.close_when_idle()
+        self._close_idle_connections()
         await trio.sleep(LINK_FLUSH_S)
-        self._decisions.note(
-            'stopped',
-            outbound=self._outbound_calls.in_flight,
-            inbound=self._target_calls.in_flight,
-        )
-        self._decisions.flush()
-        await self._store.close()
-        await self._target_calls.close()
+        self._note_stop('stopped')
+        for name, close in (
+            ('close the store', self._store.close),
+            ('close the target', self._target_calls.close),
+        ):
+            with (
+                supervision.stop_step(name),
+                trio.move_on_after(STEP_TIMEOUT_S),
+            ):
+                await close()
+        with supervision.stop_step('write the log'):
+            self._decisions.flush()
         self._nursery.cancel_scope.cancel()
 
+    def _note_stop(self, event):
+        with supervision.stop_step('log'):
+            self._decisions.note(
+                event,
+                outbound=self._outbound_calls.in_flight,
+                inbound=self._target_calls.in_flight,
+            )
+            self._decisions.flush()
+
+    def _close_idle_connections(self):
+        with supervision.stop_step('close idle connections'):
+            self._client_port.close_when_idle()
+
+    async def _wait_for_work(self, close_at):
+        """Wait for calls and what belongs to them.
+
+        :param close_at: time at which to give them up, in monotonic seconds
+        """
+        with supervision.stop_step('wait for calls'):
+            while self._clock() < close_at and self._has_work():
+                await trio.sleep(WORK_CHECK_PERIOD_S)
+            return
+        await trio.sleep(max(0.0, close_at - self._clock()))
+
     def _has_work(self):
         """Return whether calls or what belongs to them are under way."""
         return (
@@ -394,10 +481,14 @@
         )
 
     async def _flush_log(self):
-        while True:
-            await self._decisions_pending.wait()
-            await trio.sleep(LOG_FLUSH_DELAY_S)
-            self._decisions_pending = trio.Event()
+        try:
+            while True:
+                await self._decisions_pending.wait()
+                await trio.sleep(LOG_FLUSH_DELAY_S)
+                self._decisions_pending = trio.Event()
+                self._decisions.flush()
+        finally:
+            # An error may have ended the process.
             self._decisions.flush()
 
     # Requests of clients, the platform and the target
