Serve readiness, control and metrics in turn whoever floods them

What callers saw: with 40 connections that pipeline requests to the port for readiness, which had room for 32, both readiness checks of two seconds found it closed, and calls at the node took twice as long (p50 99 ms instead of 54 ms, on a machine shared with others).

Cause: a full port without an idle connection closed each new one, and each connection had 8 requests and all others of a kilobyte served at once.

A read is now parsed head by head, each once there is room for its request, so that the bound on requests is exact. The ports of the platform and the target serve one request of a connection after the other, have up to 16 connections, and always accept: a connection without a complete request, or else the one with the most requests, is cut for a new one. A body that is being received is read however many requests there are; singly served requests would wait for it forever otherwise, as a trial showed, whose heartbeats were lost.

--- a/packages/pumicestand-node/pumicestand_node/client_connections.py
+++ b/packages/pumicestand-node/pumicestand_node/client_connections.py
@@ -21,8 +21,10 @@
 from pumicestand_node import socket_io
 
 READ_BYTES = 16_384
-# Bytes that are parsed before there must be room for further requests.
-PARSE_BYTES = 1_024
+HEAD_END = b'\r\n\r\n'
+# Bytes of a body without a length that are parsed at once, as requests may
+# follow it.
+CHUNKED_BYTES = 1_024
 # Bytes of a response after which it is noticed that the client takes some.
 SEND_BYTES = 65_536
 MAX_PIPELINED_REQUESTS = 8
@@ -121,6 +123,7 @@
     :param budget: `buffer_budget.BufferBudget` for bodies, by default without
         a limit. A request that does not fit is refused as not run, so that
         `serve` must not pass on a body before it is complete.
+    :param max_pipelined: requests that are served while an earlier one is
     """
 
     def __init__(
@@ -131,6 +134,7 @@
         limits=DEFAULT_LIMITS,
         on_refusal=lambda refusal: None,
         budget=None,
+        max_pipelined=MAX_PIPELINED_REQUESTS,
     ):
         self._stream = stream
         self._serve = serve
@@ -141,6 +145,7 @@
         self._limits = limits
         self._on_refusal = on_refusal
         self._budget = budget or buffer_budget.BufferBudget()
+        self._max_pipelined = max_pipelined
         self._parser = client_requests.RequestParser(
             self._start_request,
             self._signal_room,
@@ -164,6 +169,11 @@
         """Whether a request was served on the connection."""
         return self._has_served
 
+    @property
+    def pending_count(self):
+        """Number of requests that are being served or wait for it."""
+        return len(self._pending_responses) + self._has_unparsed
+
     @property
     def idle_since(self):
         """Monotonic seconds of the last progress, None if not idle.
@@ -370,9 +380,9 @@
         if self._state not in _ACCEPTING:
             return False
         request = self._parser.request
-        if request is not None and request.is_buffer_full:
-            return True
-        return len(self._pending_responses) > MAX_PIPELINED_REQUESTS
+        if request is not None:
+            return request.is_buffer_full
+        return len(self._pending_responses) > self._max_pipelined
 
     async def _read(self):
         """Read until the client closes its connection.
@@ -401,12 +411,12 @@
             await self._room_available.wait()
 
     async def _parse_all(self, data):
-        """Parse bytes, those of many requests a few requests at a time."""
+        """Parse bytes, each request once there is room for it."""
         start = 0
-        while len(data) - start > PARSE_BYTES and self._parser.request is None:
+        while (end := self._next_end(data, start)) < len(data):
             self._has_unparsed = True
-            self._parse(data[start : start + PARSE_BYTES])
-            start += PARSE_BYTES
+            self._parse(data[start:end])
+            start = end
             await self._wait_for_room()
             if self._state not in _ACCEPTING:
                 break
@@ -414,6 +424,16 @@
         if self._state in _ACCEPTING:
             self._parse(data[start:])
 
+    def _next_end(self, data, start):
+        """Return where the next head, or the body that is read, may end."""
+        request = self._parser.request
+        if request is None:
+            end = data.find(HEAD_END, start)
+            return len(data) if end < 0 else end + len(HEAD_END)
+        if request.head.body_length is None:
+            return start + CHUNKED_BYTES
+        return start + request.head.body_length - request.received_bytes
+
     def _parse(self, data):
         """Parse bytes, or refuse the request that they belong to."""
         parser = self._parser
--- a/packages/pumicestand-node/pumicestand_node/client_port.py
+++ b/packages/pumicestand-node/pumicestand_node/client_port.py
@@ -41,7 +41,8 @@
     A connection over the limit replaces an idle one: of those without a
     request so far, or else of all, the one that is idle for the longest time.
     If none is idle, its request is refused as not run, or, if there are too
-    many of these as well, it is closed before anything is read.
+    many of these as well, it is closed before anything is read. A port that
+    always accepts cuts the connection with the most requests instead.
 
     :param serve: coroutine function that responds to one request, as for
         `client_connections.ClientConnection`
@@ -51,9 +52,12 @@
     :param max_connections: returns the number of connections that are served
     :param max_refusals: returns the number of further connections on which
         requests are refused
+    :param always_accepts: whether a new connection is always served
     :param clock: returns monotonic seconds
     :param budget: `buffer_budget.BufferBudget` of all ports, see
         `client_connections.ClientConnection`
+    :param max_pipelined: requests of a connection that are served while an
+        earlier one is
     """
 
     def __init__(
@@ -63,15 +67,19 @@
         limits=documents.ClientLimits,
         max_connections=_is_unlimited,
         max_refusals=_refuses_none,
+        always_accepts=False,
         clock=time.monotonic,
         budget=None,
+        max_pipelined=client_connections.MAX_PIPELINED_REQUESTS,
     ):
         self._serve = serve
         self._on_refusal = on_refusal
         self._limits = limits
         self._max_connections = max_connections
         self._max_refusals = max_refusals
+        self._always_accepts = always_accepts
         self._clock = clock
+        self._max_pipelined = max_pipelined
         self._budget = budget or buffer_budget.BufferBudget()
         self._connections = set()
         self._refused = set()
@@ -96,8 +104,10 @@
         """
         is_full = len(self._connections) >= self._max_connections()
         if is_full and not self.close_idle():
-            await self._refuse(stream)
-            return
+            if not self._always_accepts:
+                await self._refuse(stream)
+                return
+            self._cut_one()
         connection = self._make_connection(stream, self._serve)
         if self._is_draining:
             connection.close_when_idle()
@@ -111,6 +121,7 @@
             self._limits(),
             self._on_refusal,
             self._budget,
+            self._max_pipelined,
         )
 
     async def _run(self, connection, connections):
@@ -161,6 +172,20 @@
         self._list_idle(now)
         return self._close_first_idle()
 
+    def _cut_one(self):
+        """Close a connection without a complete request, or the busiest."""
+        connection = min(
+            self._connections,
+            key=lambda c: (
+                c.has_served or c.pending_count > 0,
+                -c.pending_count,
+                c.last_progress_at,
+            ),
+        )
+        connection.close()
+        self._connections.discard(connection)
+        self.excess_counts['cut'] += 1
+
     def _list_idle(self, now):
         idle = []
         for connection in self._connections:
--- a/packages/pumicestand-node/pumicestand_node/mesh_node.py
+++ b/packages/pumicestand-node/pumicestand_node/mesh_node.py
@@ -428,7 +428,9 @@
             self._log_refusal,
             lambda: PLAIN_LIMITS,
             self._descriptors.max_port_connections,
+            always_accepts=True,
             budget=self._buffers,
+            max_pipelined=0,
         )
         self._usage.add(name, port)
         return port.serve
--- a/packages/pumicestand/pumicestand/descriptor_budget.py
+++ b/packages/pumicestand/pumicestand/descriptor_budget.py
@@ -13,7 +13,7 @@
 FIXED = 16
 # Connections to each port other than that of clients.
 MIN_PORT_CONNECTIONS = 4
-MAX_PORT_CONNECTIONS = 32
+MAX_PORT_CONNECTIONS = 16
 PORT_SHARE = 0.03
 OTHER_PORTS = 3
 # A node both opens and accepts a link to another one, and replaces links and
--- a/tests/pumicestand_node/test_client_connections.py
+++ b/tests/pumicestand_node/test_client_connections.py
@@ -665,7 +665,7 @@
     paths = [f'/{n}' for n in range(count)]
 
     async def test(client, connection, served, released):
-        assert len(served) < 100
+        assert len(served) == client_connections.MAX_PIPELINED_REQUESTS + 1
         connection.enforce_timeouts(trio.current_time())
         released.set()
         data = b''
--- a/tests/pumicestand_node/test_client_port.py
+++ b/tests/pumicestand_node/test_client_port.py
@@ -100,7 +100,7 @@
     Requests for /slow are answered after a minute, all others at once.
     """
 
-    def __init__(self, nursery):
+    def __init__(self, nursery, always_accepts=False):
         self._nursery = nursery
         self.refusals = []
         self.port = client_port.ClientPort(
@@ -108,12 +108,15 @@
             self.refusals.append,
             max_connections=lambda: 2,
             max_refusals=lambda: 1,
+            always_accepts=always_accepts,
+            max_pipelined=0,
             clock=trio.current_time,
         )
 
     async def _serve(self, request, connection):
         if request.head.path == '/slow':
             await trio.sleep(60.0)
+        await request.read_all()
         await connection.send(OK)
         return True
 
@@ -130,12 +133,12 @@
         return client
 
 
-def run_with_full_port(test):
+def run_with_full_port(test, **options):
     """Run a test, a coroutine function of a `FullPort`."""
 
     async def main():
         async with trio.open_nursery() as nursery:
-            await test(FullPort(nursery))
+            await test(FullPort(nursery, **options))
             nursery.cancel_scope.cancel()
 
     mock_clock.run(main)
@@ -286,6 +289,48 @@
     run_with_connection(test, serve)
 
 
+def test_flood_of_requests_keeps_no_readiness_check_out():
+    """Each new connection was closed, so that the node seemed to be down."""
+
+    async def test(full):
+        flood = await full.connect(b'/slow')
+        await flood.send_all(REQUEST * 5)
+        other = await full.connect(b'/slow')
+        check = await full.connect(b'/x')
+        assert await check.receive_some() == OK
+        assert await is_closed(flood)
+        assert await other.receive_some() == OK
+        assert full.port.excess_counts == {'cut': 1}
+
+    run_with_full_port(test, always_accepts=True)
+
+
+def test_flood_of_connections_keeps_no_readiness_check_out():
+    async def test(full):
+        used = await full.connect(b'/slow')
+        for _ in range(9):
+            await full.connect()
+        check = await full.connect(b'/x')
+        assert await check.receive_some() == OK
+        assert await used.receive_some() == OK
+
+    run_with_full_port(test, always_accepts=True)
+
+
+def test_body_that_arrives_later_is_read_where_requests_are_served_singly():
+    async def test(full):
+        client = await full.connect()
+        await client.send_all(
+            b'POST /x HTTP/1.1\r\nhost: h\r\ncontent-length: 3\r\n\r\n'
+        )
+        await trio.sleep(1.0)
+        await client.send_all(b'xyz' + REQUEST)
+        assert await client.receive_some() == OK
+        assert await client.receive_some() == OK
+
+    run_with_full_port(test)
+
+
 class SlowReaders:
     """Clients that get a long response each and take it as told.
 
