Let requests that are never finished keep no client out

What callers saw: at a port with all its connections in use, clients that send a part of a head and no more kept each new connection out until the time limit for heads, 10 s by default.

Cause: such a connection counted as in use, like one that is served.

It may be replaced once nothing has arrived for a second. No request of it was read, so that its client may send again.

--- a/packages/pumicestand-node/pumicestand_node/client_connections.py
+++ b/packages/pumicestand-node/pumicestand_node/client_connections.py
@@ -175,21 +175,26 @@
         return len(self._pending_responses) + self._has_unparsed
 
     @property
-    def idle_since(self):
-        """Monotonic seconds of the last progress, None if not idle.
+    def waiting_since(self):
+        """Monotonic seconds since when the client's next request is awaited.
 
-        The connection is idle while no request is received or served on it.
+        A part of its head may have been received. None while a request is
+        received further or served.
         """
         if (
             self._state not in _ACCEPTING
             or self._pending_responses
             or self._has_unparsed
-            or self._parser.is_in_head
             or self._parser.request is not None
         ):
             return None
         return self.last_progress_at
 
+    @property
+    def is_in_head(self):
+        """Whether a part of a request's head was received."""
+        return self._parser.is_in_head
+
     async def run(self):
         """Serve requests until the connection ends, then close it."""
         try:
@@ -212,15 +217,17 @@
             self._state = _State.DRAINING
         self._close_if_drained()
 
-    def close_if_idle(self):
-        """Close the connection if it is idle; return whether it was.
+    def close_if_waiting(self, since):
+        """Close the connection if nothing has arrived; return whether so.
 
         A request that crosses the close stays unread, which tells the client
         that it can be sent again.
+
+        :param since: monotonic seconds; see `waiting_since`
         """
-        if self._cancel_scope.cancel_called or self.idle_since is None:
+        if self._cancel_scope.cancel_called or self.waiting_since != since:
             return False
-        if self._has_begun_request():
+        if socket_io.is_readable(self._stream):
             return False
         self._cancel_scope.cancel()
         return True
--- a/packages/pumicestand-node/pumicestand_node/client_port.py
+++ b/packages/pumicestand-node/pumicestand_node/client_port.py
@@ -17,7 +17,8 @@
 REFUSAL_S = 1.0
 REFUSAL_RETRY_AFTER_S = 0.25
 # Time for which a connection must have been idle to be replaced: before its
-# first request, and after others, when its client is likely to go on.
+# first request, and after others or within a head, when its client is likely
+# to go on.
 MIN_UNUSED_S = 0.1
 MIN_IDLE_S = 1.0
 # Time for which a client takes no byte of a response before its connection is
@@ -189,12 +190,12 @@
     def _list_idle(self, now):
         idle = []
         for connection in self._connections:
-            since = connection.idle_since
+            since = connection.waiting_since
             if since is None:
                 continue
-            has_served = connection.has_served
-            if now - since >= (MIN_IDLE_S if has_served else MIN_UNUSED_S):
-                idle.append((has_served, since, connection))
+            is_used = connection.has_served or connection.is_in_head
+            if now - since >= (MIN_IDLE_S if is_used else MIN_UNUSED_S):
+                idle.append((is_used, since, connection))
         idle.sort(key=lambda entry: entry[:2])
         self._idle.extend((since, connection) for _, since, connection in idle)
 
@@ -202,11 +203,8 @@
         """Close the first of the listed connections that is idle still."""
         while self._idle:
             since, connection = self._idle.popleft()
-            if (
-                connection in self._connections
-                and connection.idle_since == since
-                and connection.close_if_idle()
-            ):
+            is_open = connection in self._connections
+            if is_open and connection.close_if_waiting(since):
                 # It needs a turn of the scheduler to end.
                 self._connections.discard(connection)
                 self.excess_counts['replaced'] += 1
