--- a/packages/pumicestand-node/pumicestand_node/client_connections.py
+++ b/packages/pumicestand-node/pumicestand_node/client_connections.py
@@ -21,8 +21,10 @@
 from pumicestand_node import supervision
 
 READ_BYTES = 16_384
-# Bytes that are parsed before there must be room for further requests.
-PARSE_BYTES = 1_024
+HEAD_END = b'\r\n\r\n'
+# Bytes of a body without a length that are parsed at once, as requests may
+# follow it.
+CHUNKED_BYTES = 1_024
 # Bytes of a response after which it is noticed that the client takes some.
 SEND_BYTES = 65_536
 MAX_PIPELINED_REQUESTS = 8
@@ -135,6 +137,7 @@
     :param budget: `buffer_budget.BufferBudget` for bodies, by default without
         a limit. A request that does not fit is refused as not run, so that
         `serve` must not pass on a body before it is complete.
+    :param max_pipelined: requests that are served while an earlier one is
     """
 
     def __init__(
@@ -145,6 +148,7 @@
         limits=DEFAULT_LIMITS,
         on_refusal=lambda refusal: None,
         budget=None,
+        max_pipelined=MAX_PIPELINED_REQUESTS,
     ):
         self._stream = stream
         self._serve = serve
@@ -155,6 +159,7 @@
         self._limits = limits
         self._on_refusal = on_refusal
         self._budget = budget or buffer_budget.BufferBudget()
+        self._max_pipelined = max_pipelined
         self._parser = client_requests.RequestParser(
             self._start_request,
             self._signal_room,
@@ -179,21 +184,31 @@
         return self._has_served
 
     @property
-    def idle_since(self):
-        """Monotonic seconds of the last progress, None if not idle.
+    def pending_count(self):
+        """Number of requests that are being served or wait for it."""
+        return len(self._pending_responses) + self._has_unparsed
 
-        The connection is idle while no request is received or served on it.
+    @property
+    def waiting_since(self):
+        """Monotonic seconds since when the client's next request is awaited.
+
+        A part of its head may have been received. None while a request is
+        received further or served.
         """
         if (
             self._state not in _ACCEPTING
             or self._pending_responses
             or self._has_unparsed
-            or self._parser.is_in_head
             or self._parser.request is not None
         ):
             return None
         return self.last_progress_at
 
+    @property
+    def is_in_head(self):
+        """Whether a part of a request's head was received."""
+        return self._parser.is_in_head
+
     async def run(self):
         """Serve requests until the connection ends, then close it."""
         try:
@@ -221,15 +236,17 @@
         except Exception as error:
             self._fail(error)
 
-    def close_if_idle(self):
-        """Close the connection if it is idle; return whether it was.
+    def close_if_waiting(self, since):
+        """Close the connection if nothing has arrived; return whether so.
 
         A request that crosses the close stays unread, which tells the client
         that it can be sent again.
+
+        :param since: monotonic seconds; see `waiting_since`
         """
-        if self._cancel_scope.cancel_called or self.idle_since is None:
+        if self._cancel_scope.cancel_called or self.waiting_since != since:
             return False
-        if self._has_begun_request():
+        if socket_io.is_readable(self._stream):
             return False
         self._cancel_scope.cancel()
         return True
@@ -419,9 +436,9 @@
         if self._state not in _ACCEPTING:
             return False
         request = self._parser.request
-        if request is not None and request.is_buffer_full:
-            return True
-        return len(self._pending_responses) > MAX_PIPELINED_REQUESTS
+        if request is not None:
+            return request.is_buffer_full
+        return len(self._pending_responses) > self._max_pipelined
 
     async def _read(self):
         """Read until the client closes its connection.
@@ -456,12 +473,12 @@
             await self._room_available.wait()
 
     async def _parse_all(self, data):
-        """Parse bytes, those of many requests a few requests at a time."""
+        """Parse bytes, each request once there is room for it."""
         start = 0
-        while len(data) - start > PARSE_BYTES and self._parser.request is None:
+        while (end := self._next_end(data, start)) < len(data):
             self._has_unparsed = True
-            self._parse(data[start : start + PARSE_BYTES])
-            start += PARSE_BYTES
+            self._parse(data[start:end])
+            start = end
             await self._wait_for_room()
             if self._state not in _ACCEPTING:
                 break
@@ -469,6 +486,16 @@
         if self._state in _ACCEPTING:
             self._parse(data[start:])
 
+    def _next_end(self, data, start):
+        """Return where the next head, or the body that is read, may end."""
+        request = self._parser.request
+        if request is None:
+            end = data.find(HEAD_END, start)
+            return len(data) if end < 0 else end + len(HEAD_END)
+        if request.head.body_length is None:
+            return start + CHUNKED_BYTES
+        return start + request.head.body_length - request.received_bytes
+
     def _parse(self, data):
         """Parse bytes, or refuse the request that they belong to."""
         parser = self._parser
--- a/tests/pumicestand_node/test_client_port.py
+++ b/tests/pumicestand_node/test_client_port.py
@@ -176,7 +176,7 @@
     Requests for /slow are answered after a minute, all others at once.
     """
 
-    def __init__(self, nursery):
+    def __init__(self, nursery, always_accepts=False):
         self._nursery = nursery
         self.refusals = []
         self.port = client_port.ClientPort(
@@ -184,12 +184,15 @@
             self.refusals.append,
             max_connections=lambda: 2,
             max_refusals=lambda: 1,
+            always_accepts=always_accepts,
+            max_pipelined=0,
             clock=trio.current_time,
         )
 
     async def _serve(self, request, connection):
         if request.head.path == '/slow':
             await trio.sleep(60.0)
+        await request.read_all()
         await connection.send(OK)
         return True
 
@@ -206,12 +209,12 @@
         return client
 
 
-def run_with_full_port(test):
+def run_with_full_port(test, **options):
     """Run a test, a coroutine function of a `FullPort`."""
 
     async def main():
         async with trio.open_nursery() as nursery:
-            await test(FullPort(nursery))
+            await test(FullPort(nursery, **options))
             nursery.cancel_scope.cancel()
 
     mock_clock.run(main)
@@ -319,12 +322,12 @@
     run_with_full_port(test)
 
 
-def test_connection_with_an_unfinished_request_is_not_taken_for_idle():
+def test_connection_with_a_part_of_a_request_is_not_taken_for_idle():
     async def test(full):
         client = await full.connect()
         await client.send_all(REQUEST[:20])
         other = await full.connect(b'/slow')
-        await trio.sleep(1.0)
+        await trio.sleep(client_port.MIN_IDLE_S - 0.1)
         await full.connect(b'/x')
         await client.send_all(REQUEST[20:])
         assert await client.receive_some() == OK
@@ -333,6 +336,19 @@
     run_with_full_port(test)
 
 
+def test_requests_that_are_never_finished_keep_no_client_out():
+    async def test(full):
+        clients = [await full.connect() for _ in range(2)]
+        for client in clients:
+            await client.send_all(REQUEST[:20])
+        await trio.sleep(client_port.MIN_IDLE_S)
+        third = await full.connect(b'/x')
+        assert await third.receive_some() == OK
+        assert [await is_closed(c) for c in clients].count(True) == 1
+
+    run_with_full_port(test)
+
+
 def test_new_connections_do_not_replace_one_another():
     """Each would be closed before its first request arrives."""
 
@@ -362,6 +378,48 @@
     run_with_connection(test, serve)
 
 
+def test_flood_of_requests_keeps_no_readiness_check_out():
+    """Each new connection was closed, so that the node seemed to be down."""
+
+    async def test(full):
+        flood = await full.connect(b'/slow')
+        await flood.send_all(REQUEST * 5)
+        other = await full.connect(b'/slow')
+        check = await full.connect(b'/x')
+        assert await check.receive_some() == OK
+        assert await is_closed(flood)
+        assert await other.receive_some() == OK
+        assert full.port.excess_counts == {'cut': 1}
+
+    run_with_full_port(test, always_accepts=True)
+
+
+def test_flood_of_connections_keeps_no_readiness_check_out():
+    async def test(full):
+        used = await full.connect(b'/slow')
+        for _ in range(9):
+            await full.connect()
+        check = await full.connect(b'/x')
+        assert await check.receive_some() == OK
+        assert await used.receive_some() == OK
+
+    run_with_full_port(test, always_accepts=True)
+
+
+def test_body_that_arrives_later_is_read_where_requests_are_served_singly():
+    async def test(full):
+        client = await full.connect()
+        await client.send_all(
+            b'POST /x HTTP/1.1\r\nhost: h\r\ncontent-length: 3\r\n\r\n'
+        )
+        await trio.sleep(1.0)
+        await client.send_all(b'xyz' + REQUEST)
+        assert await client.receive_some() == OK
+        assert await client.receive_some() == OK
+
+    run_with_full_port(test)
+
+
 class SlowReaders:
     """Clients that get a long response each and take it as told.
 
