Say of a call that failed unexpectedly whether it may have run

An error that nobody expected on the way of a call to the target beside the node (in the code of the call, or in a log line about a target that could not be reached) left TargetCalls. The client got 502, may have run, also where nothing had been sent: with all descriptors in use that was what became of calls whose connection could not be opened. By reading, not shown by a run: a call that failed right after its wait for a slot, or during it, kept the slot for the life of the process.

The ticket of a call now says whether any of it may have reached the target. A call that fails before is not handed on and may be placed at another node, or its client gets 503; later its outcome is unknown. The slot is released in any case.

Three of the five new cases failed before the change, with 502 for 503; the two after the call was sent passed before as well.

--- a/packages/pumicestand-node/pumicestand_node/link_server.py
+++ b/packages/pumicestand-node/pumicestand_node/link_server.py
@@ -10,9 +10,8 @@
 from pumicestand import refusals
 from pumicestand_node import frame_streams
 from pumicestand_node import supervision
+from pumicestand_node import target_calls
 
-# Code of calls that ended with an error which nobody expected.
-INTERNAL_ERROR = 'internal-error'
 # Period at which a server without a connection checks whether its calls have
 # ended, in seconds.
 DETACHED_CHECK_S = 0.5
@@ -235,7 +234,9 @@
             match message:
                 case hop_messages.Call(id=id_) | hop_messages.Part(id=id_):
                     if id_ not in self._running:
-                        self._refuse_unstarted(id_, INTERNAL_ERROR)
+                        self._refuse_unstarted(
+                            id_, target_calls.INTERNAL_ERROR
+                        )
 
     def _apply_message(self, message):
         """Handle a message from the node that opened the link."""
@@ -301,7 +302,7 @@
             await self._ask_for_body(call, scope)
         except Exception as error:
             self._log_call_failure(call, error)
-            self._refuse_unstarted(call.id, INTERNAL_ERROR)
+            self._refuse_unstarted(call.id, target_calls.INTERNAL_ERROR)
         self._cancel_scopes.pop(call.id, None)
 
     async def _ask_for_body(self, call, scope):
@@ -420,7 +421,9 @@
         except Exception as error:
             self._log_call_failure(call, error)
             self._send_own_result(
-                call.id, hop_messages.Outcome.UNKNOWN, INTERNAL_ERROR
+                call.id,
+                hop_messages.Outcome.UNKNOWN,
+                target_calls.INTERNAL_ERROR,
             )
         self._received.record_end(call.id)
         self._running.pop(call.id, None)
--- a/packages/pumicestand-node/pumicestand_node/target_calls.py
+++ b/packages/pumicestand-node/pumicestand_node/target_calls.py
@@ -23,6 +23,7 @@
 from pumicestand import target_queue
 from pumicestand import targets
 from pumicestand import tcp_streams
+from pumicestand_node import supervision
 from pumicestand_node import target_exchange
 from pumicestand_node import target_responses
 
@@ -33,6 +34,8 @@
 # Code of calls that are refused since the target's zone is evacuated.
 EVACUATED = 'zone-evacuated'
 STOPPING = refusals.CallCode.STOPPING.value
+# Code of calls that ended with an error which nobody expected.
+INTERNAL_ERROR = 'internal-error'
 # Seconds for which no call is sent after the target refused a connection or
 # said that a call was meant for another instance. The target comes back after
 # some seconds or not at all.
@@ -351,7 +354,32 @@
         )
 
     async def run(self, call):
-        """Run a call at the target and return its `hop_messages.Result`."""
+        """Run a call at the target and return its `hop_messages.Result`.
+
+        An error that nobody expected costs this call alone.
+        """
+        ticket = None
+        try:
+            match await self._admit(call):
+                case hop_messages.Result() as refusal:
+                    return refusal
+                case admitted:
+                    ticket = admitted
+            return await self._run_in_slot(call, ticket)
+        except Exception as error:
+            supervision.log_failure(
+                'call-failed',
+                error,
+                'call {} for the target failed: {!r}',
+                call.request_id,
+                error,
+            )
+        may_have_run = ticket is not None and ticket.may_be_sent
+        outcome = Outcome.UNKNOWN if may_have_run else Outcome.NOT_HANDED_ON
+        return self._make_result(call, outcome, INTERNAL_ERROR)
+
+    async def _admit(self, call):
+        """Wait for a slot; return the call's ticket, or a result without."""
         self.update_coldness()
         now = self._clock()
         code = (
@@ -384,7 +412,7 @@
                     del self._waiting_tickets[id(call)]
                 if not has_slot:
                     return self._refuse_waited(call, ticket)
-        return await self._run_in_slot(call, ticket)
+        return ticket
 
     def _record_shortage(self, call, now):
         """Record that a call got no room, if it could have been in time."""
@@ -468,7 +496,7 @@
                 self._dispatch()
             if not waiter[1]:
                 self._queue.cancel(ticket)
-        except trio.Cancelled:
+        except BaseException:
             self._queue.cancel(ticket)
             if waiter[1]:
                 self._release_slot(ticket, False)
@@ -497,26 +525,33 @@
             self._resume_waiter(other, False)
 
     async def _run_in_slot(self, call, ticket):
-        code = self._refusal_code() or self._mismatch_code(call)
+        is_answered = False
+        try:
+            code = self._refusal_code() or self._mismatch_code(call)
+            if code is None:
+                result = await self._run_at_target(call, ticket)
+                is_answered = result.outcome is Outcome.ANSWERED
+        finally:
+            self._release_slot(ticket, is_answered)
         if code is not None:
             # The target changed while the call waited.
-            self._release_slot(ticket, False)
             return self._make_result(call, Outcome.NOT_HANDED_ON, code)
-        is_answered = False
+        # The slot has been released, so the load has changed.
+        result.load = self.load()
+        return result
+
+    async def _run_at_target(self, call, ticket):
+        """Send the call, and keep account of those that the target may run."""
         may_go_on = True
         self._running_calls[call.request_id] = call
         self._running_counts[call.request_id] += 1
         try:
             result = await self._exchange(call, ticket)
-            is_answered = result.outcome is Outcome.ANSWERED
             may_go_on = result.outcome is Outcome.UNKNOWN
         finally:
             self._record_end(call)
             if may_go_on:
                 self._abandon(call, ticket.deadline)
-            self._release_slot(ticket, is_answered)
-        # The slot has been released, so the load has changed.
-        result.load = self.load()
         return result
 
     def _record_end(self, call):
@@ -558,6 +593,7 @@
                 )
             head = self._format_request_head(call, target, remaining_s)
             sent_at = self._clock()
+            ticket.may_be_sent = True
             response = await connection.exchange(
                 head, call.body, self._make_response_matcher(call, connection)
             )
@@ -565,6 +601,7 @@
             await self._pool.release(connection, response, address)
             return self._evaluate_response(call, ticket, target, response)
         except target_exchange.ExchangeError as error:
+            ticket.may_be_sent = error.may_be_sent
             if connection is not None and connection.is_stale:
                 self._record_stale_connection(connection, target, sent_at)
             return self._handle_exchange_error(call, target, error)
--- a/packages/pumicestand/pumicestand/target_queue.py
+++ b/packages/pumicestand/pumicestand/target_queue.py
@@ -100,6 +100,7 @@
     :param number: order of arrival, set by the queue when the call is
         offered, 0 before
     :param started_at: set by the queue when the call starts
+    :param may_be_sent: whether any of it may have reached the target
     """
 
     priority: int
@@ -112,6 +113,7 @@
     organisation: str = ''
     number: int = 0
     started_at: float | None = None
+    may_be_sent: bool = False
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/tests/pumicestand_node/test_target_exchange.py
+++ b/tests/pumicestand_node/test_target_exchange.py
@@ -7,6 +7,7 @@
 import trio
 
 from pumicestand import hop_messages
+from pumicestand import log
 from pumicestand_node import target_exchange
 from tests.pumicestand_node import test_mesh_calls
 from tests.pumicestand_node import test_target_faults
@@ -184,6 +185,61 @@
     test_target_faults.run_scripted(test, respond)
 
 
+@pytest.mark.parametrize(
+    ('step', 'status'),
+    [('connect', 503), ('format', 503), ('exchange', 502), ('evaluate', 502)],
+)
+def test_unexpected_error_costs_one_call_and_no_slot(
+    monkeypatch, step, status
+):
+    def fail_once(owner, name):
+        method = getattr(owner, name)
+
+        def fail(*_):
+            monkeypatch.setattr(owner, name, method)
+            raise KeyError('unexpected')
+
+        monkeypatch.setattr(owner, name, fail)
+
+    async def test(harness):
+        targets = harness.targets
+        owner, name = {
+            'connect': (targets._pool, '_connect'),
+            'format': (targets, '_format_request_head'),
+            'exchange': (target_exchange.TargetConnection, 'exchange'),
+            'evaluate': (targets, '_evaluate_response'),
+        }[step]
+        fail_once(owner, name)
+        got, data = await harness.send_request('/o/1', 'POST', 'i1')
+        assert got == status
+        assert (b'outcome: not-run' in data) == (status == 503)
+        assert targets.in_flight == 0
+        got, _ = await harness.send_request('/o/1', 'POST', 'i2')
+        assert got == 200
+
+    test_target_faults.run_scripted(test, respond)
+
+
+def test_line_that_cannot_be_logged_costs_no_call_its_answer(monkeypatch):
+    """It was closed without an answer while descriptors were used up."""
+
+    def fail(name):
+        raise OSError(errno.EMFILE, 'no descriptor')
+
+    async def test(harness):
+        async def refuse(host, port):
+            raise OSError(errno.ECONNREFUSED, 'refused')
+
+        harness.targets._pool._connect = refuse
+        status, data = await harness.send_request('/o/1', 'POST', 'i1')
+        assert status == 503
+        assert b'outcome: not-run' in data
+
+    monkeypatch.delitem(vars(log), 'logger', raising=False)
+    monkeypatch.setattr(log, '__getattr__', fail)
+    test_target_faults.run_scripted(test, respond)
+
+
 def test_option_that_cannot_be_set_leaves_no_connection_open(monkeypatch):
     async def main():
         (listener,) = await trio.open_tcp_listeners(0, host='127.0.0.1')
