Serve few of the requests that one client sends at once, and notice that it left

A client that sends many requests without waiting had all of them served at once: the limit of 8 was only looked at between reads, and 50 requests fit into one. While they ran the connection was not read, so that a disconnect behind them went unnoticed until all but 8 had ended. 520 clients that left 50 requests each kept a node busy with 26,000 calls that nobody waited for.

Requests beyond the limit now wait for their turn and have no task, and while a connection is full up to 32 KB of it are received in advance, so that its end is seen and the calls on it end within one turn of the scheduler.

--- a/packages/pumicestand-node/pumicestand_node/client_connections.py
+++ b/packages/pumicestand-node/pumicestand_node/client_connections.py
@@ -21,6 +21,9 @@
 
 READ_BYTES = 16_384
 MAX_PIPELINED_REQUESTS = 8
+# Bytes that are received while no more requests are accepted, so that a
+# disconnect behind them is noticed.
+MAX_UNPARSED_BYTES = 32_768
 # Requests with these methods are served while earlier ones on the connection
 # are still being served.
 CONCURRENT_METHODS = frozenset(('GET', 'HEAD'))
@@ -139,7 +142,11 @@
         self._serve = serve
         self._clock = clock
         self._pending_responses = collections.deque()
+        # Those of them whose requests were parsed but are not served yet.
+        self._unstarted = collections.deque()
+        self._unparsed = b''
         self._room_available = trio.Event()
+        self._read_ahead_scope = None
         self._cancel_scope = trio.CancelScope()
         self._limits = limits
         self._on_refusal = on_refusal
@@ -222,7 +229,7 @@
         if self._state is _State.CLOSING:
             self._cancel_scope.cancel()
             return
-        if socket_io.is_readable(self._stream):
+        if self._unparsed or socket_io.is_readable(self._stream):
             # Bytes that are not read yet are progress of the client.
             return
         if self._parser.request is not None:
@@ -292,11 +299,12 @@
         return self._state in _ACCEPTING and (
             self._parser.is_in_head
             or self._parser.request is not None
+            or bool(self._unparsed)
             or socket_io.is_readable(self._stream)
         )
 
     def _start_request(self, request):
-        """Start a task for a request if the connection accepts it."""
+        """Serve a request in its turn if the connection accepts it."""
         if self._state not in _ACCEPTING:
             return
         previous = (
@@ -306,7 +314,18 @@
         )
         pending_response = PendingResponse(self, request, previous)
         self._pending_responses.append(pending_response)
-        self._nursery.start_soon(self._serve_request, pending_response)
+        self._unstarted.append(pending_response)
+        self._start_next()
+
+    def _start_next(self):
+        """Start tasks for requests up to the number served concurrently."""
+        while self._unstarted and (
+            len(self._pending_responses) - len(self._unstarted)
+            < MAX_PIPELINED_REQUESTS
+        ):
+            self._nursery.start_soon(
+                self._serve_request, self._unstarted.popleft()
+            )
 
     def _accept_no_more(self):
         """Discard from now on what the client sends."""
@@ -336,6 +355,8 @@
 
     def _signal_room(self):
         self._room_available.set()
+        if self._read_ahead_scope is not None:
+            self._read_ahead_scope.cancel()
 
     def _is_full(self):
         if self._state not in _ACCEPTING:
@@ -352,11 +373,8 @@
         close would be a reset, which could lose the last response.
         """
         while True:
-            while self._is_full():
-                self._room_available = trio.Event()
-                await self._room_available.wait()
             try:
-                data = await socket_io.receive_some(self._stream, READ_BYTES)
+                data = await self._receive()
             except (trio.BrokenResourceError, trio.ClosedResourceError):
                 data = b''
             except Exception as error:
@@ -374,6 +392,27 @@
                 self._parse(data)
                 self._check_drained()
 
+    async def _receive(self):
+        """Return the next bytes to parse, empty if the client has left.
+
+        While the connection is full, some are received in advance.
+        """
+        while self._is_full():
+            self._room_available = trio.Event()
+            if len(self._unparsed) >= MAX_UNPARSED_BYTES:
+                await self._room_available.wait()
+                continue
+            with trio.CancelScope() as self._read_ahead_scope:
+                data = await socket_io.receive_some(self._stream, READ_BYTES)
+                if not data:
+                    return b''
+                self._unparsed += data
+            self._read_ahead_scope = None
+        if self._unparsed:
+            data, self._unparsed = self._unparsed, b''
+            return data
+        return await socket_io.receive_some(self._stream, READ_BYTES)
+
     def _parse(self, data):
         """Parse bytes, or refuse the request that they belong to."""
         parser = self._parser
@@ -479,6 +518,7 @@
             self._cut_after(pending_response)
         self._pending_responses.remove(pending_response)
         pending_response.finished.set()
+        self._start_next()
         self._signal_room()
         self.last_progress_at = self._clock()
         self._has_served = True
--- a/tests/pumicestand_node/test_client_connections.py
+++ b/tests/pumicestand_node/test_client_connections.py
@@ -353,6 +353,61 @@
     assert data == 2 * RESPONSE
 
 
+def test_requests_behind_others_wait_unserved_and_end_with_their_client():
+    """Each was started, and the disconnect behind them was not noticed."""
+    running, counts = [], []
+
+    async def serve(request, response):
+        running.append(request)
+        try:
+            await trio.sleep_forever()
+        finally:
+            running.remove(request)
+
+    async def test(stream, connection):
+        await stream.send_all(50 * make_request(close=False))
+        await trio.sleep(0.1)
+        counts.append(len(running))
+        await stream.aclose()
+        await trio.sleep(0.1)
+        counts.append(len(running))
+        connection._cancel_scope.cancel()
+
+    run_on_memory(serve, test)
+    assert counts == [client_connections.MAX_PIPELINED_REQUESTS, 0]
+
+
+@pytest.mark.parametrize('seed', range(5))
+def test_any_number_of_pipelined_requests_is_answered_in_order(seed):
+    rng = random.Random(seed)
+    paths = [f'/{number}' for number in range(300)]
+    requests = [
+        make_request(path, rng.choice(('GET', 'POST')), close=False)
+        for path in paths
+    ]
+
+    async def serve(request, response):
+        await trio.sleep(rng.choice((0, 0.01)))
+        body = request.head.path.encode() + b' '
+        length = b'content-length: %d' % len(body)
+        head = RESPONSE.partition(b'content-length')[0] + length
+        await response.send(head + b'\r\n\r\n' + body)
+        return True
+
+    async def test(stream, connection):
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(stream.send_all, b''.join(requests))
+            data = b''
+            while (
+                data.count(b'HTTP/1.1 200') < len(paths) or data[-1:] != b' '
+            ):
+                data += await stream.receive_some(65_536)
+        bodies = [p.partition(b'\r\n\r\n')[2] for p in data.split(b'HTTP/')]
+        assert b''.join(bodies).decode().split() == paths
+
+    run_on_memory(serve, test)
+
+
 def test_no_refusal_follows_a_part_of_a_response():
     """The client would take it for the rest of the response."""
 
