Carry each call and link through a stop and a check by itself

The loop that limits the calls of a node that stops, the one that refuses calls whose bodies still arrive, and the check of all links ended at the first error: the task that stops the node then failed with all that it still served, and the links behind the failing one were never checked again.

An error now costs the step for this call or link, with a log line. Both new tests fail before the change with the error of the first one.

--- a/packages/pumicestand-node/pumicestand_node/mesh_links.py
+++ b/packages/pumicestand-node/pumicestand_node/mesh_links.py
@@ -114,8 +114,8 @@
 
     def refuse_arriving(self):
         """Refuse calls of other nodes whose bodies have not arrived."""
-        for server in self._link_servers:
-            server.refuse_arriving()
+        for server in list(self._link_servers):
+            self._guard(server.peer_name, server.refuse_arriving)
 
     async def start(self, nursery):
         """Start to send reports in a nursery, which also runs the links."""
@@ -190,9 +190,26 @@
         self._fetch_configuration(now)
 
     def _check_liveness(self, checked_links, now):
-        for link in checked_links:
-            if not link.check_liveness(now):
-                self._probe_selector.record_dead_link()
+        for link in list(checked_links):
+            self._guard(link.address, self._check_link, link, now)
+
+    def _check_link(self, link, now):
+        if not link.check_liveness(now):
+            self._probe_selector.record_dead_link()
+
+    @staticmethod
+    def _guard(peer, action, *args):
+        """Carry out an action on one link; an error costs no other link."""
+        try:
+            action(*args)
+        except Exception as error:
+            supervision.log_failure(
+                'link-failed',
+                error,
+                'an action on the link of {} failed: {!r}',
+                peer,
+                error,
+            )
 
     async def _watch_calls(self):
         """Check the links with pending calls often, while there are any."""
--- a/packages/pumicestand-node/pumicestand_node/outbound_calls.py
+++ b/packages/pumicestand-node/pumicestand_node/outbound_calls.py
@@ -26,6 +26,7 @@
 from pumicestand_node import call_access
 from pumicestand_node import heads
 from pumicestand_node import outbound_call
+from pumicestand_node import supervision
 
 Outcome = hop_messages.Outcome
 
@@ -138,19 +139,30 @@
         :param schedule: `shutdown.Schedule`
         """
         self._schedule = schedule
-        now = self._clock()
-        end_in_s = schedule.calls_end_at - now
         for call, scope in self._scopes.items():
-            self._limit(call)
-            if not call.ends_with_node:
-                continue
-            scope.deadline = trio.current_time() + end_in_s
-            start_by = shutdown.latest_start(
-                self._work_s(call), schedule.end_at(call.started_at)
-            )
-            self._mesh.withdraw_call(
-                call.last_node, call.last_id, start_by - now
-            )
+            try:
+                self._end_with_node(call, scope)
+            except Exception as error:
+                # Its own deadline ends it.
+                supervision.log_failure(
+                    'call-failed',
+                    error,
+                    'call {} is not limited by the stop: {!r}',
+                    call.request_id,
+                    error,
+                )
+
+    def _end_with_node(self, call, scope):
+        """End a call that is being sent in time for the stop of the node."""
+        schedule, now = self._schedule, self._clock()
+        self._limit(call)
+        if not call.ends_with_node:
+            return
+        scope.deadline = trio.current_time() + schedule.calls_end_at - now
+        start_by = shutdown.latest_start(
+            self._work_s(call), schedule.end_at(call.started_at)
+        )
+        self._mesh.withdraw_call(call.last_node, call.last_id, start_by - now)
 
     def _limit(self, call):
         """Have a call's target end it before this node gives it up."""
--- a/tests/pumicestand_node/test_node_stop.py
+++ b/tests/pumicestand_node/test_node_stop.py
@@ -16,6 +16,7 @@
 from pumicestand_node import frame_streams
 from pumicestand_node import link_server
 from pumicestand_node import links
+from pumicestand_node import mesh_links
 from pumicestand_node import mesh_node
 from tests import mock_clock
 from tests.pumicestand import mesh_fakes
@@ -522,3 +523,65 @@
         assert result.code == 'stopping'
 
     test_mesh_calls.run_with_target(test)
+
+
+def test_error_at_one_call_ends_the_others_in_time_for_the_stop():
+    async def main():
+        async with trio.open_nursery() as nursery:
+            harness = test_mesh_calls.CallHarness(
+                nursery,
+                test_mesh_calls.TargetScript([], default_step='hang'),
+            )
+            statuses = []
+
+            async def send(request_id):
+                got = await harness.send_request('/o/1', 'POST', request_id)
+                statuses.append((trio.current_time() < 0.3, got[0]))
+
+            def withdraw(node, id_, in_s):
+                if id_ == 1:
+                    raise KeyError('unexpected')
+
+            harness.mesh.withdraw_call = withdraw
+            for number in range(2):
+                nursery.start_soon(send, f'i{number}')
+            await trio.sleep(0.01)
+            harness.outbound.finish_by(shutdown.Schedule(0.1, 0.15, 0.2, 0.25))
+            await trio.sleep(2)
+            nursery.cancel_scope.cancel()
+        assert statuses == [(True, 504), (True, 504)]
+
+    mock_clock.run(main)
+
+
+def test_error_on_one_link_costs_no_other_its_refusals_and_checks():
+    refused, checked = [], []
+
+    class Failing:
+        peer_name = address = 'failing'
+
+        def refuse_arriving(self):
+            raise KeyError('unexpected')
+
+        def check_liveness(self, now):
+            raise KeyError('unexpected')
+
+    class Sound:
+        peer_name = address = 'sound'
+
+        def refuse_arriving(self):
+            refused.append(self)
+
+        def check_liveness(self, now):
+            checked.append(self)
+            return True
+
+    node_links = mesh_links.MeshLinks(
+        mesh_fakes.make_mesh(), None, None, trio.current_time, random.Random(1)
+    )
+    # A set has no order.
+    servers = [Sound(), Failing(), Sound()]
+    node_links._link_servers = dict.fromkeys(servers)
+    node_links.refuse_arriving()
+    node_links._check_liveness(servers, 0.0)
+    assert refused == checked == [servers[0], servers[2]]
