Keep the results sent last from being reset with unread frames

A link that closes while frames of its opener are unread resets the connection, and the kernel drops what it has not delivered yet: results of calls that have run, on a node that stops or on a connection that is replaced. Clients of those calls got 502. What was received is discarded first now, as for clients.

The new test fills the send buffer of a real socket and closes it with one byte unread: before the change it failed in three of three runs, now each byte arrives in three of three.

--- a/packages/pumicestand-node/pumicestand_node/frame_streams.py
+++ b/packages/pumicestand-node/pumicestand_node/frame_streams.py
@@ -184,6 +184,8 @@
             log.logger.warning('closing a link: {}', group.exceptions[0])
         finally:
             self.is_closed = True
+            # A reset would lose the results that were sent last.
+            socket_io.discard_received(self._stream)
             await trio.aclose_forcefully(self._stream)
 
     async def _write(self):
--- a/tests/pumicestand_node/test_frame_streams.py
+++ b/tests/pumicestand_node/test_frame_streams.py
@@ -6,6 +6,7 @@
 from pumicestand import hop_messages
 from pumicestand import link_meter
 from pumicestand_node import frame_streams
+from pumicestand_node import socket_io
 from tests import mock_clock
 from tests.pumicestand import test_hop
 
@@ -126,3 +127,36 @@
         assert frames.is_closed
 
     mock_clock.run(main)
+
+
+def test_frames_sent_last_are_not_lost_with_what_stays_unread():
+    frame = bytes(15_000)
+    received = bytearray()
+    sent_bytes = 0
+
+    async def main():
+        nonlocal sent_bytes
+        (listener,) = await trio.open_tcp_listeners(0, host='127.0.0.1')
+        async with listener, trio.open_nursery() as nursery:
+            peer = await trio.open_tcp_stream(*listener.socket.getsockname())
+            frames = frame_streams.FrameStream(
+                await listener.accept(),
+                'test',
+                link_meter.LinkMeter(0.0),
+                trio.current_time,
+            )
+            nursery.start_soon(frames.run, None)
+            await trio.testing.wait_all_tasks_blocked()
+            while not frames.has_unsent:
+                frames.send_encoded(frame, 'Result')
+                sent_bytes += len(frame)
+            sent_bytes -= frames._backlog_bytes
+            # Without a checkpoint, so that it is not read.
+            socket_io.send_nowait(peer, b'x')
+            frames.stop()
+            while data := await peer.receive_some(65_536):
+                received.extend(data)
+            await peer.aclose()
+
+    trio.run(main)
+    assert len(received) == sent_bytes
