--- a/packages/pumicestand-node/pumicestand_node/client_connections.py
+++ b/packages/pumicestand-node/pumicestand_node/client_connections.py
@@ -28,6 +28,9 @@
 # Bytes of a response after which it is noticed that the client takes some.
 SEND_BYTES = 65_536
 MAX_PIPELINED_REQUESTS = 8
+# Bytes that are received while no more requests are accepted, so that a
+# disconnect behind them is noticed.
+MAX_UNPARSED_BYTES = 32_768
 # Requests with these methods are served while earlier ones on the connection
 # are still being served.
 CONCURRENT_METHODS = frozenset(('GET', 'HEAD'))
@@ -154,7 +157,9 @@
         self._serve = serve
         self._clock = clock
         self._pending_responses = collections.deque()
+        self._unparsed = b''
         self._room_available = trio.Event()
+        self._read_ahead_scope = None
         self._cancel_scope = trio.CancelScope()
         self._limits = limits
         self._on_refusal = on_refusal
@@ -174,7 +179,6 @@
         self._rejected_response = None
         self._nursery = None
         self._has_served = False
-        self._has_unparsed = False
         self._state = _State.OPEN
         self.last_progress_at = clock()
 
@@ -186,7 +190,7 @@
     @property
     def pending_count(self):
         """Number of requests that are being served or wait for it."""
-        return len(self._pending_responses) + self._has_unparsed
+        return len(self._pending_responses) + bool(self._unparsed)
 
     @property
     def waiting_since(self):
@@ -198,7 +202,7 @@
         if (
             self._state not in _ACCEPTING
             or self._pending_responses
-            or self._has_unparsed
+            or self._unparsed
             or self._parser.request is not None
         ):
             return None
@@ -293,7 +297,7 @@
         if self._state is _State.CLOSING:
             self._cancel_scope.cancel()
             return
-        if socket_io.is_readable(self._stream):
+        if self._unparsed or socket_io.is_readable(self._stream):
             # Bytes that are not read yet are progress of the client.
             return
         if self._parser.request is not None:
@@ -330,7 +334,7 @@
 
     def _idle_limit_s(self):
         """Return for how many seconds the client may make no progress."""
-        if self._state in _ACCEPTING and not self._has_unparsed:
+        if self._state in _ACCEPTING and not self._unparsed:
             if self._parser.is_in_head:
                 return self._limits.head_timeout
             if self._parser.request is not None:
@@ -383,7 +387,7 @@
     def _has_begun_request(self):
         """Return whether a request has arrived in part, read or not."""
         return self._state in _ACCEPTING and (
-            self._has_unparsed
+            bool(self._unparsed)
             or self._parser.is_in_head
             or self._parser.request is not None
             or socket_io.is_readable(self._stream)
@@ -431,6 +435,8 @@
 
     def _signal_room(self):
         self._room_available.set()
+        if self._read_ahead_scope is not None:
+            self._read_ahead_scope.cancel()
 
     def _is_full(self):
         if self._state not in _ACCEPTING:
@@ -447,9 +453,8 @@
         close would be a reset, which could lose the last response.
         """
         while True:
-            await self._wait_for_room()
             try:
-                data = await socket_io.receive_some(self._stream, READ_BYTES)
+                data = await self._receive()
             except (trio.BrokenResourceError, trio.ClosedResourceError):
                 data = b''
             except Exception as error:
@@ -464,37 +469,43 @@
                 return
             if self._state in _ACCEPTING:
                 self.last_progress_at = self._clock()
-                await self._parse_all(data)
+                self._parse(data)
                 self._check_drained()
 
-    async def _wait_for_room(self):
+    async def _receive(self):
+        """Return the next bytes to parse, empty if the client has left.
+
+        They end with a head or a body, so that there must be room for each
+        request. While there is none, some bytes are received in advance.
+        """
         while self._is_full():
             self._room_available = trio.Event()
-            await self._room_available.wait()
-
-    async def _parse_all(self, data):
-        """Parse bytes, each request once there is room for it."""
-        start = 0
-        while (end := self._next_end(data, start)) < len(data):
-            self._has_unparsed = True
-            self._parse(data[start:end])
-            start = end
-            await self._wait_for_room()
-            if self._state not in _ACCEPTING:
-                break
-        self._has_unparsed = False
-        if self._state in _ACCEPTING:
-            self._parse(data[start:])
-
-    def _next_end(self, data, start):
+            if len(self._unparsed) >= MAX_UNPARSED_BYTES:
+                await self._room_available.wait()
+                continue
+            with trio.CancelScope() as self._read_ahead_scope:
+                data = await socket_io.receive_some(self._stream, READ_BYTES)
+                if not data:
+                    return b''
+                self._unparsed += data
+            self._read_ahead_scope = None
+        data, self._unparsed = self._unparsed, b''
+        if not data:
+            data = await socket_io.receive_some(self._stream, READ_BYTES)
+        end = self._next_end(data)
+        if end < len(data):
+            data, self._unparsed = data[:end], data[end:]
+        return data
+
+    def _next_end(self, data):
         """Return where the next head, or the body that is read, may end."""
         request = self._parser.request
         if request is None:
-            end = data.find(HEAD_END, start)
+            end = data.find(HEAD_END)
             return len(data) if end < 0 else end + len(HEAD_END)
         if request.head.body_length is None:
-            return start + CHUNKED_BYTES
-        return start + request.head.body_length - request.received_bytes
+            return CHUNKED_BYTES
+        return request.head.body_length - request.received_bytes
 
     def _parse(self, data):
         """Parse bytes, or refuse the request that they belong to."""
