--- a/soak/machine_faults.py
+++ b/soak/machine_faults.py
@@ -104,13 +104,14 @@
 
 
 def _draw_pipeline():
+    """Return pipelined calls, each with an id that no other call has."""
     return b''.join(_request('GET', '/r/x') for _ in range(MAX_PIPELINED))
 
 
 async def leave_unread(node, rng, seconds):
     """Have clients send many calls and scrapes and read no response."""
     path = node.machine.deployment.metrics_address[1].encode()
-    jobs = [(node.outbound_address, _draw_pipeline())] * 10
+    jobs = [(node.outbound_address, _draw_pipeline()) for _ in range(10)]
     jobs += [(node.metrics_address, SCRAPE % path * 40)] * 3
     jobs += [(node.other_addresses[0], SCRAPE % b'/readyz' * 200)] * 3
     async with trio.open_nursery() as nursery:
--- a/tests/soak/test_machine_faults.py
+++ b/tests/soak/test_machine_faults.py
@@ -2,6 +2,7 @@
 
 import pathlib
 import random
+import re
 import signal
 
 import pytest
@@ -14,6 +15,7 @@
 from soak import clusters
 from soak import machine_faults
 from soak import machines
+from tests import mock_clock
 
 WAITS = """
 import signal
@@ -137,3 +139,22 @@
     node.spawn()
     node.close()
     assert logs == ['node-0-1.log', 'node-0-2.log']
+
+
+@pytest.mark.parametrize(
+    'fault', [machine_faults.leave, machine_faults.leave_unread]
+)
+def test_no_two_calls_of_clients_that_leave_have_the_same_id(
+    tmp_path, monkeypatch, fault
+):
+    sent = []
+
+    async def keep(address, data, stay_s):
+        sent.append(data)
+
+    monkeypatch.setattr(machine_faults, '_send_and_leave', keep)
+    node = make_node(tmp_path)
+    rng = random.Random(1)
+    mock_clock.run(lambda: fault(node, rng, 1.0))
+    ids = re.findall(rb'request-id: (\S+)', b''.join(sent))
+    assert len(ids) == len(set(ids)) > 100
