--- a/tests/pumicestand_node/test_target_exchange.py
+++ b/tests/pumicestand_node/test_target_exchange.py
@@ -9,6 +9,7 @@
 from pumicestand import hop_messages
 from pumicestand import log
 from pumicestand_node import target_exchange
+from tests import fakes
 from tests.pumicestand_node import test_mesh_calls
 from tests.pumicestand_node import test_target_faults
 
@@ -223,9 +224,6 @@
 def test_line_that_cannot_be_logged_costs_no_call_its_answer(monkeypatch):
     """It was closed without an answer while descriptors were used up."""
 
-    def fail(name):
-        raise OSError(errno.EMFILE, 'no descriptor')
-
     async def test(harness):
         async def refuse(host, port):
             raise OSError(errno.ECONNREFUSED, 'refused')
@@ -235,8 +233,7 @@
         assert status == 503
         assert b'outcome: not-run' in data
 
-    monkeypatch.delitem(vars(log), 'logger', raising=False)
-    monkeypatch.setattr(log, '__getattr__', fail)
+    monkeypatch.setattr(log, 'logger', fakes.FailingLogger())
     test_target_faults.run_scripted(test, respond)
 
 
