Release the bytes of responses that are given up at once

Cause: httptools' parser and its callbacks refer to each other, so that only the garbage collector frees them and the body that they hold, up to 33 MB each. It runs once per 20,000 allocations, and a body of 64 KB pieces is some 500 of them. The budget of response bytes counted them as released.

Change: bodies are dropped when their call ends, those of requests, too. What the store's responses and unparsed requests hold is let go in the same way.

--- a/packages/pumicestand-node/pumicestand_node/client_connections.py
+++ b/packages/pumicestand-node/pumicestand_node/client_connections.py
@@ -223,6 +223,7 @@
         finally:
             if self._state is _State.CLOSING:
                 socket_io.discard_received(self._stream)
+            self._unparsed = b''
             await trio.aclose_forcefully(self._stream)
 
     def close_when_idle(self):
--- a/packages/pumicestand-node/pumicestand_node/client_requests.py
+++ b/packages/pumicestand-node/pumicestand_node/client_requests.py
@@ -61,7 +61,8 @@
         self._wake_reader()
 
     def release(self):
-        """Count the body no longer; it is held by nobody."""
+        """Drop the body and count it no longer."""
+        self._chunks.clear()
         if not self._is_released:
             self._is_released = True
             self._budget.remove(self._counted_bytes)
--- a/packages/pumicestand-node/pumicestand_node/target_responses.py
+++ b/packages/pumicestand-node/pumicestand_node/target_responses.py
@@ -100,7 +100,13 @@
             )
 
     def forget_bytes(self):
-        """Release the memory that the bytes received so far count for."""
+        """Release the bytes received so far, which end with their call.
+
+        The parser and its callbacks refer to each other, so that without this
+        a response that is given up would be held until a garbage collection.
+        """
+        for response in (self._response, *self.responses):
+            response.body.clear()
         self._buffers.remove(self._received_bytes)
         self._received_bytes = 0
         self._interim_count = 0
--- a/packages/pumicestand/pumicestand/http_pool.py
+++ b/packages/pumicestand/pumicestand/http_pool.py
@@ -112,6 +112,10 @@
         """Whether the connection can carry another request."""
         return self._keep_alive and not self._has_extra_data
 
+    def close(self):
+        """Release the parser, whose callbacks refer to it in a cycle."""
+        self._parser = None
+
     def feed(self, data):
         """Read received data, empty at the end of the stream.
 
@@ -254,6 +258,7 @@
                     raise SilentConnectionError(reason) from error
                 raise ResponseError(reason) from error
             finally:
+                reader.close()
                 if reader.is_complete and reader.is_reusable:
                     connection.idle_since = trio.current_time()
                     self._idle.append(connection)
--- a/tests/pumicestand_node/test_endless_responses.py
+++ b/tests/pumicestand_node/test_endless_responses.py
@@ -1,5 +1,8 @@
 """Tests of a faulty target that sends endless responses."""
 
+import gc
+import tracemalloc
+
 import pytest
 import trio
 import trio.testing
@@ -110,6 +113,26 @@
     run_endless(test, name)
 
 
+def test_responses_that_were_given_up_leave_their_memory_before_a_collection():
+    """The parser and its callbacks refer to each other."""
+
+    async def test(harness):
+        for number in range(3):
+            await harness.send_request('/o/1', 'POST', f'i{number}')
+            await trio.sleep(1.0)
+        held_bytes, _ = tracemalloc.get_traced_memory()
+        assert held_bytes <= response_buffers.MIN_RESPONSE_BYTES
+
+    gc.collect()
+    gc.disable()
+    tracemalloc.start()
+    try:
+        run_endless(test, 'body without length')
+    finally:
+        tracemalloc.stop()
+        gc.enable()
+
+
 def test_call_after_an_endless_response_is_served():
     async def test(harness):
         status, _ = await harness.send_request('/o/1', 'POST')
