--- a/packages/pumicestand-node/pumicestand_node/main.py
+++ b/packages/pumicestand-node/pumicestand_node/main.py
@@ -12,8 +12,9 @@
 from pumicestand_node import node as nodes
 from pumicestand_node import settings as node_settings
 
-# Exit code for invalid settings.
+# Exit codes for invalid settings, and for a port that can't be opened.
 EXIT_SETTINGS = 2
+EXIT_PORT = 3
 
 
 def _parse_arguments(arguments):
@@ -38,19 +39,32 @@
 
 
 async def run(settings):
-    """Run a node until SIGTERM or SIGINT.
+    """Run a node until SIGTERM or SIGINT; SIGHUP changes nothing.
 
     :param settings: a `settings.NodeSettings`
+    :raises errors.PortError: in a group, if a port can't be opened
     """
     with trio.open_signal_receiver(
-        signal.SIGTERM, signal.SIGINT
-    ) as stop_signals:
+        signal.SIGTERM, signal.SIGINT, signal.SIGHUP
+    ) as received_signals:
         async with trio.open_nursery() as nursery:
             node = nodes.Node(settings)
-            await node.start(nursery)
-            async for _ in stop_signals:
-                break
+            try:
+                await node.start(nursery)
+            except OSError as error:
+                raise errors.PortError(str(error)) from error
+            async for number in received_signals:
+                if number != signal.SIGHUP:
+                    break
+            # Signals that are left would be delivered again.
+            nursery.start_soon(_discard, received_signals)
             await node.close()
+            nursery.cancel_scope.cancel()
+
+
+async def _discard(received_signals):
+    async for _ in received_signals:
+        pass
 
 
 def main(arguments=None):
@@ -72,8 +86,14 @@
     log.configure(loaded.values.name, loaded.values.log_level)
     for warning in loaded.warnings:
         log.logger.warning('{}', warning)
-    trio.run(run, loaded.values)
-    return 0
+    code = 0
+    try:
+        trio.run(run, loaded.values)
+    except* errors.PortError as group:
+        print(group.exceptions[0], file=sys.stderr)
+        code = EXIT_PORT
+    log.logger.bind(event='exit', code=code).info('the process ends')
+    return code
 
 
 if __name__ == '__main__':
--- a/packages/pumicestand-node/pumicestand_node/node.py
+++ b/packages/pumicestand-node/pumicestand_node/node.py
@@ -30,6 +30,7 @@
 from pumicestand_node import listeners
 from pumicestand_node import operator_api
 from pumicestand_node import store_agent
+from pumicestand_node import supervision
 from pumicestand_node import target_connections
 from pumicestand_node import transport as transports
 
@@ -112,19 +113,25 @@
         return self._board
 
     async def start(self, nursery):
-        """Open all ports and start the node's tasks in a nursery."""
-        self._nursery = nursery
+        """Open all ports and start the node's tasks in a nursery.
+
+        :raises OSError: if a port can't be opened
+        """
+        self._nursery = nursery = supervision.GuardedNursery(nursery)
         self._connect_signals()
         settings = self._settings
         await self._transport.start(nursery)
         await self._store_agent.start(nursery)
-        nursery.start_soon(self._conductor.run)
-        nursery.start_soon(self._serve_operator_api)
+        for name, task in (
+            ('controllers', self._conductor.run),
+            ('API of operators', self._serve_operator_api),
+            ('time limits', self._sweep),
+        ):
+            nursery.start_soon(supervision.supervise, name, task)
         self._listeners = await listeners.open_listeners(
             settings.host, settings.call_port, settings.tls
         )
         nursery.start_soon(self._serve_calls)
-        nursery.start_soon(self._sweep)
         self._board.emit(
             events.Kind.STARTED,
             self._clock(),
@@ -139,7 +146,10 @@
         gc.set_threshold(GC_THRESHOLD, 20, 20)
 
     async def close(self):
-        """Stop the node; calls in flight have the drain time to finish."""
+        """Stop the node; calls in flight have the drain time to finish.
+
+        An error in one step is logged, and the next ones are carried out.
+        """
         now = self._clock()
         self._board.emit(
             events.Kind.STOPPING,
@@ -148,14 +158,16 @@
             f'{self._settings.drain:g} s to drain',
         )
         self._board.is_leaving = True
-        self._board.announce_self(now)
+        with supervision.stop_step('announce the stop'):
+            self._board.announce_self(now)
         self._call_listener_scope.cancel()
         # Clients learn from "Connection: close" in their next responses that
         # the node stops. Idle connections are closed only after that.
         with trio.move_on_after(CLOSE_NOTICE_S):
             while self._client_port.connection_count:
                 await trio.sleep(0.02)
-        self._client_port.close_when_idle()
+        with supervision.stop_step('close idle connections'):
+            self._client_port.close_when_idle()
         with trio.move_on_after(self._settings.drain):
             while self._client_port.connection_count:
                 await trio.sleep(0.02)
@@ -165,9 +177,12 @@
             detail=f'{self._client_port.connection_count} connections cut',
         )
         self._operator_api_stop.set()
-        await self._transport.close()
-        await self._store_agent.close()
-        self._metrics.close()
+        with supervision.stop_step('close the ports'):
+            await self._transport.close()
+        with supervision.stop_step('close the store'):
+            await self._store_agent.close()
+        with supervision.stop_step('close the metrics'):
+            self._metrics.close()
         self._nursery.cancel_scope.cancel()
 
     def _connect_signals(self):
--- a/packages/pumicestand-node/pumicestand_node/store_agent.py
+++ b/packages/pumicestand-node/pumicestand_node/store_agent.py
@@ -10,6 +10,7 @@
 from pumicestand import records
 from pumicestand import verdicts
 from pumicestand import watching
+from pumicestand_node import supervision
 
 # Bounds of the delay after a failure, which doubles with each further one.
 MIN_BACKOFF_S = 0.1
@@ -51,7 +52,9 @@
         """Start the client, and the task that writes, in a nursery."""
         self._nursery = nursery
         await self._client.start()
-        nursery.start_soon(self._run_writes)
+        nursery.start_soon(
+            supervision.supervise, 'writes to the store', self._run_writes
+        )
 
     async def close(self):
         """Close the client."""
@@ -71,7 +74,12 @@
         """Watch the document until `stop_watch`."""
         if self._watch_scope is None:
             self._watch_scope = trio.CancelScope()
-            self._nursery.start_soon(self._watch, self._watch_scope)
+            self._nursery.start_soon(
+                supervision.supervise,
+                'watch of the document',
+                self._watch,
+                self._watch_scope,
+            )
 
     def stop_watch(self):
         """End the watch."""
--- a/packages/pumicestand-node/pumicestand_node/transport.py
+++ b/packages/pumicestand-node/pumicestand_node/transport.py
@@ -8,6 +8,7 @@
 from pumicestand import events
 from pumicestand import wire
 from pumicestand_node import listeners
+from pumicestand_node import supervision
 
 # Streams of peers that are served at the same time; further ones are closed.
 MAX_STREAMS = 64
@@ -72,9 +73,13 @@
     async def _serve(self):
         with self._cancel_scope:
             async with trio.open_nursery() as nursery:
-                nursery.start_soon(self._read_datagrams)
                 nursery.start_soon(
-                    trio.serve_listeners, self._serve_stream, self._listeners
+                    supervision.supervise, 'datagrams', self._read_datagrams
+                )
+                await trio.serve_listeners(
+                    self._serve_stream,
+                    self._listeners,
+                    handler_nursery=supervision.GuardedNursery(nursery),
                 )
 
     async def send(self, address, frame):
@@ -174,9 +179,12 @@
             await stream.aclose()
             return
         self._stream_count += 1
-        peer = ':'.join(str(part) for part in stream.socket.getpeername()[:2])
+        peer = None
         try:
             async with stream:
+                # It fails if the peer has closed the connection already.
+                host, port = stream.socket.getpeername()[:2]
+                peer = f'{host}:{port}'
                 await self._serve_requests(stream, peer)
         except (OSError, trio.BrokenResourceError, trio.ClosedResourceError):
             return
