--- a/packages/pumicestand/pumicestand/decision_log.py
+++ b/packages/pumicestand/pumicestand/decision_log.py
@@ -22,8 +22,8 @@
 
     :param process: name of this process, part of each line
     :param wall_clock: returns seconds since the epoch
-    :param write: writes bytes of whole lines; returns the number of lines that
-        it has dropped
+    :param write: writes bytes of whole lines; returns how many of them it has
+        dropped, None for none
     :param on_pending: called when the first line after a flush is added
     """
 
@@ -74,7 +74,7 @@
                 parts.append(self._format(*self._lines.popleft()))
             except (TypeError, ValueError, OverflowError):
                 self._dropped += 1
-        self._dropped += self._write(''.join(parts).encode())
+        self._dropped += self._write(''.join(parts).encode()) or 0
 
     def _format(self, now, event, fields):
         time = datetime.datetime.fromtimestamp(now, datetime.UTC)
--- a/tests/pumicestand/mesh_fakes.py
+++ b/tests/pumicestand/mesh_fakes.py
@@ -60,7 +60,7 @@
         node_records.NodeRecord(name, '10.0.0.1', 7000, 'a'),
         1,
         mesh_settings.MeshBounds(6.0, 0.2, 60.0, 10.0, evacuation=evacuation),
-        decision_log.DecisionLog(name, lambda: 1.0, lambda data: True),
+        decision_log.DecisionLog(name, lambda: 1.0, lambda data: 0),
         random.Random(seed),
         link_rate,
     )
