Wait in test_main until the signals of a stop are received

test_no_further_signal_ends_a_stop[signals2] failed once in a run of all tests of the node: the fake node closed after three turns of the scheduler, in which the second signal need not have been received.

--- a/tests/pumicestand_node/test_main.py
+++ b/tests/pumicestand_node/test_main.py
@@ -5,6 +5,7 @@
 
 import pytest
 import trio
+import trio.testing
 
 from pumicestand_node import main
 
@@ -33,8 +34,7 @@
     async def close(self):
         for number in self.signals:
             signal.raise_signal(number)
-        for _ in range(3):
-            await trio.lowlevel.checkpoint()
+            await trio.testing.wait_all_tasks_blocked()
         FakeNode.is_closed = True
 
 
