--- a/packages/pumicestand-node/pumicestand_node/transport.py
+++ b/packages/pumicestand-node/pumicestand_node/transport.py
@@ -8,6 +8,7 @@
 from pumicestand import events
 from pumicestand import wire
 from pumicestand_node import listeners
+from pumicestand_node import supervision
 
 # Streams of peers that are served at the same time; further ones are closed.
 MAX_STREAMS = 64
@@ -72,12 +73,13 @@
     async def _serve(self):
         with self._cancel_scope:
             async with trio.open_nursery() as nursery:
-                nursery.start_soon(self._read_datagrams)
                 nursery.start_soon(
-                    listeners.serve,
+                    supervision.supervise, 'datagrams', self._read_datagrams
+                )
+                await listeners.serve(
                     self._listeners,
                     self._serve_stream,
-                    nursery,
+                    supervision.GuardedNursery(nursery),
                     listeners.log_failure,
                 )
 
@@ -178,9 +180,12 @@
             await stream.aclose()
             return
         self._stream_count += 1
-        peer = ':'.join(str(part) for part in stream.socket.getpeername()[:2])
+        peer = None
         try:
             async with stream:
+                # It fails if the peer has closed the connection already.
+                host, port = stream.socket.getpeername()[:2]
+                peer = f'{host}:{port}'
                 await self._serve_requests(stream, peer)
         except (OSError, trio.BrokenResourceError, trio.ClosedResourceError):
             return
