Revert "Let no upload that stalls hold up the stop of a node"

The whole suite, run after that commit, failed in four cases of tests/pumicestand_node/test_late_calls.py: a client that goes on to send its body for more than a second after the refusal finds the connection closed, and a client that reads only then may miss the refusal.

--- a/packages/pumicestand-node/pumicestand_node/outbound_calls.py
+++ b/packages/pumicestand-node/pumicestand_node/outbound_calls.py
@@ -117,9 +117,6 @@
         self._max_timeout_s = collections.defaultdict(float)
         # Cancel scope of each call that is being sent.
         self._scopes = {}
-        # Cancel scope of each request whose body still arrives, to whether a
-        # call that runs at the target on this VM has made it.
-        self._arriving = {}
         self._schedule = None
         self._probe_gauge = probing.ProbeGauge()
         self._return_times = return_times.ReturnTimes(self._rng)
@@ -142,8 +139,6 @@
         :param schedule: `shutdown.Schedule`
         """
         self._schedule = schedule
-        for scope, is_nested in self._arriving.items():
-            scope.deadline = self._end_of_arrival(is_nested)
         for call, scope in self._scopes.items():
             try:
                 self._end_with_node(call, scope)
@@ -169,17 +164,6 @@
         )
         self._mesh.withdraw_call(call.last_node, call.last_id, start_by - now)
 
-    def _end_of_arrival(self, is_nested):
-        """Return when a body has to have arrived, in trio's time.
-
-        Once the node accepts no more calls, others can serve them in time.
-        """
-        if self._schedule is None:
-            return float('inf')
-        schedule = self._schedule
-        end_at = schedule.calls_end_at if is_nested else schedule.accept_until
-        return trio.current_time() + end_at - self._clock()
-
     def _limit(self, call):
         """Have a call's target end it before this node gives it up."""
         if self._schedule is not None:
@@ -224,11 +208,7 @@
             )
         if request.expects_continue:
             await connection.send(b'HTTP/1.1 100 Continue\r\n\r\n')
-        body = await self._receive_body(configuration, request)
-        if body is None:
-            return await self._send_refusal(
-                request, connection, _stopping_refusal()
-            )
+        body = await request.read_all()
         # A newer one may have come into force while the body arrived.
         configuration = self._mesh.configuration
         route = self._match_route(configuration, request.head)
@@ -258,7 +238,11 @@
         if self._mesh.is_leaving and not call.is_nested:
             # The target may still make calls for those that it runs; other
             # clients use another node.
-            refusal = _stopping_refusal()
+            refusal = refusals.not_run(
+                refusals.CallCode.STOPPING,
+                'this node stops',
+                retry_after=outbound_call.RETRY_AFTER_S,
+            )
             self._log_call(call, refusal.status, refusal.code, None)
             return await self._send_refusal(request, connection, refusal)
         refusal = self._refuse_displacing(call)
@@ -269,23 +253,6 @@
             return await self._send_refusal(request, connection, refusal)
         return await self._execute(call, request, connection)
 
-    async def _receive_body(self, configuration, request):
-        """Return the body of a request, None if the node stops before."""
-        if request.is_complete:
-            return await request.read_all()
-        parent = self.access.find_parent(
-            configuration, request.head, self._request_id(request.head)
-        )
-        is_nested = parent is not None
-        scope = trio.CancelScope(deadline=self._end_of_arrival(is_nested))
-        self._arriving[scope] = is_nested
-        try:
-            with scope:
-                return await request.read_all()
-            return None
-        finally:
-            del self._arriving[scope]
-
     def _refuse_displacing(self, call):
         """Return the refusal of a call that displaces more urgent ones."""
         if call.is_nested or call.is_client_retry:
@@ -823,14 +790,6 @@
         )
 
 
-def _stopping_refusal():
-    return refusals.not_run(
-        refusals.CallCode.STOPPING,
-        'this node stops',
-        retry_after=outbound_call.RETRY_AFTER_S,
-    )
-
-
 def _parse_int(value, default):
     if value is None or not value.isdigit() or len(value) > 9:
         return default
