Parse reads with one request as before

A read was searched for heads and parsed through two further coroutines even if it held one request, as almost all do. Reads with a single head are now parsed at once, and the bodies of a connection are released by its end instead of by a coroutine around each request.

A test sends bodies that look like heads in reads of all sizes.

--- a/packages/pumicestand-node/pumicestand_node/client_connections.py
+++ b/packages/pumicestand-node/pumicestand_node/client_connections.py
@@ -203,6 +203,8 @@
                     self._nursery = nursery
                     await self._read()
         finally:
+            for pending_response in self._pending_responses:
+                pending_response.request.release()
             if self._state is _State.CLOSING:
                 socket_io.discard_received(self._stream)
             await trio.aclose_forcefully(self._stream)
@@ -352,7 +354,7 @@
         )
         pending_response = PendingResponse(self, request, previous)
         self._pending_responses.append(pending_response)
-        self._nursery.start_soon(self._serve_and_release, pending_response)
+        self._nursery.start_soon(self._serve_request, pending_response)
 
     def _accept_no_more(self):
         """Discard from now on what the client sends."""
@@ -409,7 +411,10 @@
                 return
             if self._state in _ACCEPTING:
                 self.last_progress_at = self._clock()
-                await self._parse_all(data)
+                if self._next_end(data, 0) < len(data):
+                    await self._parse_each(data)
+                else:
+                    self._parse(data)
                 self._close_if_drained()
 
     async def _wait_for_room(self):
@@ -417,7 +422,7 @@
             self._room_available = trio.Event()
             await self._room_available.wait()
 
-    async def _parse_all(self, data):
+    async def _parse_each(self, data):
         """Parse bytes, each request once there is room for it."""
         start = 0
         while (end := self._next_end(data, start)) < len(data):
@@ -432,11 +437,14 @@
             self._parse(data[start:])
 
     def _next_end(self, data, start):
-        """Return where the next head, or the body that is read, may end."""
+        """Return where bytes of a further request may begin."""
         request = self._parser.request
         if request is None:
             end = data.find(HEAD_END, start)
-            return len(data) if end < 0 else end + len(HEAD_END)
+            if end < 0 or data.find(HEAD_END, end + len(HEAD_END)) < 0:
+                # What follows the only head is at most its body.
+                return len(data)
+            return end + len(HEAD_END)
         if request.head.body_length is None:
             return start + CHUNKED_BYTES
         return start + request.head.body_length - request.received_bytes
@@ -507,12 +515,6 @@
                     rejected_response.cancel_scope.cancel()
         self._close_after_last()
 
-    async def _serve_and_release(self, pending_response):
-        try:
-            await self._serve_request(pending_response)
-        finally:
-            pending_response.request.release()
-
     async def _serve_request(self, pending_response):
         """Serve one request and close the connection if it is the last."""
         keep_alive = False
@@ -528,6 +530,7 @@
         if not keep_alive:
             self._cut_after(pending_response)
         self._pending_responses.remove(pending_response)
+        pending_response.request.release()
         pending_response.finished.set()
         self._signal_room()
         self.last_progress_at = self._clock()
--- a/tests/pumicestand_node/test_client_connections.py
+++ b/tests/pumicestand_node/test_client_connections.py
@@ -784,3 +784,45 @@
         assert uploads.budget.held_bytes == 0
 
     run_uploads(test)
+
+
+@pytest.mark.parametrize('seed', range(20))
+def test_requests_with_bodies_sent_at_once_are_all_read(seed):
+    rng = random.Random(seed)
+    bodies, data = [], b''
+    for _ in range(60):
+        body = bytes(rng.choices(b'\r\nx', k=rng.randrange(40)))
+        bodies.append(body)
+        if rng.random() < 0.5:
+            data += b'PUT /x HTTP/1.1\r\nhost: h\r\n'
+            data += b'content-length: %d\r\n\r\n' % len(body) + body
+            continue
+        data += b'PUT /x HTTP/1.1\r\nhost: h\r\n'
+        data += b'transfer-encoding: chunked\r\n\r\n'
+        if body:
+            data += b'%x\r\n' % len(body) + body + b'\r\n'
+        data += b'0\r\n\r\n'
+    read = []
+
+    async def serve(request, response):
+        read.append(await request.read_all())
+        await response.send(RESPONSE)
+        return True
+
+    async def main():
+        client, node_end = trio.testing.memory_stream_pair()
+        connection = client_connections.ClientConnection(
+            node_end, serve, trio.current_time
+        )
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(connection.run)
+            rest = data
+            while rest:
+                size = rng.choice((10, 1000, 9000))
+                await client.send_all(rest[:size])
+                await trio.sleep(0.1)
+                rest = rest[size:]
+            nursery.cancel_scope.cancel()
+
+    mock_clock.run(main)
+    assert read == bodies
