--- a/packages/pumicestand-node/pumicestand_node/client_connections.py
+++ b/packages/pumicestand-node/pumicestand_node/client_connections.py
@@ -221,6 +221,8 @@
                     self._nursery = nursery
                     await self._read()
         finally:
+            for pending_response in self._pending_responses:
+                pending_response.request.release()
             if self._state is _State.CLOSING:
                 socket_io.discard_received(self._stream)
             self._unparsed = b''
@@ -406,7 +408,7 @@
         )
         pending_response = PendingResponse(self, request, previous)
         self._pending_responses.append(pending_response)
-        self._nursery.start_soon(self._serve_and_release, pending_response)
+        self._nursery.start_soon(self._serve_request, pending_response)
 
     def _accept_no_more(self):
         """Discard from now on what the client sends."""
@@ -455,7 +457,12 @@
         """
         while True:
             try:
-                data = await self._receive()
+                if self._unparsed or self._is_full():
+                    data = await self._receive()
+                else:
+                    data = await socket_io.receive_some(
+                        self._stream, READ_BYTES
+                    )
             except (trio.BrokenResourceError, trio.ClosedResourceError):
                 data = b''
             except Exception as error:
@@ -470,14 +477,13 @@
                 return
             if self._state in _ACCEPTING:
                 self.last_progress_at = self._clock()
-                self._parse(data)
+                self._parse(self._next_part(data))
                 self._check_drained()
 
     async def _receive(self):
-        """Return the next bytes to parse, empty if the client has left.
+        """Return bytes once there is room for a request; empty at the end.
 
-        They end with a head or a body, so that there must be room for each
-        request. While there is none, some bytes are received in advance.
+        While there is none, some are received in advance.
         """
         while self._is_full():
             self._room_available = trio.Event()
@@ -491,19 +497,28 @@
                 self._unparsed += data
             self._read_ahead_scope = None
         data, self._unparsed = self._unparsed, b''
-        if not data:
-            data = await socket_io.receive_some(self._stream, READ_BYTES)
+        return data or await socket_io.receive_some(self._stream, READ_BYTES)
+
+    def _next_part(self, data):
+        """Return what may be parsed now, and keep the rest.
+
+        There must be room for each further request.
+        """
         end = self._next_end(data)
-        if end < len(data):
-            data, self._unparsed = data[:end], data[end:]
-        return data
+        if end >= len(data):
+            return data
+        self._unparsed = data[end:]
+        return data[:end]
 
     def _next_end(self, data):
-        """Return where the next head, or the body that is read, may end."""
+        """Return where bytes of a further request may begin."""
         request = self._parser.request
         if request is None:
             end = data.find(HEAD_END)
-            return len(data) if end < 0 else end + len(HEAD_END)
+            if end < 0 or data.find(HEAD_END, end + len(HEAD_END)) < 0:
+                # What follows the only head is at most its body.
+                return len(data)
+            return end + len(HEAD_END)
         if request.head.body_length is None:
             return CHUNKED_BYTES
         return request.head.body_length - request.received_bytes
@@ -587,12 +602,6 @@
                     rejected_response.cancel_scope.cancel()
         self._close_after_last()
 
-    async def _serve_and_release(self, pending_response):
-        try:
-            await self._serve_request(pending_response)
-        finally:
-            pending_response.request.release()
-
     def _report_refusal(self, refusal):
         """Pass on a refusal; the client gets it even if that fails."""
         try:
@@ -622,6 +631,7 @@
         if not keep_alive:
             self._cut_after(pending_response)
         self._pending_responses.remove(pending_response)
+        pending_response.request.release()
         pending_response.finished.set()
         self._signal_room()
         self.last_progress_at = self._clock()
