Leave out loopback networks in which a node of an earlier soak still runs

A node that finds its ports in use waits for them since. In a soak on the addresses of a process that an earlier, killed soak had left, the clients then reached that process: 862 findings of test_short_soak_of_the_parts, and trials that ended after 0.1 s. Before, the start ended, with a clear message.

Change: a network counts as free only if the port of its first node is.

--- a/soak/clusters.py
+++ b/soak/clusters.py
@@ -35,6 +35,8 @@
 # Bound by a soak while it uses its loopback network.
 LOCK_PORT = 8300
 NETWORK_NUMBERS = range(64, 120)
+# Last octet of the address of the first node.
+FIRST_HOST = 10
 STORE_PROXY_PORT, STORE_PORT = 8310, 8309
 TARGET_PROXY_PORT, TARGET_PORT = 8301, 8311
 
@@ -118,7 +120,7 @@
 
     def __init__(self, index, network_number, folder, parts=(), seed=0):
         self.name = f'node-{index}'
-        self.ip = f'127.{network_number}.0.{index + 10}'
+        self.ip = f'127.{network_number}.0.{index + FIRST_HOST}'
         self.start_count = 0
         # Time of the last or next stop under calls, in seconds of trio's
         # clock.
@@ -241,6 +243,20 @@
         self.process.wait()
 
 
+def _check_unused(number):
+    """Raise an `OSError` if a node of an earlier soak still has a port.
+
+    A node that starts waits for its ports, so that its clients would reach
+    the other one.
+
+    :param number: second octet of the addresses
+    """
+    with socket.socket() as probe:
+        probe.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+        probe.bind((f'127.{number}.0.{FIRST_HOST}', OUTBOUND_PORT))
+        probe.listen()
+
+
 class LoopbackNetwork:
     """A range of loopback addresses that is reserved for one soak.
 
@@ -262,6 +278,7 @@
             lock = socket.socket()
             try:
                 lock.bind((f'127.{number}.0.1', LOCK_PORT))
+                _check_unused(number)
             except OSError:
                 lock.close()
                 continue
