--- a/tests/soak/test_clusters.py
+++ b/tests/soak/test_clusters.py
@@ -1,6 +1,7 @@
-"""Tests of how a soak notices the ends of processes."""
+"""Tests of the processes and the loopback networks of a soak."""
 
 import signal
+import socket
 
 import pytest
 import trio
@@ -91,3 +92,17 @@
     assert f'ended with {code}' in finding.detail
     assert text in finding.detail
     assert len(record.stops) == 1
+
+
+def test_network_in_which_an_earlier_node_still_runs_is_left_out():
+    """Clients of the soak reached that node in place of their own."""
+    first = clusters.LoopbackNetwork()
+    first.start()
+    number = first.number
+    address = (f'127.{number}.0.10', clusters.OUTBOUND_PORT)
+    second = clusters.LoopbackNetwork()
+    with socket.create_server(address):
+        first.close()
+        second.start()
+        assert second.number != number
+    second.close()
