Deliver the last response before an idle connection of a stopping node closes

A connection that drains closed as soon as its last response was in the send buffer of the kernel. A request that its client sent meanwhile met a closed socket and reset the connection, and what the client had not received of the response was lost with it, although its call had run.

--- a/packages/pumicestand-node/pumicestand_node/client_connections.py
+++ b/packages/pumicestand-node/pumicestand_node/client_connections.py
@@ -31,6 +31,9 @@
 BODY_STALL_TIMEOUT_S = 30.0
 # Time for the client to read the last response before the connection closes.
 CLOSE_LINGER_S = 1.0
+# Period at which a draining connection checks whether its client has received
+# the last response.
+DELIVERY_CHECK_S = 0.02
 # Time for the first request on a new connection of a node that stops.
 FIRST_REQUEST_S = 1.0
 
@@ -157,6 +160,7 @@
         self._rejected_response = None
         self._nursery = None
         self._has_served = False
+        self._awaits_delivery = False
         self._state = _State.OPEN
         self.last_progress_at = clock()
 
@@ -339,19 +343,36 @@
             self._state = _State.CLOSING
             self._nursery.start_soon(self._close)
 
+    def _is_drained(self):
+        """Return whether the connection is draining and idle."""
+        return (
+            self._state is _State.DRAINING
+            and self._has_served
+            and not self._pending_responses
+            and not self._has_begun_request()
+        )
+
     def _close_if_drained(self):
         """Close a draining connection that is idle after a request.
 
         A request that crosses the close stays unread, which tells the client
-        that it can be sent again.
+        that it can be sent again. It also resets the connection, so what was
+        sent has to be delivered before.
         """
-        if (
-            self._state is _State.DRAINING
-            and self._has_served
-            and not self._pending_responses
-            and not self._has_begun_request()
-        ):
+        if not self._is_drained():
+            return
+        if not socket_io.has_undelivered(self._stream):
             self._cancel_scope.cancel()
+        elif not self._awaits_delivery:
+            self._awaits_delivery = True
+            self._nursery.start_soon(self._close_once_delivered)
+
+    async def _close_once_delivered(self):
+        """Close once the client has all, unless it sends a request before."""
+        while socket_io.has_undelivered(self._stream):
+            await trio.sleep(DELIVERY_CHECK_S)
+        self._awaits_delivery = False
+        self._check_drained()
 
     def _signal_room(self):
         self._room_available.set()
--- a/packages/pumicestand-node/pumicestand_node/socket_io.py
+++ b/packages/pumicestand-node/pumicestand_node/socket_io.py
@@ -6,12 +6,16 @@
 system calls do.
 """
 
+import array
+import fcntl
 import os
 
 import trio
 
 from pumicestand import tcp_streams
 
+# The request for the bytes that are sent and not acknowledged, from sockios.h.
+SIOCOUTQ = 0x5411
 # Most bytes that are discarded before a socket is closed: 4 MB.
 DISCARD_BYTES = 65_536
 MAX_DISCARDS = 64
@@ -28,6 +32,21 @@
     return tcp_streams.is_readable(stream)
 
 
+def has_undelivered(stream):
+    """Return whether the peer has not acknowledged all that was sent to it.
+
+    False for streams that are no sockets, and where the system can't tell.
+    """
+    if not isinstance(stream, trio.SocketStream):
+        return False
+    size = array.array('i', [0])
+    try:
+        fcntl.ioctl(stream.socket.fileno(), SIOCOUTQ, size)
+    except (OSError, ValueError):
+        return False
+    return size[0] > 0
+
+
 def send_nowait(stream, data):
     """Send data without waiting and return what could not be sent.
 
--- a/tests/pumicestand_node/test_client_connections.py
+++ b/tests/pumicestand_node/test_client_connections.py
@@ -7,6 +7,7 @@
 import dataclasses
 import errno
 import random
+import socket
 
 import pytest
 import trio
@@ -770,3 +771,35 @@
         assert second.startswith(b'HTTP/1.1 404')
 
     run_with_target(test, 'late limit')
+
+
+def test_response_that_is_not_delivered_yet_is_not_lost_with_a_drain():
+    """A request that crossed the close reset the rest of the response."""
+    sent = []
+
+    async def serve(request, response):
+        await response.send(RESPONSE)
+        if not sent:
+            # As much as the kernel takes while the client does not read.
+            stream = response._connection._stream
+            rest = socket_io.send_nowait(stream, bytes(10_000_000))
+            sent.append(10_000_000 - len(rest))
+        return True
+
+    async def test(stream, connection):
+        stream.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 16_384)
+        await stream.send_all(make_request(close=False))
+        while not connection._has_served:
+            await trio.lowlevel.checkpoint()
+        connection.close_when_idle()
+        await trio.testing.wait_all_tasks_blocked()
+        socket_io.send_nowait(stream, make_request(close=False))
+        await trio.testing.wait_all_tasks_blocked()
+        data = b''
+        while len(data) < 2 * len(RESPONSE) + sent[0]:
+            more = await stream.receive_some()
+            assert more, (len(data), sent)
+            data += more
+        assert await read_to_end(stream) == b''
+
+    run_on_socket(serve, test)
