Search broken JSON once only

While the store or another node sent a text that is not JSON and whose last string has no end, the node did nothing else: no call, no readiness check, no SIGTERM. Each escaped quote in that string was tried as the start of another one, up to the end of the text.

A string without an end is one token now, and the text is rejected for its open lists or by the decoder, as before.

--- a/packages/pumicestand/pumicestand/json_reading.py
+++ b/packages/pumicestand/pumicestand/json_reading.py
@@ -11,7 +11,9 @@
 # accepts several hundred.
 MAX_DEPTH = 64
 _MAX_INTEGER_LENGTH = 4300
-_TOKEN = re.compile(r'"(?:[^"\\]|\\.)*"|[\[\]{}]', re.DOTALL)
+# A string without an end is one token up to the end of the text, so that the
+# text is searched once only.
+_TOKEN = re.compile(r'"(?:[^"\\]|\\.)*+"?|[\[\]{}]', re.DOTALL)
 
 
 def decode(data):
--- a/tests/pumicestand/test_json_reading.py
+++ b/tests/pumicestand/test_json_reading.py
@@ -48,6 +48,12 @@
         json_reading.decode(data)
 
 
+def test_a_broken_text_does_not_stall_the_process():
+    """Each escaped quote was taken for the start of another string."""
+    with pytest.raises(ValueError):
+        json_reading.decode(b'["' + b'\\"' * 1_000_000)
+
+
 def test_sound_text_is_decoded_as_usual():
     text = json.dumps([ENTRY, 1.5, None, True, '\U0001f600'])
     assert json_reading.decode(text.encode()) == json.loads(text)
