Bound the trailers of a request

One client could take a core for good, and memory without a bound: the size of a head was checked only until the head had ended, so that what follows the last chunk of a body, its trailers, had no bound. The parser joins the value of a header anew for each part that arrives, which takes longer the longer it is.

The test failed before, with no answer.

What was read since the last bytes of the body counts as the head does, and has the same bound. A chunked body may still be longer than that, as the second test shows.

--- a/packages/pumicestand-node/pumicestand_node/client_connections.py
+++ b/packages/pumicestand-node/pumicestand_node/client_connections.py
@@ -473,8 +473,8 @@
         """Parse bytes, or refuse the request that they belong to."""
         parser = self._parser
         try:
-            parser.parser.feed_data(data)
-            refusal = self._check_size(len(data))
+            parser.feed(data)
+            refusal = self._check_size()
         except Exception as error:
             refusal = parser.refusal or self._explain(error)
         if refusal is not None and self._state in _ACCEPTING:
@@ -492,21 +492,18 @@
             return _unexpected(may_have_run=False)
         return _unexpected(last.may_have_run)
 
-    def _check_size(self, size):
-        """Return a `refusals.Refusal` if a request is too large, else None.
-
-        :param size: bytes that were parsed
-        """
+    def _check_size(self):
+        """Return a `refusals.Refusal` if a request is too large, else None."""
         parser = self._parser
-        if parser.is_in_head:
-            parser.head_bytes += size
-            if parser.head_bytes > self._limits.head_bytes:
-                return refusals.bad_request(
-                    refusals.CallCode.HEADERS_TOO_LARGE,
-                    f'a head of over {self._limits.head_bytes} bytes',
-                    status=431,
-                )
         request = parser.request
+        if (
+            parser.is_in_head or request is not None
+        ) and parser.head_bytes > self._limits.head_bytes:
+            return refusals.bad_request(
+                refusals.CallCode.HEADERS_TOO_LARGE,
+                f'a head or trailers of over {self._limits.head_bytes} bytes',
+                status=431,
+            )
         if request is None:
             return None
         max_body_bytes = self._limits.body_bytes
--- a/packages/pumicestand-node/pumicestand_node/client_requests.py
+++ b/packages/pumicestand-node/pumicestand_node/client_requests.py
@@ -111,7 +111,8 @@
     """Callbacks of httptools for the requests of one connection.
 
     ``refusal`` is the `refusals.Refusal` of a head that is not accepted,
-    ``head_bytes`` the size of the head that is being read.
+    ``head_bytes`` the size of the head that is being read, or of what was read
+    since the last bytes of a body, such as its trailers.
 
     :param on_request: called with each `Request` whose head has been read
     :param on_body_read: called after a chunk of a body was taken
@@ -127,6 +128,7 @@
         self._url = b''
         self._headers = []
         self._request = None
+        self._has_read_body = False
         self.refusal = None
         self.head_bytes = 0
         self.is_in_head = False
@@ -137,6 +139,19 @@
         """The `Request` whose body is being read, or None."""
         return self._request
 
+    def feed(self, data):
+        """Parse received bytes.
+
+        :raises httptools.HttpParserError: if they are no request, or one that
+            is not accepted
+        """
+        self._has_read_body = False
+        self.parser.feed_data(data)
+        if self._has_read_body and not self.is_in_head:
+            self.head_bytes = 0
+        else:
+            self.head_bytes += len(data)
+
     def on_message_begin(self):
         self._url = b''
         self._headers = []
@@ -152,6 +167,7 @@
 
     def on_headers_complete(self):
         self.is_in_head = False
+        self.head_bytes = 0
         body_length = heads.parse_body_length(self._headers)
         if isinstance(body_length, refusals.Refusal):
             self.refusal = body_length
@@ -175,6 +191,7 @@
         self._on_request(self._request)
 
     def on_body(self, data):
+        self._has_read_body = True
         self._request.add_body(data)
 
     def on_message_complete(self):
--- a/tests/pumicestand_node/test_client_connections.py
+++ b/tests/pumicestand_node/test_client_connections.py
@@ -196,6 +196,40 @@
     run_with_target(test, 'late limit')
 
 
+def test_endless_trailers_use_up_no_memory_and_no_processor():
+    async def serve(request, response):
+        await request.read_all()
+        raise AssertionError('the request has no end')
+
+    async def test(stream, connection):
+        await stream.send_all(
+            make_request(method='PUT', extra=b'transfer-encoding: chunked\r\n')
+            + b'2\r\nab\r\n0\r\nx: '
+        )
+        for _ in range(20):
+            await stream.send_all(b'a' * 10_000)
+        assert (await read_to_end(stream)).startswith(b'HTTP/1.1 431')
+
+    run_on_socket(serve, test)
+
+
+def test_a_chunked_body_may_be_longer_than_a_head():
+    async def serve(request, response):
+        assert len(await request.read_all()) == 100_000
+        await response.send(RESPONSE)
+        return False
+
+    async def test(stream, connection):
+        await stream.send_all(
+            make_request(method='PUT', extra=b'transfer-encoding: chunked\r\n')
+            + b'1\r\na\r\n' * 100_000
+            + b'0\r\nx: y\r\n\r\n'
+        )
+        assert await read_to_end(stream) == RESPONSE
+
+    run_on_socket(serve, test)
+
+
 def exchange_with_port(serve, *parts, on_refusal=lambda refusal: None):
     """Return what a port responds to bytes that arrive in parts."""
 
