Bound the requests that are sent behind a body

The bytes behind the first kilobyte were parsed at once while the end of a body was awaited, and the requests behind it among them.

The two tests, with a length and with chunks, failed before.

Only what is known to belong to the body is parsed at once; else it is a kilobyte at a time, with a check for room after each.

--- a/packages/pumicestand-node/pumicestand_node/client_connections.py
+++ b/packages/pumicestand-node/pumicestand_node/client_connections.py
@@ -458,16 +458,18 @@
     async def _parse_all(self, data):
         """Parse bytes, those of many requests a few requests at a time."""
         start = 0
-        while len(data) - start > PARSE_BYTES and self._parser.request is None:
-            self._has_unparsed = True
-            self._parse(data[start : start + PARSE_BYTES])
-            start += PARSE_BYTES
+        while True:
+            body_bytes = self._parser.body_bytes_in(data, start)
+            end = start + max(PARSE_BYTES, body_bytes)
+            self._has_unparsed = end < len(data)
+            self._parse(data[start:end])
+            if not self._has_unparsed:
+                return
+            start = end
             await self._wait_for_room()
             if self._state not in _ACCEPTING:
-                break
-        self._has_unparsed = False
-        if self._state in _ACCEPTING:
-            self._parse(data[start:])
+                self._has_unparsed = False
+                return
 
     def _parse(self, data):
         """Parse bytes, or refuse the request that they belong to."""
--- a/packages/pumicestand-node/pumicestand_node/client_requests.py
+++ b/packages/pumicestand-node/pumicestand_node/client_requests.py
@@ -139,6 +139,23 @@
         """The `Request` whose body is being read, or None."""
         return self._request
 
+    def body_bytes_in(self, data, start):
+        """Return how many bytes are known to belong to a request's body.
+
+        :param data: bytes to be parsed from a position on
+        :param start: the position
+        """
+        request = self._request
+        if request is None:
+            return 0
+        if request.head.body_length is not None:
+            return request.head.body_length - request.received_bytes
+        # The last chunk begins with its size, 0.
+        if data.startswith((b'0', b'\n0'), start):
+            return 0
+        end = data.find(b'\r\n0', start)
+        return (len(data) if end < 0 else end) - start
+
     def feed(self, data):
         """Parse received bytes.
 
--- a/tests/pumicestand_node/test_client_connections.py
+++ b/tests/pumicestand_node/test_client_connections.py
@@ -752,10 +752,11 @@
     run_with_target(test, 'late limit')
 
 
-def run_with_pipelined(count, test):
+def run_with_pipelined(count, test, first=b''):
     """Run a test with requests that were sent at once.
 
     :param count: number of requests, for /0, /1 and so on
+    :param first: request that is sent in front of them
     :param test: coroutine function (client's stream, connection, paths that
         are served so far, event that lets them be answered)
     """
@@ -779,7 +780,8 @@
         async with trio.open_nursery() as nursery:
             nursery.start_soon(connection.run)
             await client_end.send_all(
-                b''.join(
+                first
+                + b''.join(
                     b'GET /%d HTTP/1.1\r\nhost: h\r\n\r\n' % n
                     for n in range(count)
                 )
@@ -808,6 +810,31 @@
     run_with_pipelined(count, test)
 
 
+@pytest.mark.parametrize(
+    'body',
+    [
+        b'content-length: 1200\r\n\r\n' + bytes(1200),
+        b'transfer-encoding: chunked\r\n\r\n4B0\r\n'
+        + bytes(1200)
+        + b'\r\n0\r\n\r\n',
+    ],
+    ids=['length', 'chunks'],
+)
+def test_requests_sent_behind_a_body_do_not_fill_the_memory(body):
+    count = 500
+
+    async def test(client, connection, served, released):
+        assert len(served) < 100
+        released.set()
+        data = b''
+        while data.count(RESPONSE) < count + 1:
+            data += await client.receive_some()
+        assert len(served) == count + 1
+
+    first = b'PUT /first HTTP/1.1\r\nhost: h\r\n' + body
+    run_with_pipelined(count, test, first)
+
+
 def test_requests_that_wait_to_be_parsed_are_answered_by_a_stopping_node():
     async def test(client, connection, served, released):
         connection.close_when_idle()
