Bound the responses of the store

A process that read a response without an end took all memory, and was killed with the calls that it served. The responses of targets have a bound, those of the store had none.

The two tests failed before.

A response is given up beyond 16 MiB, 16 times the longest page or object, as one that is broken otherwise: the connection is closed and the kind is listed again.

--- a/packages/pumicestand/pumicestand/http_pool.py
+++ b/packages/pumicestand/pumicestand/http_pool.py
@@ -18,6 +18,8 @@
 
 READ_BYTES = 65_536
 MAX_HEAD_BYTES = 100_000
+# Longest response with its head: a page or some changes of 1 MB each.
+MAX_RESPONSE_BYTES = 16_777_216
 
 
 class ConnectError(Exception):
@@ -94,6 +96,7 @@
         self._headers = []
         self._body = []
         self._head_bytes = 0
+        self._received_bytes = 0
         self._has_head = False
         self._has_extra_data = False
         self._keep_alive = False
@@ -125,6 +128,9 @@
             return
         if not self._has_head:
             self._head_bytes += len(data)
+        self._received_bytes += len(data)
+        if self._received_bytes > MAX_RESPONSE_BYTES:
+            raise ResponseError(f'more than {MAX_RESPONSE_BYTES} bytes')
         try:
             self._parser.feed_data(data)
         except httptools.HttpParserError as error:
--- a/tests/pumicestand/test_http_pool.py
+++ b/tests/pumicestand/test_http_pool.py
@@ -142,6 +142,37 @@
     mock_clock.run(main)
 
 
+@pytest.mark.parametrize('framing', [b'content-length: 99999999\r\n', b''])
+def test_an_endless_response_does_not_fill_the_memory(framing):
+    async def main():
+        async with open_pool() as (pool, backend):
+            client, server = trio.testing.memory_stream_pair()
+
+            async def connect(host, port):
+                return client
+
+            async def send_endlessly():
+                await server.receive_some()
+                await server.send_all(
+                    b'HTTP/1.1 200 OK\r\n' + framing + b'\r\n'
+                )
+                with contextlib.suppress(
+                    trio.BrokenResourceError, trio.ClosedResourceError
+                ):
+                    for _ in range(64):
+                        await server.send_all(bytes(1_000_000))
+                await server.aclose()
+
+            backend.connect = connect
+            async with trio.open_nursery() as nursery:
+                nursery.start_soon(send_endlessly)
+                with pytest.raises(http_pool.ResponseError, match='16777216'):
+                    await request(pool)
+                nursery.cancel_scope.cancel()
+
+    mock_clock.run(main)
+
+
 def test_idle_connection_is_closed_after_a_time():
     async def main():
         async with open_pool(OK, OK, OK) as (pool, backend):
