Let no controller that fails stall the others

Each period runs the roll-outs, the coldness of the target, the check of links, the quotas, the time limits of clients and the readiness in turn. An unexpected error in one of them ended the period, and the task started again up to 5 s later, only to fail at the same place: a node whose roll-outs could not be evaluated closed no idle connection, gave up no silent link and never became ready.

Evidence: with an error in the roll-outs, the links or the quotas, time limits were not enforced once in 10 s, where it is to be every half second. The tests failed before.

Each step has its own handler now, which logs at most one line in 10 s.

--- a/packages/pumicestand-node/pumicestand_node/mesh_node.py
+++ b/packages/pumicestand-node/pumicestand_node/mesh_node.py
@@ -158,6 +158,7 @@
         self._usage = port_usage.PortUsage(self._descriptors, self._buffers)
         self._usage.add('clients', self._client_port)
         self._started_at = self._clock()
+        self._timeouts_checked_at = self._started_at
         self._nursery = None
         self._outbound_scope = trio.CancelScope()
 
@@ -330,26 +331,46 @@
     # Periodic tasks
 
     async def _run_controllers(self):
-        """Evaluate roll-outs, check links and time limits, set readiness."""
-        mesh = self._mesh
-        timeouts_checked_at = self._clock()
+        """Evaluate roll-outs, check links and time limits, set readiness.
+
+        An error in one step costs no other its turn.
+        """
+        steps = [
+            supervision.Step(run.__name__, run)
+            for run in (
+                self._evaluate_rollouts,
+                self._update_coldness,
+                self._links.check_links,
+                self._quota_agent.refresh,
+                self._check_timeouts,
+                self._update_readiness,
+            )
+        ]
         while True:
             await trio.sleep(
                 ACTIVE_PERIOD_S if self._is_active() else IDLE_PERIOD_S
             )
             now = self._clock()
-            for action in mesh.rollouts.evaluate(
-                mesh.fleet, now, self._store.is_designated_writer
-            ):
-                self._store.write_rollout_status(action)
-            self._target_calls.update_coldness()
-            self._links.check_links(now)
-            self._quota_agent.refresh(now)
-            if now - timeouts_checked_at >= TIMEOUT_CHECK_PERIOD_S:
-                timeouts_checked_at = now
-                self._enforce_timeouts()
-            if not mesh.is_stopping:
-                mesh.is_ready = self._should_be_ready(now)
+            for step in steps:
+                step.run(now)
+
+    def _evaluate_rollouts(self, now):
+        for action in self._mesh.rollouts.evaluate(
+            self._mesh.fleet, now, self._store.is_designated_writer
+        ):
+            self._store.write_rollout_status(action)
+
+    def _update_coldness(self, now):
+        self._target_calls.update_coldness()
+
+    def _check_timeouts(self, now):
+        if now - self._timeouts_checked_at >= TIMEOUT_CHECK_PERIOD_S:
+            self._timeouts_checked_at = now
+            self._enforce_timeouts()
+
+    def _update_readiness(self, now):
+        if not self._mesh.is_stopping:
+            self._mesh.is_ready = self._should_be_ready(now)
 
     def _enforce_timeouts(self):
         for port in self._usage.ports:
--- a/packages/pumicestand-node/pumicestand_node/supervision.py
+++ b/packages/pumicestand-node/pumicestand_node/supervision.py
@@ -9,6 +9,7 @@
 import trio
 
 from pumicestand import log
+from pumicestand import log_throttle
 
 # Delay before a failed task is started again, doubled after each failure, and
 # the time without a failure after which it is the first one again.
@@ -44,6 +45,35 @@
         delay_s = min(MAX_RESTART_DELAY_S, 2 * delay_s)
 
 
+class Step:
+    """A step of a periodic task, whose errors end neither task nor period.
+
+    :param name: name of the step, for the log
+    :param run: function of the time, in monotonic seconds
+    """
+
+    def __init__(self, name, run):
+        self._name = name
+        self._run = run
+        self._throttle = log_throttle.LogThrottle()
+
+    def run(self, now):
+        """Run the step; log an error unless it is too early for a line."""
+        try:
+            self._run(now)
+        except Exception as error:
+            count = self._throttle.count(now)
+            if count:
+                log_failure(
+                    'step-failed',
+                    error,
+                    'step {} failed: {!r}',
+                    self._name,
+                    error,
+                    count=count,
+                )
+
+
 def log_failure(event, error, message, *args, **fields):
     """Log an unexpected error; a line that can't be written is left out.
 
--- a/tests/pumicestand_node/test_mesh_node.py
+++ b/tests/pumicestand_node/test_mesh_node.py
@@ -15,6 +15,7 @@
 from pumicestand_node import mesh_metrics
 from pumicestand_node import mesh_node
 from pumicestand_node import mesh_settings
+from pumicestand_node import supervision
 from pumicestand_platform import main
 from pumicestand_platform import settings
 from tests import mock_clock
@@ -414,3 +415,35 @@
         assert 4.7 < stopping.target_deadlines['parent.1'] < 4.9
 
     run_stopping_node(monkeypatch, make_node, 6.0, test)
+
+
+@pytest.mark.parametrize('kind', ['rollouts', 'links', 'quota'])
+def test_a_controller_that_fails_stalls_no_other(monkeypatch, make_node, kind):
+    """Time limits were not enforced and the node did not become ready."""
+    node = make_node(is_strict=False)
+    enforced = []
+
+    def fail(*args):
+        raise KeyError('unexpected')
+
+    match kind:
+        case 'rollouts':
+            monkeypatch.setattr(node._mesh.rollouts, 'evaluate', fail)
+        case 'links':
+            monkeypatch.setattr(node._links, 'check_links', fail)
+        case 'quota':
+            monkeypatch.setattr(node._quota_agent, 'refresh', fail)
+    monkeypatch.setattr(node, '_should_be_ready', lambda now: True)
+    monkeypatch.setattr(
+        node, '_enforce_timeouts', lambda: enforced.append(node._clock())
+    )
+
+    async def test():
+        node._clock = trio.current_time
+        node._timeouts_checked_at = trio.current_time()
+        with trio.move_on_after(10):
+            await supervision.supervise('test', node._run_controllers)
+
+    mock_clock.run(test)
+    assert node._mesh.is_ready
+    assert len(enforced) > 10
