--- a/tests/pumicestand_node/test_client_connections.py
+++ b/tests/pumicestand_node/test_client_connections.py
@@ -197,6 +197,40 @@
     run_with_target(test, 'late limit')
 
 
+def test_endless_trailers_use_up_no_memory_and_no_processor():
+    async def serve(request, response):
+        await request.read_all()
+        raise AssertionError('the request has no end')
+
+    async def test(stream, connection):
+        await stream.send_all(
+            make_request(method='PUT', extra=b'transfer-encoding: chunked\r\n')
+            + b'2\r\nab\r\n0\r\nx: '
+        )
+        for _ in range(20):
+            await stream.send_all(b'a' * 10_000)
+        assert (await read_to_end(stream)).startswith(b'HTTP/1.1 431')
+
+    run_on_socket(serve, test)
+
+
+def test_a_chunked_body_may_be_longer_than_a_head():
+    async def serve(request, response):
+        assert len(await request.read_all()) == 100_000
+        await response.send(RESPONSE)
+        return False
+
+    async def test(stream, connection):
+        await stream.send_all(
+            make_request(method='PUT', extra=b'transfer-encoding: chunked\r\n')
+            + b'1\r\na\r\n' * 100_000
+            + b'0\r\nx: y\r\n\r\n'
+        )
+        assert await read_to_end(stream) == RESPONSE
+
+    run_on_socket(serve, test)
+
+
 def exchange_with_port(serve, *parts, on_refusal=lambda refusal: None):
     """Return what a port responds to bytes that arrive in parts."""
 
@@ -774,10 +808,11 @@
     run_with_target(test, 'late limit')
 
 
-def run_with_pipelined(count, test):
+def run_with_pipelined(count, test, first=b''):
     """Run a test with requests that were sent at once.
 
     :param count: number of requests, for /0, /1 and so on
+    :param first: request that is sent in front of them
     :param test: coroutine function (client's stream, connection, paths that
         are served so far, event that lets them be answered)
     """
@@ -801,7 +836,8 @@
         async with trio.open_nursery() as nursery:
             nursery.start_soon(connection.run)
             await client_end.send_all(
-                b''.join(
+                first
+                + b''.join(
                     b'GET /%d HTTP/1.1\r\nhost: h\r\n\r\n' % n
                     for n in range(count)
                 )
@@ -830,6 +866,31 @@
     run_with_pipelined(count, test)
 
 
+@pytest.mark.parametrize(
+    'body',
+    [
+        b'content-length: 1200\r\n\r\n' + bytes(1200),
+        b'transfer-encoding: chunked\r\n\r\n4B0\r\n'
+        + bytes(1200)
+        + b'\r\n0\r\n\r\n',
+    ],
+    ids=['length', 'chunks'],
+)
+def test_requests_sent_behind_a_body_do_not_fill_the_memory(body):
+    count = 500
+
+    async def test(client, connection, served, released):
+        assert len(served) < 100
+        released.set()
+        data = b''
+        while data.count(RESPONSE) < count + 1:
+            data += await client.receive_some()
+        assert len(served) == count + 1
+
+    first = b'PUT /first HTTP/1.1\r\nhost: h\r\n' + body
+    run_with_pipelined(count, test, first)
+
+
 def test_requests_that_wait_to_be_parsed_are_answered_by_a_stopping_node():
     async def test(client, connection, served, released):
         connection.close_when_idle()
