Say which connections a port had no room for, and allow those left unread

The line connections-excess tells it by port, each half second at most.

The trace shows that none was read: each was reset, which is what the kernel does with unread bytes, none ran, and the node's line tells 36 and 98 connections closed unread in these half seconds. The users' rule on lost requests asks for an answer once a process has read the whole request. The check allows that case alone: a reset, a new connection, a fault that uses up descriptors, no run.

--- a/packages/pumicestand-node/pumicestand_node/mesh_node.py
+++ b/packages/pumicestand-node/pumicestand_node/mesh_node.py
@@ -462,6 +462,8 @@
     def _enforce_timeouts(self):
         for port in self._usage.ports:
             port.enforce_timeouts()
+        for name, counts in self._usage.take_excess().items():
+            self._decisions.note('connections-excess', port=name, **counts)
 
     def _read_demand(self):
         """Return the `descriptor_budget.Demand` of this node."""
--- a/packages/pumicestand-node/pumicestand_node/port_usage.py
+++ b/packages/pumicestand-node/pumicestand_node/port_usage.py
@@ -18,6 +18,7 @@
     def __init__(self, process, buffers):
         self._process = process
         self._ports = {}
+        self._taken = collections.Counter()
         self.buffers = buffers
         self.failures = collections.Counter()
 
@@ -57,3 +58,16 @@
             for name, port in self._ports.items()
             for action, count in port.excess_counts.items()
         }
+
+    def take_excess(self):
+        """Return the counts by port of what was done since the last call.
+
+        :returns: dict of port name to dict of action to count, without zeros
+        """
+        counts = collections.Counter(self.excess_connections())
+        news = counts - self._taken
+        self._taken = counts
+        excess = collections.defaultdict(dict)
+        for (name, action), count in news.items():
+            excess[name][action] = count
+        return dict(excess)
--- a/packages/pumicestand-standins/pumicestand_standins/http_client.py
+++ b/packages/pumicestand-standins/pumicestand_standins/http_client.py
@@ -24,6 +24,8 @@
     :param was_connected: whether there was a connection to send the call on
     :param used_new_connection: whether there was no open connection before
         the call
+    :param was_reset: whether the server reset the connection, as it does when
+        it closes it before it has read all
     """
 
     status: int
@@ -32,6 +34,7 @@
     duration_s: float
     was_connected: bool = True
     used_new_connection: bool = False
+    was_reset: bool = False
 
     @property
     def outcome(self):
@@ -96,7 +99,7 @@
             # The server has closed it, or sent what nobody asked for.
             await self.close()
         used_new_connection = self._stream is None
-        was_connected = False
+        was_connected = was_reset = False
         with trio.move_on_after(CALL_TIMEOUT_S):
             try:
                 if self._stream is None:
@@ -106,8 +109,9 @@
                     _encode_request(method, path, headers or {}, body)
                 )
                 await self._read(response_parser)
-            except (OSError, trio.BrokenResourceError):
+            except (OSError, trio.BrokenResourceError) as error:
                 response_parser.is_complete = False
+                was_reset = isinstance(error.__cause__, ConnectionResetError)
         duration_s = trio.current_time() - started
         is_reusable = (
             response_parser.is_complete and response_parser.keep_alive
@@ -122,6 +126,7 @@
                 duration_s,
                 was_connected,
                 used_new_connection,
+                was_reset,
             )
         body = b''.join(response_parser.body)
         return Response(
--- a/soak/checks.py
+++ b/soak/checks.py
@@ -253,8 +253,22 @@
 
     A node may close an idle connection while a request is on its way to it,
     and any connection while it stops; what is sent to it later than `TAKEN_S`
-    after its SIGTERM it need not read, however long it takes to close.
+    after its SIGTERM it need not read, however long it takes to close. A new
+    connection for which it has no descriptors left waits until it is accepted
+    and is then closed; that it has not been read shows by a reset.
     """
+    if (
+        call.was_reset
+        and call.used_new_connection
+        and _is_disrupted(
+            record,
+            call.node,
+            call.sent_at,
+            call.ended_at,
+            frozenset(records.Fault) - records.CROWDING_FAULTS,
+        )
+    ):
+        return True
     is_short = call.ended_at - call.sent_at <= UNREAD_LIMIT_S
     for stop in record.stops:
         if stop.node == call.node and stop.at <= call.sent_at <= stop.ended_at:
--- a/soak/play.py
+++ b/soak/play.py
@@ -390,5 +390,6 @@
                 received.has_expected_body,
                 bool(received.stamp),
                 response.used_new_connection,
+                response.was_reset,
             )
         )
--- a/soak/records.py
+++ b/soak/records.py
@@ -28,6 +28,8 @@
         to the request and the stamp of the target
     :param is_of_target: whether the response had the stamp of the target
     :param used_new_connection: whether it was the first call on its connection
+    :param was_reset: whether the node reset the connection, as it does when it
+        closes it before it has read all
     """
 
     request_id: str
@@ -39,6 +41,7 @@
     is_correct: bool = True
     is_of_target: bool = True
     used_new_connection: bool = False
+    was_reset: bool = False
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -132,6 +135,10 @@
 STORE_FAULTS = frozenset(f for f in Fault if f.value.startswith('store-'))
 TARGET_FAULTS = frozenset(f for f in Fault if f.value.startswith('target-'))
 MACHINE_FAULTS = frozenset(f for f in Fault if f.value.startswith('machine-'))
+# Faults of a machine in which other clients may use up descriptors.
+CROWDING_FAULTS = frozenset(
+    (Fault.MACHINE_FILLED, Fault.MACHINE_LEFT, Fault.MACHINE_STOPPED)
+)
 # Faults in which the store can't be reached by all nodes, or by one.
 UNREACHABLE_STORE_FAULTS = frozenset(
     (
--- a/tests/soak/test_checks.py
+++ b/tests/soak/test_checks.py
@@ -196,6 +196,38 @@
     assert broken_promises(record) == []
 
 
+CUT = 'only unplanned faults cut calls'
+
+
+@pytest.mark.parametrize(
+    ('was_reset', 'used_new_connection', 'fault', 'promises'),
+    [
+        (True, True, Fault.MACHINE_FILLED, []),
+        (False, True, Fault.MACHINE_FILLED, [CUT]),
+        (True, False, Fault.MACHINE_FILLED, [CUT]),
+        (True, True, Fault.MACHINE_BUSY, [CUT]),
+    ],
+)
+def test_reset_of_a_new_connection_is_found_unless_descriptors_are_in_use(
+    was_reset, used_new_connection, fault, promises
+):
+    cut = make_call(
+        status=0,
+        sent_at=10.0,
+        ended_at=10.5,
+        was_reset=was_reset,
+        used_new_connection=used_new_connection,
+    )
+    record = records.Record(
+        calls=[cut],
+        disruptions=[make_disruption(fault, since=9.0, until=11.0)],
+    )
+    assert broken_promises(record) == promises
+    # One that ran was read.
+    record.runs = [make_run(at=10.1)]
+    assert CUT in broken_promises(record)
+
+
 @pytest.mark.parametrize('sent_at', [12.9, 13.1])
 def test_cut_at_stopping_node_is_found_unless_sent_late(sent_at):
     """On a busy machine a node may stop long after a request has arrived."""
