Name the requests behind a cut response in one line

Each request that the cut had cancelled cut those behind it again and logged them once more, so that the lines grew with the square of the requests. The new test found more than one line before the change and finds one now.

--- a/packages/pumicestand-node/pumicestand_node/client_connections.py
+++ b/packages/pumicestand-node/pumicestand_node/client_connections.py
@@ -602,9 +602,13 @@
         """
         self._accept_no_more()
         position = self._pending_responses.index(pending_response)
-        later_responses = list(
-            itertools.islice(self._pending_responses, position + 1, None)
-        )
+        later_responses = [
+            later_response
+            for later_response in itertools.islice(
+                self._pending_responses, position + 1, None
+            )
+            if not later_response.cancel_scope.cancel_called
+        ]
         if not later_responses or self._cancel_scope.cancel_called:
             return
         supervision.log_failure(
--- a/tests/pumicestand_node/test_client_connections.py
+++ b/tests/pumicestand_node/test_client_connections.py
@@ -166,6 +166,30 @@
     run_on_socket(serve, test)
 
 
+def test_requests_behind_a_response_that_is_cut_are_named_once():
+    lines = []
+
+    async def serve(request, response):
+        if request.head.path == '/first':
+            await trio.sleep(0.1)
+        await response.send(RESPONSE[:-1])
+        return False
+
+    requests = [make_request('/first', close=False)]
+    requests += 12 * [make_request('/later', close=False)]
+    sink = log.logger.add(
+        lambda message: lines.append(message.record['extra']), level='ERROR'
+    )
+    try:
+        data = exchange_with_port(serve, b''.join(requests))
+    finally:
+        log.logger.remove(sink)
+    assert data == RESPONSE[:-1]
+    (line,) = lines
+    assert line['event'] == 'connection-cut'
+    assert [named['path'] for named in line['requests']] == 12 * ['/later']
+
+
 def test_a_disconnect_behind_a_malformed_request_cancels_the_calls():
     async def test(harness):
         stream = await harness.open_client()
