Return a response whose call can't be recorded

An error while the line about a finished call is counted or written turned the response of its target into 502 for the client. The call is answered now, and another line says which one is missing. The new test got 502 before the change and 200 after it.

--- a/packages/pumicestand-node/pumicestand_node/outbound_calls.py
+++ b/packages/pumicestand-node/pumicestand_node/outbound_calls.py
@@ -767,6 +767,19 @@
         return keep_alive
 
     def _log_call(self, call, status, code, result):
+        """Count and log a finished call; its client is answered anyhow."""
+        try:
+            self._record_call(call, status, code, result)
+        except Exception as error:
+            supervision.log_failure(
+                'call-not-logged',
+                error,
+                'call {} is missing in the log: {!r}',
+                call.request_id,
+                error,
+            )
+
+    def _record_call(self, call, status, code, result):
         now = self._clock()
         self.counts[('answered', call.service, status)] += 1
         self.durations.record(call.route.name, '', now - call.started_at)
--- a/tests/pumicestand_node/test_target_exchange.py
+++ b/tests/pumicestand_node/test_target_exchange.py
@@ -240,6 +240,19 @@
     test_target_faults.run_scripted(test, respond)
 
 
+def test_call_that_cannot_be_recorded_costs_no_response_of_its_target():
+    def fail(*_, **__):
+        raise OSError(errno.ENOSPC, 'no room')
+
+    async def test(harness):
+        harness.mesh.decisions.note = fail
+        status, data = await harness.send_request('/o/1', 'POST', 'i1')
+        assert status == 200
+        assert data.endswith(b'hello')
+
+    test_target_faults.run_scripted(test, respond)
+
+
 def test_option_that_cannot_be_set_leaves_no_connection_open(monkeypatch):
     async def main():
         (listener,) = await trio.open_tcp_listeners(0, host='127.0.0.1')
