Fill the port for links in the soak's fault machine-filled too

Evidence: the new test in tests/soak/test_machine_faults.py fails without the port in other_addresses.

--- a/soak/clusters.py
+++ b/soak/clusters.py
@@ -36,6 +36,7 @@
 # Time between the end of a process and its next start by the platform.
 RESTART_DELAY_S = 0.3
 OUTBOUND_PORT, READY_PORT, CONTROL_PORT = 8304, 8302, 8306
+LINK_PORT = 7620
 # Bound by a soak while it uses its loopback network.
 LOCK_PORT = 8300
 NETWORK_NUMBERS = range(64, 120)
@@ -53,7 +54,7 @@
 listen.outbound={{ip}}:{OUTBOUND_PORT}
 listen.ready={{ip}}:{READY_PORT}
 listen.control={{ip}}:{CONTROL_PORT}
-internal_ports=7620,7635
+internal_ports={LINK_PORT},7635
 platform.address={{ip}}:{STORE_PROXY_PORT}
 bounds.grace_s={GRACE_S:g}
 bounds.retry_budget_ratio=0.2
@@ -198,7 +199,12 @@
     @property
     def other_addresses(self):
         """The (host, port) of the ports that clients do not use."""
-        ports = (READY_PORT, CONTROL_PORT, self.metrics_address[1])
+        ports = (
+            READY_PORT,
+            CONTROL_PORT,
+            self.metrics_address[1],
+            LINK_PORT,
+        )
         return [(self.ip, port) for port in ports]
 
     @property
--- a/tests/soak/test_machine_faults.py
+++ b/tests/soak/test_machine_faults.py
@@ -158,3 +158,22 @@
     mock_clock.run(lambda: fault(node, rng, 1.0))
     ids = re.findall(rb'request-id: (\S+)', b''.join(sent))
     assert len(ids) == len(set(ids)) > 100
+
+
+def test_connections_fill_all_ports_of_a_node(tmp_path, monkeypatch):
+    filled = set()
+
+    async def keep(address, data, stay_s):
+        filled.add((address, bool(data)))
+
+    monkeypatch.setattr(machine_faults, '_send_and_leave', keep)
+    node = make_node(tmp_path)
+    mock_clock.run(lambda: machine_faults.fill(node, random.Random(1), 1.0))
+    ports = (
+        clusters.OUTBOUND_PORT,
+        clusters.READY_PORT,
+        clusters.CONTROL_PORT,
+        clusters.LINK_PORT,
+    )
+    addresses = [(node.ip, port) for port in ports] + [node.metrics_address]
+    assert filled == {(a, data) for a in addresses for data in (True, False)}
