--- a/packages/pumicestand-node/pumicestand_node/client_connections.py
+++ b/packages/pumicestand-node/pumicestand_node/client_connections.py
@@ -14,11 +14,11 @@
 
 from pumicestand import buffer_budget
 from pumicestand import documents
-from pumicestand import log
 from pumicestand import refusals
 from pumicestand_node import client_requests
 from pumicestand_node import heads
 from pumicestand_node import socket_io
+from pumicestand_node import supervision
 
 READ_BYTES = 16_384
 HEAD_END = b'\r\n\r\n'
@@ -28,6 +28,9 @@
 # Bytes of a response after which it is noticed that the client takes some.
 SEND_BYTES = 65_536
 MAX_PIPELINED_REQUESTS = 8
+# Bytes that are received while no more requests are accepted, so that a
+# disconnect behind them is noticed.
+MAX_UNPARSED_BYTES = 32_768
 # Requests with these methods are served while earlier ones on the connection
 # are still being served.
 CONCURRENT_METHODS = frozenset(('GET', 'HEAD'))
@@ -37,6 +40,9 @@
 BODY_RETRY_AFTER_S = 0.25
 # Time for the client to read the last response before the connection closes.
 CLOSE_LINGER_S = 1.0
+# Period at which a draining connection checks whether its client has received
+# the last response.
+DELIVERY_CHECK_S = 0.02
 # Time for the first request on a new connection of a node that stops.
 FIRST_REQUEST_S = 1.0
 
@@ -55,6 +61,7 @@
     CLOSING = enum.auto()
 
 
+_PROTOCOL_ERRORS = (httptools.HttpParserError, httptools.HttpParserUpgrade)
 _ACCEPTING = (_State.OPEN, _State.DRAINING)
 # Responses with these first bytes are followed by the final one.
 _INTERIM_RESPONSE = b'HTTP/1.1 1'
@@ -69,6 +76,7 @@
     ``has_begun`` is true once any of the final response was sent. Whoever
     serves the request may set ``may_have_run`` to false while it has certainly
     not been sent to a target: it tells what the client learns after an error.
+    ``request_id`` is the id of the request for the log, if it is known.
 
     :param connection: the `ClientConnection`
     :param request: the `client_requests.Request`
@@ -81,10 +89,22 @@
         self._previous = previous
         self.request = request
         self.has_begun = False
-        self.may_have_run = True
+        self.may_have_run = False
+        self.request_id = ''
         self.finished = trio.Event()
         self.cancel_scope = trio.CancelScope()
 
+    def describe(self):
+        """Return what the request is and how far it has come, for the log."""
+        head = self.request.head
+        return {
+            'id': self.request_id,
+            'method': head.method,
+            'path': head.path,
+            'may_have_run': self.may_have_run,
+            'has_begun_response': self.has_begun,
+        }
+
     def decide_keep_alive(self, is_stopping):
         """Return whether the connection is kept after this response.
 
@@ -140,7 +160,9 @@
         self._serve = serve
         self._clock = clock
         self._pending_responses = collections.deque()
+        self._unparsed = b''
         self._room_available = trio.Event()
+        self._read_ahead_scope = None
         self._cancel_scope = trio.CancelScope()
         self._limits = limits
         self._on_refusal = on_refusal
@@ -160,7 +182,7 @@
         self._rejected_response = None
         self._nursery = None
         self._has_served = False
-        self._has_unparsed = False
+        self._awaits_delivery = False
         self._state = _State.OPEN
         self.last_progress_at = clock()
 
@@ -172,7 +194,7 @@
     @property
     def pending_count(self):
         """Number of requests that are being served or wait for it."""
-        return len(self._pending_responses) + self._has_unparsed
+        return len(self._pending_responses) + bool(self._unparsed)
 
     @property
     def waiting_since(self):
@@ -184,7 +206,7 @@
         if (
             self._state not in _ACCEPTING
             or self._pending_responses
-            or self._has_unparsed
+            or self._unparsed
             or self._parser.request is not None
         ):
             return None
@@ -207,6 +229,7 @@
                 pending_response.request.release()
             if self._state is _State.CLOSING:
                 socket_io.discard_received(self._stream)
+            self._unparsed = b''
             await trio.aclose_forcefully(self._stream)
 
     def close_when_idle(self):
@@ -214,10 +237,15 @@
 
         A connection on which no request has begun yet gets `FIRST_REQUEST_S`
         for it; `enforce_timeouts` ends that time.
+
+        An error ends this connection.
         """
-        if self._state is _State.OPEN:
-            self._state = _State.DRAINING
-        self._close_if_drained()
+        try:
+            if self._state is _State.OPEN:
+                self._state = _State.DRAINING
+            self._close_if_drained()
+        except Exception as error:
+            self._fail(error)
 
     def close_if_waiting(self, since):
         """Close the connection if nothing has arrived; return whether so.
@@ -241,11 +269,15 @@
         """
         request = pending_response.request
         is_open = self._state is _State.OPEN and not is_stopping
-        keep_alive = (
-            request.head.keep_alive
-            and request.is_complete
-            and (is_open or self._has_later_request(pending_response))
-        )
+        try:
+            keep_alive = (
+                request.head.keep_alive
+                and request.is_complete
+                and (is_open or self._has_later_request(pending_response))
+            )
+        except Exception as error:
+            self._log_failure(error)
+            keep_alive = False
         if not keep_alive:
             self._accept_no_more()
         return keep_alive
@@ -253,10 +285,18 @@
     def enforce_timeouts(self, now):
         """End the connection if a time limit for the client has passed.
 
-        Requests that were read before are still served.
+        Requests that were read before are still served. An error ends this
+        connection.
 
         :param now: monotonic seconds
         """
+        try:
+            self._end_overdue(now)
+        except Exception as error:
+            self._fail(error)
+
+    def _end_overdue(self, now):
+        """End the connection if its client has made no progress in time."""
         idle_s = now - self.last_progress_at
         limit_s = self._idle_limit_s()
         if idle_s <= limit_s:
@@ -264,7 +304,7 @@
         if self._state is _State.CLOSING:
             self._cancel_scope.cancel()
             return
-        if socket_io.is_readable(self._stream):
+        if self._unparsed or socket_io.is_readable(self._stream):
             # Bytes that are not read yet are progress of the client.
             return
         if self._parser.request is not None:
@@ -281,9 +321,27 @@
             return
         self._accept_no_more()
 
+    def _fail(self, error):
+        """Log an unexpected error and end the connection."""
+        self._log_failure(error)
+        self._cancel_scope.cancel()
+
+    def _log_failure(self, error):
+        """Log an error on the connection, with what was to be answered."""
+        supervision.log_failure(
+            'connection-failed',
+            error,
+            'a connection from a client failed with {} requests on it: {!r}',
+            len(self._pending_responses),
+            error,
+            requests=[
+                pending.describe() for pending in self._pending_responses
+            ],
+        )
+
     def _idle_limit_s(self):
         """Return for how many seconds the client may make no progress."""
-        if self._state in _ACCEPTING and not self._has_unparsed:
+        if self._state in _ACCEPTING and not self._unparsed:
             if self._parser.is_in_head:
                 return self._limits.head_timeout
             if self._parser.request is not None:
@@ -336,7 +394,7 @@
     def _has_begun_request(self):
         """Return whether a request has arrived in part, read or not."""
         return self._state in _ACCEPTING and (
-            self._has_unparsed
+            bool(self._unparsed)
             or self._parser.is_in_head
             or self._parser.request is not None
             or socket_io.is_readable(self._stream)
@@ -368,22 +426,41 @@
             self._state = _State.CLOSING
             self._nursery.start_soon(self._close)
 
+    def _is_drained(self):
+        """Return whether the connection is draining and idle."""
+        return (
+            self._state is _State.DRAINING
+            and self._has_served
+            and not self._pending_responses
+            and not self._has_begun_request()
+        )
+
     def _close_if_drained(self):
         """Close a draining connection that is idle after a request.
 
         A request that crosses the close stays unread, which tells the client
-        that it can be sent again.
+        that it can be sent again. It also resets the connection, so what was
+        sent has to be delivered before.
         """
-        if (
-            self._state is _State.DRAINING
-            and self._has_served
-            and not self._pending_responses
-            and not self._has_begun_request()
-        ):
+        if not self._is_drained():
+            return
+        if not socket_io.has_undelivered(self._stream):
             self._cancel_scope.cancel()
+        elif not self._awaits_delivery:
+            self._awaits_delivery = True
+            self._nursery.start_soon(self._close_once_delivered)
+
+    async def _close_once_delivered(self):
+        """Close once the client has all, unless it sends a request before."""
+        while socket_io.has_undelivered(self._stream):
+            await trio.sleep(DELIVERY_CHECK_S)
+        self._awaits_delivery = False
+        self._check_drained()
 
     def _signal_room(self):
         self._room_available.set()
+        if self._read_ahead_scope is not None:
+            self._read_ahead_scope.cancel()
 
     def _is_full(self):
         if self._state not in _ACCEPTING:
@@ -400,97 +477,125 @@
         close would be a reset, which could lose the last response.
         """
         while True:
-            await self._wait_for_room()
             try:
-                data = await socket_io.receive_some(self._stream, READ_BYTES)
+                if self._unparsed or self._is_full():
+                    data = await self._receive()
+                else:
+                    data = await socket_io.receive_some(
+                        self._stream, READ_BYTES
+                    )
             except (trio.BrokenResourceError, trio.ClosedResourceError):
                 data = b''
+            except Exception as error:
+                # What was read before is still answered.
+                self._log_failure(error)
+                self._accept_no_more()
+                self._close_after_last()
+                return
             if not data:
                 # The client has disconnected; the responses are not needed.
                 self._cancel_scope.cancel()
                 return
             if self._state in _ACCEPTING:
                 self.last_progress_at = self._clock()
-                if self._next_end(data, 0) < len(data):
-                    await self._parse_each(data)
-                else:
-                    self._parse(data)
-                self._close_if_drained()
+                self._parse(self._next_part(data))
+                self._check_drained()
 
-    async def _wait_for_room(self):
+    async def _receive(self):
+        """Return bytes once there is room for a request; empty at the end.
+
+        While there is none, some are received in advance.
+        """
         while self._is_full():
             self._room_available = trio.Event()
-            await self._room_available.wait()
-
-    async def _parse_each(self, data):
-        """Parse bytes, each request once there is room for it."""
-        start = 0
-        while (end := self._next_end(data, start)) < len(data):
-            self._has_unparsed = True
-            self._parse(data[start:end])
-            start = end
-            await self._wait_for_room()
-            if self._state not in _ACCEPTING:
-                break
-        self._has_unparsed = False
-        if self._state in _ACCEPTING:
-            self._parse(data[start:])
+            if len(self._unparsed) >= MAX_UNPARSED_BYTES:
+                await self._room_available.wait()
+                continue
+            with trio.CancelScope() as self._read_ahead_scope:
+                data = await socket_io.receive_some(self._stream, READ_BYTES)
+                if not data:
+                    return b''
+                self._unparsed += data
+            self._read_ahead_scope = None
+        data, self._unparsed = self._unparsed, b''
+        return data or await socket_io.receive_some(self._stream, READ_BYTES)
+
+    def _next_part(self, data):
+        """Return what may be parsed now, and keep the rest.
 
-    def _next_end(self, data, start):
+        There must be room for each further request.
+        """
+        end = self._next_end(data)
+        if end >= len(data):
+            return data
+        self._unparsed = data[end:]
+        return data[:end]
+
+    def _next_end(self, data):
         """Return where bytes of a further request may begin."""
         request = self._parser.request
         if request is None:
-            end = data.find(HEAD_END, start)
+            end = data.find(HEAD_END)
             if end < 0 or data.find(HEAD_END, end + len(HEAD_END)) < 0:
                 # What follows the only head is at most its body.
                 return len(data)
             return end + len(HEAD_END)
         if request.head.body_length is None:
-            return start + CHUNKED_BYTES
-        return start + request.head.body_length - request.received_bytes
+            return CHUNKED_BYTES
+        return request.head.body_length - request.received_bytes
 
     def _parse(self, data):
         """Parse bytes, or refuse the request that they belong to."""
         parser = self._parser
         try:
-            parser.parser.feed_data(data)
-        except (httptools.HttpParserError, httptools.HttpParserUpgrade) as e:
-            if self._state in _ACCEPTING:
-                self._reject(parser.refusal or _malformed(e))
-            return
-        if parser.is_in_head:
-            parser.head_bytes += len(data)
-            if parser.head_bytes > self._limits.head_bytes:
-                self._reject(
-                    refusals.bad_request(
-                        refusals.CallCode.HEADERS_TOO_LARGE,
-                        f'a head of over {self._limits.head_bytes} bytes',
-                        status=431,
-                    )
-                )
-                return
+            parser.feed(data)
+            refusal = self._check_size()
+        except Exception as error:
+            refusal = parser.refusal or self._explain(error)
+        if refusal is not None and self._state in _ACCEPTING:
+            self._reject(refusal)
+
+    def _explain(self, error):
+        """Return the `refusals.Refusal` of a request that was not parsed."""
+        if isinstance(error, _PROTOCOL_ERRORS) and not isinstance(
+            error, httptools.HttpParserCallbackError
+        ):
+            return _malformed(error)
+        self._log_failure(error.__context__ or error)
+        last = self._pending_responses[-1] if self._pending_responses else None
+        if last is None or last.request is not self._parser.request:
+            return _unexpected(may_have_run=False)
+        return _unexpected(last.may_have_run)
+
+    def _check_size(self):
+        """Return a `refusals.Refusal` if a request is too large, else None."""
+        parser = self._parser
         request = parser.request
+        if (
+            parser.is_in_head or request is not None
+        ) and parser.head_bytes > self._limits.head_bytes:
+            return refusals.bad_request(
+                refusals.CallCode.HEADERS_TOO_LARGE,
+                f'a head or trailers of over {self._limits.head_bytes} bytes',
+                status=431,
+            )
         if request is None:
-            return
+            return None
         max_body_bytes = self._limits.body_bytes
         if request.size > max_body_bytes:
-            self._reject(
-                refusals.bad_request(
-                    refusals.CallCode.BODY_TOO_LARGE,
-                    f'a body of over {max_body_bytes} bytes',
-                    status=413,
-                )
-            )
-            return
-        if not self._budget.has_room_for(request.size):
-            self._reject(
-                refusals.not_run(
-                    refusals.CallCode.OVERLOADED,
-                    f'no room for a body of {request.size} bytes',
-                    BODY_RETRY_AFTER_S,
-                )
+            return refusals.bad_request(
+                refusals.CallCode.BODY_TOO_LARGE,
+                f'a body of over {max_body_bytes} bytes',
+                status=413,
             )
-            request.release()
+        if self._budget.has_room_for(request.size):
+            return None
+        request.release()
+        return refusals.not_run(
+            refusals.CallCode.OVERLOADED,
+            f'no room for a body of {request.size} bytes',
+            BODY_RETRY_AFTER_S,
+        )
 
     def _reject(self, refusal):
         """Refuse a request that breaks the protocol and accept no more.
@@ -500,7 +605,7 @@
         A response that has begun is not cut, and no refusal follows it.
         """
         self._refusal = refusal
-        self._on_refusal(refusal)
+        self._report_refusal(refusal)
         self._accept_no_more()
         rejected_request = self._parser.request
         if rejected_request is not None:
@@ -515,18 +620,32 @@
                     rejected_response.cancel_scope.cancel()
         self._close_after_last()
 
+    def _report_refusal(self, refusal):
+        """Pass on a refusal; the client gets it even if that fails."""
+        try:
+            self._on_refusal(refusal)
+        except Exception as error:
+            self._log_failure(error)
+
     async def _serve_request(self, pending_response):
-        """Serve one request and close the connection if it is the last."""
+        """Serve one request and close the connection if it is the last.
+
+        An error costs no other request its response.
+        """
         keep_alive = False
-        with pending_response.cancel_scope:
-            if pending_response.request.head.method not in CONCURRENT_METHODS:
+        try:
+            with pending_response.cancel_scope:
+                method = pending_response.request.head.method
+                if method not in CONCURRENT_METHODS:
+                    await pending_response.wait_for_turn()
+                # The request may have been rejected before this task ran.
+                await trio.lowlevel.checkpoint_if_cancelled()
+                keep_alive = await self._respond(pending_response)
+                # Even without a response of its own, a request lets later
+                # ones respond only after all earlier ones have.
                 await pending_response.wait_for_turn()
-            # The request may have been rejected before this task ran.
-            await trio.lowlevel.checkpoint_if_cancelled()
-            keep_alive = await self._respond(pending_response)
-            # Even without a response of its own, a request lets later ones
-            # respond only after all earlier ones have.
-            await pending_response.wait_for_turn()
+        except Exception as error:
+            self._log_failure(error)
         if not keep_alive:
             self._cut_after(pending_response)
         self._pending_responses.remove(pending_response)
@@ -535,9 +654,16 @@
         self._signal_room()
         self.last_progress_at = self._clock()
         self._has_served = True
-        self._close_if_drained()
+        self._check_drained()
         self._close_after_last()
 
+    def _check_drained(self):
+        """Close a draining connection that is idle, or on an error."""
+        try:
+            self._close_if_drained()
+        except Exception as error:
+            self._fail(error)
+
     async def _respond(self, pending_response):
         """Respond to a request and return whether to keep the connection.
 
@@ -545,18 +671,19 @@
         the error does not end the connection with all of its requests.
         """
         request = pending_response.request
+        pending_response.may_have_run = True
         try:
             keep_alive = await self._serve(request, pending_response)
             if pending_response.has_begun or request.is_broken:
                 return keep_alive
-            _log_failure(request, None)
+            _log_request(pending_response, None)
         except client_requests.IncompleteRequestError:
             return False
         except Exception as error:
             if self._cancel_scope.cancel_called:
                 # The client has disconnected.
                 return False
-            _log_failure(request, error)
+            _log_request(pending_response, error)
         if pending_response.has_begun:
             # It may be incomplete.
             return False
@@ -564,12 +691,8 @@
 
     async def _refuse_failed(self, pending_response):
         """Refuse a request whose serving failed; return as `_respond`."""
-        detail = 'an unexpected error in the node'
-        if pending_response.may_have_run:
-            refusal = refusals.unknown(refusals.CallCode.ANSWER_LOST, detail)
-        else:
-            refusal = refusals.not_run(refusals.CallCode.NO_TARGET, detail)
-        self._on_refusal(refusal)
+        refusal = _unexpected(pending_response.may_have_run)
+        self._report_refusal(refusal)
         await pending_response.wait_for_turn()
         keep_alive = pending_response.decide_keep_alive(is_stopping=False)
         with_body = pending_response.request.head.method != 'HEAD'
@@ -590,9 +713,24 @@
         """
         self._accept_no_more()
         position = self._pending_responses.index(pending_response)
-        for later_response in itertools.islice(
-            self._pending_responses, position + 1, None
-        ):
+        later_responses = [
+            pending
+            for pending in itertools.islice(
+                self._pending_responses, position + 1, None
+            )
+            if not pending.cancel_scope.cancel_called
+        ]
+        if not later_responses or self._cancel_scope.cancel_called:
+            return
+        supervision.log_failure(
+            'connection-cut',
+            None,
+            'the response to a request is incomplete; {} requests behind it '
+            'get none',
+            len(later_responses),
+            requests=[pending.describe() for pending in later_responses],
+        )
+        for later_response in later_responses:
             later_response.cancel_scope.cancel()
 
     async def _close(self):
@@ -620,22 +758,36 @@
         except (trio.BrokenResourceError, trio.ClosedResourceError):
             # The client has disconnected.
             pass
+        except Exception as error:
+            self._log_failure(error)
         self._cancel_scope.cancel()
 
 
-def _log_failure(request, error):
+def _log_request(pending_response, error):
     """Log why a request got no response from the function that serves it.
 
     :param error: the exception, None if the function has returned
     """
-    log.logger.opt(exception=error).bind(event='request-failed').error(
+    head = pending_response.request.head
+    supervision.log_failure(
+        'request-failed',
+        error,
         'request {} {} failed: {!r}',
-        request.head.method,
-        request.head.path,
+        head.method,
+        head.path,
         error or 'no response',
+        request=pending_response.describe(),
     )
 
 
+def _unexpected(may_have_run):
+    """Return the `refusals.Refusal` of a request that an error has ended."""
+    detail = 'an unexpected error in the node'
+    if may_have_run:
+        return refusals.unknown(refusals.CallCode.ANSWER_LOST, detail)
+    return refusals.not_run(refusals.CallCode.NO_TARGET, detail)
+
+
 def _malformed(error):
     detail = str(error) or type(error).__name__
     return refusals.bad_request(refusals.CallCode.MALFORMED, detail)
--- a/packages/pumicestand/pumicestand/http_pool.py
+++ b/packages/pumicestand/pumicestand/http_pool.py
@@ -9,7 +9,6 @@
 import dataclasses
 import errno
 import math
-import select
 
 import httptools
 import trio
@@ -19,6 +18,8 @@
 
 READ_BYTES = 65_536
 MAX_HEAD_BYTES = 100_000
+# Longest response with its head: a page or some changes of 1 MB each.
+MAX_RESPONSE_BYTES = 16_777_216
 
 
 class ConnectError(Exception):
@@ -79,12 +80,11 @@
         self.idle_since = idle_since
 
     def is_usable(self):
-        """Return whether the server has neither closed it nor sent data."""
-        if not isinstance(self.stream, trio.SocketStream):
-            return True
-        poll = select.poll()
-        poll.register(self.stream.socket.fileno(), select.POLLIN)
-        return not poll.poll(0)
+        """Return whether it is open and the server has sent nothing."""
+        return not (
+            isinstance(self.stream, trio.SocketStream)
+            and tcp_streams.is_readable(self.stream)
+        )
 
 
 class _ResponseReader:
@@ -96,6 +96,7 @@
         self._headers = []
         self._body = []
         self._head_bytes = 0
+        self._received_bytes = 0
         self._has_head = False
         self._has_extra_data = False
         self._keep_alive = False
@@ -114,6 +115,10 @@
         """Whether the connection can carry another request."""
         return self._keep_alive and not self._has_extra_data
 
+    def close(self):
+        """Release the parser, whose callbacks refer to it in a cycle."""
+        self._parser = None
+
     def feed(self, data):
         """Read received data, empty at the end of the stream.
 
@@ -127,6 +132,9 @@
             return
         if not self._has_head:
             self._head_bytes += len(data)
+        self._received_bytes += len(data)
+        if self._received_bytes > MAX_RESPONSE_BYTES:
+            raise ResponseError(f'more than {MAX_RESPONSE_BYTES} bytes')
         try:
             self._parser.feed_data(data)
         except httptools.HttpParserError as error:
@@ -256,6 +264,7 @@
                     raise SilentConnectionError(reason) from error
                 raise ResponseError(reason) from error
             finally:
+                reader.close()
                 if reader.is_complete and reader.is_reusable:
                     connection.idle_since = trio.current_time()
                     self._idle.append(connection)
--- a/tests/fakes.py
+++ b/tests/fakes.py
@@ -6,6 +6,7 @@
 """
 
 import dataclasses
+import errno
 import heapq
 import itertools
 import random
@@ -497,3 +498,10 @@
             content, digest = make_content(label)
             assert digest == accepted.digest, name
             assert readers.read_content(content) == document, name
+
+
+class FailingLogger:
+    """A logger whose every use raises an error, as without descriptors."""
+
+    def __getattr__(self, name):
+        raise OSError(errno.EMFILE, f'no descriptor for {name}')
--- a/tests/pumicestand_node/test_client_connections.py
+++ b/tests/pumicestand_node/test_client_connections.py
@@ -5,7 +5,9 @@
 
 import contextlib
 import dataclasses
+import errno
 import random
+import socket
 
 import pytest
 import trio
@@ -16,7 +18,9 @@
 from pumicestand import log
 from pumicestand_node import client_connections
 from pumicestand_node import client_port
+from pumicestand_node import heads
 from pumicestand_node import socket_io
+from tests import fakes
 from tests import mock_clock
 from tests.pumicestand_node import test_mesh_calls
 
@@ -193,6 +197,40 @@
     run_with_target(test, 'late limit')
 
 
+def test_endless_trailers_use_up_no_memory_and_no_processor():
+    async def serve(request, response):
+        await request.read_all()
+        raise AssertionError('the request has no end')
+
+    async def test(stream, connection):
+        await stream.send_all(
+            make_request(method='PUT', extra=b'transfer-encoding: chunked\r\n')
+            + b'2\r\nab\r\n0\r\nx: '
+        )
+        for _ in range(20):
+            await stream.send_all(b'a' * 10_000)
+        assert (await read_to_end(stream)).startswith(b'HTTP/1.1 431')
+
+    run_on_socket(serve, test)
+
+
+def test_a_chunked_body_may_be_longer_than_a_head():
+    async def serve(request, response):
+        assert len(await request.read_all()) == 100_000
+        await response.send(RESPONSE)
+        return False
+
+    async def test(stream, connection):
+        await stream.send_all(
+            make_request(method='PUT', extra=b'transfer-encoding: chunked\r\n')
+            + b'1\r\na\r\n' * 100_000
+            + b'0\r\nx: y\r\n\r\n'
+        )
+        assert await read_to_end(stream) == RESPONSE
+
+    run_on_socket(serve, test)
+
+
 def exchange_with_port(serve, *parts, on_refusal=lambda refusal: None):
     """Return what a port responds to bytes that arrive in parts."""
 
@@ -256,6 +294,156 @@
     assert ('Traceback' in line) == (error is not None)
 
 
+def fail(*_):
+    raise OSError(errno.EMFILE, 'no descriptor')
+
+
+@pytest.fixture
+def failing_log(monkeypatch):
+    """Each line that is to be logged raises an error."""
+    monkeypatch.setattr(log, 'logger', fakes.FailingLogger())
+
+
+def test_error_that_cannot_be_logged_costs_no_request_its_answer(failing_log):
+    async def serve(request, response):
+        if request.head.path == '/bad':
+            raise OSError(errno.EMFILE, 'no descriptor')
+        await response.send(RESPONSE)
+        return request.head.keep_alive
+
+    data = exchange_with_port(
+        serve,
+        make_request(close=False)
+        + make_request('/bad', close=False)
+        + make_request(),
+    )
+    assert data.startswith(RESPONSE + b'HTTP/1.1 502')
+    assert data.endswith(RESPONSE)
+
+
+@pytest.mark.parametrize(
+    ('request_data', 'status'),
+    [(make_request('/bad'), b' 502 '), (b'\0\r\n\r\n', b' 400 ')],
+    ids=['error', 'malformed'],
+)
+def test_refusal_that_cannot_be_recorded_reaches_the_client(
+    request_data, status
+):
+    async def serve(request, response):
+        if request.head.path == '/bad':
+            raise ValueError('bug')
+        await response.send(RESPONSE)
+        return True
+
+    data = exchange_with_port(
+        serve, make_request(close=False) + request_data, on_refusal=fail
+    )
+    assert data.startswith(RESPONSE + b'HTTP/1.1' + status)
+
+
+def test_unexpected_error_of_the_parser_costs_no_earlier_request_its_answer(
+    monkeypatch,
+):
+    async def serve(request, response):
+        await trio.sleep(0.2)
+        await response.send(RESPONSE)
+        return True
+
+    def validate(head):
+        if head.path == '/bad':
+            raise KeyError('bug')
+
+    monkeypatch.setattr(heads, 'validate_request', validate)
+    data = exchange_with_port(
+        serve, make_request(close=False) + make_request('/bad')
+    )
+    assert data.startswith(RESPONSE + b'HTTP/1.1 503')
+    assert b'pumicestand-outcome: not-run' in data
+
+
+def test_connection_that_cannot_be_read_answers_what_it_has_read(monkeypatch):
+    async def receive_some(stream, max_bytes):
+        monkeypatch.setattr(socket_io, 'receive_some', fail)
+        return 2 * make_request(close=False)
+
+    async def serve(request, response):
+        await trio.sleep(0.2)
+        await response.send(RESPONSE)
+        return True
+
+    monkeypatch.setattr(socket_io, 'receive_some', receive_some)
+    assert exchange_with_port(serve) == 2 * RESPONSE
+
+
+def test_state_of_a_socket_that_cannot_be_read_costs_no_response(monkeypatch):
+    async def serve(request, response):
+        if request.head.path == '/last':
+            monkeypatch.setattr(socket_io, 'is_readable', fail)
+        keep_alive = response.decide_keep_alive(is_stopping=True)
+        await response.send(RESPONSE)
+        return keep_alive
+
+    data = exchange_with_port(
+        serve, make_request(close=False) + make_request('/last', close=False)
+    )
+    assert data == 2 * RESPONSE
+
+
+def test_requests_behind_others_wait_unserved_and_end_with_their_client():
+    """Each was started, and the disconnect behind them was not noticed."""
+    running, counts = [], []
+
+    async def serve(request, response):
+        running.append(request)
+        try:
+            await trio.sleep_forever()
+        finally:
+            running.remove(request)
+
+    async def test(stream, connection):
+        await stream.send_all(50 * make_request(close=False))
+        await trio.sleep(0.1)
+        counts.append(len(running))
+        await stream.aclose()
+        await trio.sleep(0.1)
+        counts.append(len(running))
+        connection._cancel_scope.cancel()
+
+    run_on_memory(serve, test)
+    assert counts == [client_connections.MAX_PIPELINED_REQUESTS + 1, 0]
+
+
+@pytest.mark.parametrize('seed', range(5))
+def test_any_number_of_pipelined_requests_is_answered_in_order(seed):
+    rng = random.Random(seed)
+    paths = [f'/{number}' for number in range(300)]
+    requests = [
+        make_request(path, rng.choice(('GET', 'POST')), close=False)
+        for path in paths
+    ]
+
+    async def serve(request, response):
+        await trio.sleep(rng.choice((0, 0.01)))
+        body = request.head.path.encode() + b' '
+        length = b'content-length: %d' % len(body)
+        head = RESPONSE.partition(b'content-length')[0] + length
+        await response.send(head + b'\r\n\r\n' + body)
+        return True
+
+    async def test(stream, connection):
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(stream.send_all, b''.join(requests))
+            data = b''
+            while (
+                data.count(b'HTTP/1.1 200') < len(paths) or data[-1:] != b' '
+            ):
+                data += await stream.receive_some(65_536)
+        bodies = [p.partition(b'\r\n\r\n')[2] for p in data.split(b'HTTP/')]
+        assert b''.join(bodies).decode().split() == paths
+
+    run_on_memory(serve, test)
+
+
 def test_no_refusal_follows_a_part_of_a_response():
     """The client would take it for the rest of the response."""
 
@@ -620,10 +808,11 @@
     run_with_target(test, 'late limit')
 
 
-def run_with_pipelined(count, test):
+def run_with_pipelined(count, test, first=b''):
     """Run a test with requests that were sent at once.
 
     :param count: number of requests, for /0, /1 and so on
+    :param first: request that is sent in front of them
     :param test: coroutine function (client's stream, connection, paths that
         are served so far, event that lets them be answered)
     """
@@ -647,7 +836,8 @@
         async with trio.open_nursery() as nursery:
             nursery.start_soon(connection.run)
             await client_end.send_all(
-                b''.join(
+                first
+                + b''.join(
                     b'GET /%d HTTP/1.1\r\nhost: h\r\n\r\n' % n
                     for n in range(count)
                 )
@@ -676,6 +866,31 @@
     run_with_pipelined(count, test)
 
 
+@pytest.mark.parametrize(
+    'body',
+    [
+        b'content-length: 1200\r\n\r\n' + bytes(1200),
+        b'transfer-encoding: chunked\r\n\r\n4B0\r\n'
+        + bytes(1200)
+        + b'\r\n0\r\n\r\n',
+    ],
+    ids=['length', 'chunks'],
+)
+def test_requests_sent_behind_a_body_do_not_fill_the_memory(body):
+    count = 500
+
+    async def test(client, connection, served, released):
+        assert len(served) < 100
+        released.set()
+        data = b''
+        while data.count(RESPONSE) < count + 1:
+            data += await client.receive_some()
+        assert len(served) == count + 1
+
+    first = b'PUT /first HTTP/1.1\r\nhost: h\r\n' + body
+    run_with_pipelined(count, test, first)
+
+
 def test_requests_that_wait_to_be_parsed_are_answered_by_a_stopping_node():
     async def test(client, connection, served, released):
         connection.close_when_idle()
@@ -826,3 +1041,35 @@
 
     mock_clock.run(main)
     assert read == bodies
+
+
+def test_response_that_is_not_delivered_yet_is_not_lost_with_a_drain():
+    """A request that crossed the close reset the rest of the response."""
+    sent = []
+
+    async def serve(request, response):
+        await response.send(RESPONSE)
+        if not sent:
+            # As much as the kernel takes while the client does not read.
+            stream = response._connection._stream
+            rest = socket_io.send_nowait(stream, bytes(10_000_000))
+            sent.append(10_000_000 - len(rest))
+        return True
+
+    async def test(stream, connection):
+        stream.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 16_384)
+        await stream.send_all(make_request(close=False))
+        while not connection._has_served:
+            await trio.lowlevel.checkpoint()
+        connection.close_when_idle()
+        await trio.testing.wait_all_tasks_blocked()
+        socket_io.send_nowait(stream, make_request(close=False))
+        await trio.testing.wait_all_tasks_blocked()
+        data = b''
+        while len(data) < 2 * len(RESPONSE) + sent[0]:
+            more = await stream.receive_some()
+            assert more, (len(data), sent)
+            data += more
+        assert await read_to_end(stream) == b''
+
+    run_on_socket(serve, test)
--- a/tests/pumicestand_node/test_target_exchange.py
+++ b/tests/pumicestand_node/test_target_exchange.py
@@ -1,11 +1,15 @@
 """Tests of the connections to the target on the same VM."""
 
+import errno
 import socket
 
+import pytest
 import trio
 
 from pumicestand import hop_messages
+from pumicestand import log
 from pumicestand_node import target_exchange
+from tests import fakes
 from tests.pumicestand_node import test_mesh_calls
 from tests.pumicestand_node import test_target_faults
 
@@ -121,3 +125,136 @@
         Outcome.ANSWERED,
         Outcome.NOT_RUN,
     ]
+
+
+@pytest.mark.parametrize(
+    'code',
+    [
+        errno.EMFILE,
+        errno.ENFILE,
+        errno.ENOBUFS,
+        errno.ENOMEM,
+        errno.EADDRNOTAVAIL,
+    ],
+)
+def test_shortage_on_the_vm_is_no_crash_of_the_target(code):
+    is_short = [False]
+
+    async def test(harness):
+        connect = harness.targets._pool._connect
+
+        async def fail(host, port):
+            if is_short[0]:
+                # As trio reports that no attempt to connect has succeeded.
+                errors = ExceptionGroup('attempts', [OSError(code, 'short')])
+                raise OSError('all attempts failed') from errors
+            return await connect(host, port)
+
+        harness.targets._pool._connect = fail
+        lost = await harness.targets.run(test_target_faults.make_call('i1'))
+        assert lost.outcome is Outcome.UNKNOWN
+        is_short[0] = True
+        result = await harness.targets.run(test_target_faults.make_call('i2'))
+        assert result.outcome is Outcome.NOT_HANDED_ON
+        assert result.code == 'connection-shortage'
+        assert harness.targets._suspects.has_any is False
+        is_short[0] = False
+        result = await harness.targets.run(test_target_faults.make_call('i3'))
+        assert result.outcome is Outcome.ANSWERED
+
+    async def respond_or_lose(stream, number, request_id):
+        if number > 1:
+            return await respond(stream, number, request_id)
+        await stream.aclose()
+        return False
+
+    test_target_faults.run_scripted(test, respond_or_lose)
+
+
+def test_client_gets_a_refusal_at_once_while_descriptors_are_used_up():
+    async def test(harness):
+        async def fail(host, port):
+            errors = ExceptionGroup('attempts', [OSError(errno.EMFILE, 'x')])
+            raise OSError('all attempts failed') from errors
+
+        harness.targets._pool._connect = fail
+        status, data = await harness.send_request('/o/1', 'POST', 'i1')
+        assert status == 503
+        assert b'pumicestand-outcome: not-run' in data
+        assert trio.current_time() < 0.1
+
+    test_target_faults.run_scripted(test, respond)
+
+
+@pytest.mark.parametrize(
+    ('step', 'status'),
+    [('connect', 503), ('format', 503), ('exchange', 502), ('evaluate', 502)],
+)
+def test_unexpected_error_costs_one_call_and_no_slot(
+    monkeypatch, step, status
+):
+    def fail_once(owner, name):
+        method = getattr(owner, name)
+
+        def fail(*_):
+            monkeypatch.setattr(owner, name, method)
+            raise KeyError('unexpected')
+
+        monkeypatch.setattr(owner, name, fail)
+
+    async def test(harness):
+        targets = harness.targets
+        owner, name = {
+            'connect': (targets._pool, '_connect'),
+            'format': (targets, '_format_request_head'),
+            'exchange': (target_exchange.TargetConnection, 'exchange'),
+            'evaluate': (targets, '_evaluate_response'),
+        }[step]
+        fail_once(owner, name)
+        got, data = await harness.send_request('/o/1', 'POST', 'i1')
+        assert got == status
+        assert (b'outcome: not-run' in data) == (status == 503)
+        assert targets.in_flight == 0
+        got, _ = await harness.send_request('/o/1', 'POST', 'i2')
+        assert got == 200
+
+    test_target_faults.run_scripted(test, respond)
+
+
+def test_line_that_cannot_be_logged_costs_no_call_its_answer(monkeypatch):
+    """It was closed without an answer while descriptors were used up."""
+
+    async def test(harness):
+        async def refuse(host, port):
+            raise OSError(errno.ECONNREFUSED, 'refused')
+
+        harness.targets._pool._connect = refuse
+        status, data = await harness.send_request('/o/1', 'POST', 'i1')
+        assert status == 503
+        assert b'outcome: not-run' in data
+
+    monkeypatch.setattr(log, 'logger', fakes.FailingLogger())
+    test_target_faults.run_scripted(test, respond)
+
+
+def test_option_that_cannot_be_set_leaves_no_connection_open(monkeypatch):
+    async def main():
+        (listener,) = await trio.open_tcp_listeners(0, host='127.0.0.1')
+        async with listener:
+            opened = []
+
+            async def connect(host, port):
+                opened.append(await trio.open_tcp_stream(host, port))
+                monkeypatch.setattr(opened[0], 'setsockopt', fail)
+                return opened[0]
+
+            def fail(*option):
+                raise OSError(errno.EINVAL, 'reset')
+
+            pool = target_exchange.TargetPool(trio.current_time, connect)
+            with pytest.raises(target_exchange.ExchangeError) as raised:
+                await pool.acquire(*listener.socket.getsockname())
+            assert not raised.value.may_be_sent
+            assert opened[0].socket.fileno() < 0
+
+    trio.run(main)
