Bound the trailers of a target's response

One faulty target could take the processor of its node: the size of a head was checked only until the head had ended, so that trailers, and extensions of a chunk, were bounded only by the memory for responses. The parser joins the value of a header anew for each part that arrives, which takes longer the longer it is.

What was read since the last bytes of the body counts as a head does, as for requests since, and has the same bound.

--- a/packages/pumicestand-node/pumicestand_node/target_responses.py
+++ b/packages/pumicestand-node/pumicestand_node/target_responses.py
@@ -52,7 +52,9 @@
         self._is_in_response = False
         self._buffers = buffers
         self._received_bytes = 0
+        # Bytes read since the end of a head or response, or bytes of a body.
         self._head_bytes = 0
+        self._has_advanced = False
         self._interim_count = 0
         self._is_head_request = False
         self._has_skipped_body = False
@@ -88,15 +90,16 @@
                 f'response exceeds {previous_bytes} bytes while all that are '
                 f'being read have {self._buffers.total_bytes}'
             )
-        response = self._response
+        self._has_advanced = False
         self._parser.feed_data(data)
-        if self._response.has_head or self._response is not response:
+        if self._has_advanced:
             self._head_bytes = 0
             return
         self._head_bytes += len(data)
         if self._head_bytes > response_buffers.MAX_HEAD_BYTES:
             raise httptools.HttpParserError(
-                f'head of the response exceeds {self._head_bytes} bytes'
+                'head or trailers of the response exceed '
+                f'{response_buffers.MAX_HEAD_BYTES} bytes'
             )
 
     def forget_bytes(self):
@@ -133,12 +136,14 @@
         _check_is_one_response(response.reason)
         response.status = self._parser.get_status_code()
         response.has_head = True
+        self._has_advanced = True
         response.keep_alive = self._parser.should_keep_alive()
         if self._is_head_request and response.status >= 200:
             self.on_message_complete()
             self._has_skipped_body = True
 
     def on_body(self, data):
+        self._has_advanced = True
         if self._has_skipped_body:
             self._is_in_response = True
             return
@@ -147,6 +152,7 @@
     def on_message_complete(self):
         if self._has_skipped_body:
             return
+        self._has_advanced = True
         response, self._response = self._response, Response()
         self._is_in_response = False
         if 100 <= response.status < 200:
--- a/tests/pumicestand_node/test_endless_responses.py
+++ b/tests/pumicestand_node/test_endless_responses.py
@@ -29,6 +29,14 @@
         HEAD + b'transfer-encoding: chunked\r\n\r\n0\r\n',
         b'x: y\r\n' * 10_000,
     ),
+    'trailer value': (
+        HEAD + b'transfer-encoding: chunked\r\n\r\n2\r\nab\r\n0\r\nx: ',
+        b'x' * 65_536,
+    ),
+    'chunk extension': (
+        HEAD + b'transfer-encoding: chunked\r\n\r\n2;x=',
+        b'x' * 65_536,
+    ),
     'interim responses': (b'', b'HTTP/1.1 102 Processing\r\n\r\n' * 10),
     'other responses': (b'', test_mesh_calls.RESPONSE_TO_OTHER),
     'no response': (b'', b'\x00' * 1000),
@@ -98,6 +106,21 @@
     run_endless(test, name)
 
 
+@pytest.mark.parametrize(
+    'name', ['header value', 'trailers', 'trailer value', 'chunk extension']
+)
+def test_what_is_no_body_is_given_up_at_the_size_of_a_head(name):
+    async def test(harness):
+        status, _ = await harness.send_request('/o/1', 'POST')
+        assert status == 502
+        await trio.sleep(0.01)
+        # Another part may be on its way when the limit is reached.
+        most_bytes = response_buffers.MAX_HEAD_BYTES + 2 * 65_536
+        assert harness.sent_bytes <= most_bytes
+
+    run_endless(test, name)
+
+
 @pytest.mark.parametrize('name', ['chunks', 'headers'])
 def test_endless_responses_at_once_stay_within_the_memory(name):
     async def test(harness):
@@ -144,6 +167,20 @@
     run_endless(test, 'chunks')
 
 
+def test_chunked_body_with_more_framing_than_a_head_is_delivered_whole():
+    count = response_buffers.MAX_HEAD_BYTES
+    response = HEAD + b'transfer-encoding: chunked\r\n\r\n'
+    chunks = b'1\r\nx\r\n' * count + b'0\r\nx: y\r\n\r\n'
+
+    async def test(harness):
+        harness.script.steps.append(response + chunks)
+        status, data = await harness.send_request()
+        assert status == 200
+        assert data.endswith(b'x' * count)
+
+    run_endless(test, 'chunks')
+
+
 def test_long_response_is_delivered_whole():
     body = b'x' * (4 * response_buffers.MIN_RESPONSE_BYTES)
     response = HEAD + b'content-length: %d\r\n\r\n' % len(body)
