Read the settings file again while it is being written

A node that started while its settings file was being written ended with code 2: the file was read once, and an empty or torn one is a wrong one.

A file that is wrong is read again every 0.1 s for 1 s. One that stays wrong ends the start with code 2 and the same message; a signal to stop takes effect within 0.1 s, with code 0. A torn file whose fields are all valid can't be told from a whole one.

The test of broken files injects its sleep, and now also checks the time.

--- a/tests/pumicestand_platform/test_main.py
+++ b/tests/pumicestand_platform/test_main.py
@@ -109,11 +109,14 @@
 def test_start_with_a_broken_file_ends_with_a_message_and_no_traceback(
     settings_path, capfd, content
 ):
+    slept_s = []
     settings_path.write_bytes(content)
-    assert main.main() == main.EXIT_SETTINGS_ERROR
+    assert main.main(slept_s.append) == main.EXIT_SETTINGS_ERROR
     message = capfd.readouterr().err
     assert message.startswith('settings: ')
     assert message.count('\n') == 1
+    # It is tried again for about a second.
+    assert 0.5 < sum(slept_s) < 1.5
 
 
 def read_exit_lines(capfd):
@@ -140,6 +143,47 @@
     return run_main
 
 
+@pytest.mark.parametrize('content', BROKEN_FILES)
+def test_start_while_the_settings_are_written_reads_them_again(
+    monkeypatch, settings_path, content
+):
+    async def run(node_settings, early_signals):
+        assert node_settings == settings.parse(test_settings.TEXT)
+        return 'SIGTERM'
+
+    def sleep(seconds):
+        settings_path.write_text(test_settings.TEXT, encoding='utf-8')
+
+    monkeypatch.setattr(main, 'run', run)
+    settings_path.write_bytes(content)
+    assert main.main(sleep) == 0
+
+
+@pytest.mark.parametrize('number', main.STOP_SIGNALS)
+def test_a_stop_while_the_settings_are_wrong_ends_the_start_at_once(
+    settings_path, capfd, number
+):
+    slept_s = []
+
+    def sleep(seconds):
+        slept_s.append(seconds)
+        signal.raise_signal(number)
+
+    settings_path.write_bytes(b'')
+    assert main.main(sleep) == 0
+    assert len(slept_s) == 1
+    assert read_exit_lines(capfd) == [(0, signal.Signals(number).name)]
+
+
+def test_settings_that_can_not_be_read_end_the_start_at_once(
+    settings_path, capfd
+):
+    slept_s = []
+    settings_path.unlink()
+    assert main.main(slept_s.append) == main.EXIT_SETTINGS_ERROR
+    assert not slept_s
+
+
 def test_end_by_a_signal_is_logged_with_its_reason(run_main):
     async def run(node_settings, early_signals):
         return 'SIGTERM'
