Bound the length of a line in the log of decisions

One client that sent requests with long paths made the log longer than 100 other lines each, and the lines that wait for the next flush as large: a path may have 32 kB, and nothing cut it. An error while a line was formatted cost all others of that flush unless it was one of three kinds.

Text of a field is cut to 1,000 bytes as it is written, escapes included, and marked with an ellipsis; before the flush no more than that many characters are kept. A line whose formatting fails in any way is counted as dropped.

--- a/packages/pumicestand/pumicestand/decision_log.py
+++ b/packages/pumicestand/pumicestand/decision_log.py
@@ -4,6 +4,7 @@
 counted in `DecisionLog.dropped`.
 """
 
+import bisect
 import collections
 import datetime
 import json
@@ -15,6 +16,11 @@
 MAX_LINES_PER_S = 400
 # Lowest HTTP status that is not a success.
 MIN_ERROR_STATUS = 400
+# Longest text of a field as it is written; a path may have 32 kB.
+MAX_TEXT_BYTES = 1_000
+CUT_MARK = '...'
+# Longest form of one character in JSON, two escapes.
+MAX_ESCAPE_BYTES = 12
 
 
 class DecisionLog:
@@ -46,7 +52,8 @@
         """Add a decision, or drop it if a limit is reached.
 
         :param event: name of the kind of decision
-        :param fields: further fields of the line; empty ones are left out
+        :param fields: further fields of the line; empty ones are left out,
+            and long text is cut
         """
         now = self._wall_clock()
         if int(now) != self._second:
@@ -60,6 +67,8 @@
         ):
             self._dropped += 1
             return
+        # Long text is not kept until the next flush either.
+        fields = {k: _shorten(v) for k, v in fields.items()}
         self._lines.append((now, event, fields))
         if len(self._lines) == 1 and self._on_pending is not None:
             self._on_pending()
@@ -72,7 +81,7 @@
         while self._lines:
             try:
                 parts.append(self._format(*self._lines.popleft()))
-            except (TypeError, ValueError, OverflowError):
+            except Exception:
                 self._dropped += 1
         self._dropped += self._write(''.join(parts).encode()) or 0
 
@@ -82,6 +91,39 @@
             'time': time.isoformat(),
             'process': self._process,
             'event': event,
-            **{k: v for k, v in fields.items() if v not in (None, '')},
+            **{k: _cut(v) for k, v in fields.items() if v not in (None, '')},
         }
-        return json.dumps(line, default=str) + '\n'
+        return json.dumps(line, default=_describe) + '\n'
+
+
+def _shorten(value):
+    """Return a value, or as much of a text as shows that it is too long."""
+    if not isinstance(value, str):
+        return value
+    return value[: MAX_TEXT_BYTES + 1]
+
+
+def _describe(value):
+    return _cut(_shorten(str(value)))
+
+
+def _cut(value):
+    """Return a value, or the start of a text that is too long."""
+    if not isinstance(value, str):
+        return value
+    if len(value) * MAX_ESCAPE_BYTES <= MAX_TEXT_BYTES:
+        # Most text is short, and is not measured.
+        return value
+    if _written_bytes(value) <= MAX_TEXT_BYTES:
+        return value
+    length = bisect.bisect_right(
+        range(len(value)),
+        MAX_TEXT_BYTES,
+        key=lambda length: _written_bytes(value[:length]),
+    )
+    return value[: length - 1] + CUT_MARK
+
+
+def _written_bytes(text):
+    """Return the length of a text with the escapes of JSON, in bytes."""
+    return len(json.dumps(text)) - 2
--- a/tests/pumicestand/test_decision_log.py
+++ b/tests/pumicestand/test_decision_log.py
@@ -2,6 +2,8 @@
 
 import json
 
+import pytest
+
 from pumicestand import decision_log
 
 
@@ -80,6 +82,46 @@
     assert log.dropped == 1
 
 
+class Unprintable:
+    def __str__(self):
+        raise AttributeError('no text')
+
+
+def test_no_kind_of_error_in_a_line_costs_another_line():
+    log, written, _ = make_log()
+    log.note('a', field=Unprintable())
+    log.note('b')
+    log.flush()
+    assert [line['event'] for line in parse_lines(written)] == ['b']
+    assert log.dropped == 1
+
+
+@pytest.mark.parametrize('character', ['x', 'é', '\x00', '\U0001f600'])
+def test_long_text_in_a_line_is_cut(character):
+    log, written, _ = make_log()
+    log.note('call', path='/' + character * 32_000, why='overloaded')
+    log.flush()
+    (line,) = parse_lines(written)
+    assert line['path'].startswith('/' + character * 50)
+    assert line['why'] == 'overloaded'
+    assert len(written[0]) < decision_log.MAX_TEXT_BYTES + 200
+
+
+def test_text_in_other_fields_is_cut_as_well():
+    log, written, _ = make_log()
+    log.note('call', why=ValueError('x' * 32_000))
+    log.flush()
+    assert len(written[0]) < decision_log.MAX_TEXT_BYTES + 200
+
+
+def test_text_that_is_not_long_is_whole():
+    log, written, _ = make_log()
+    path = '/' + 'x' * (decision_log.MAX_TEXT_BYTES - 1)
+    log.note('call', path=path)
+    log.flush()
+    assert parse_lines(written)[0]['path'] == path
+
+
 def test_a_call_without_a_status_can_be_noted():
     log, written, _ = make_log()
     log.note('call', status=None)
