Send no body in response to HEAD for readiness, control and metrics

On a kept connection a client read the body of the response to HEAD as the start of its next response: the handler of the node's own responses appended the body whatever the method was.

Evidence: the test of HEAD and GET on one connection failed before; the second response began with `ready`. A response to GET has its body (passed before).

The head is the same as for GET, with the length, and no body follows it.

--- a/packages/pumicestand-node/pumicestand_node/plain_http.py
+++ b/packages/pumicestand-node/pumicestand_node/plain_http.py
@@ -47,6 +47,7 @@
         if not keep_alive:
             parts.append(b'connection: close\r\n')
         parts.append(b'\r\n')
-        parts.append(response.body)
+        if head.method != 'HEAD':
+            parts.append(response.body)
         await connection.send(b''.join(parts))
         return keep_alive
