--- a/tests/pumicestand_platform/test_objects.py
+++ b/tests/pumicestand_platform/test_objects.py
@@ -78,6 +78,38 @@
     mock_clock.run(main)
 
 
+def make_page(*names):
+    items = [
+        {'metadata': {'name': name, 'revision': 1}, 'spec': 1}
+        for name in names
+    ]
+    return {'items': items, 'more': True, 'at': 1}
+
+
+@pytest.mark.parametrize(
+    'pages',
+    [[('a', 'b')], [('a', 'b'), ('c', 'd')], [('c', 'd'), ('a', 'b')]],
+)
+def test_list_ends_if_the_store_repeats_its_pages(monkeypatch, pages):
+    """It never ended, and its items used up the memory."""
+    calls = []
+
+    async def call(self, step, method, path):
+        assert len(calls) < 10
+        calls.append(path)
+        return make_page(*pages[(len(calls) - 1) % len(pages)])
+
+    async def main():
+        monkeypatch.setattr(objects.ObjectClient, '_call', call)
+        async with open_store() as (client, _, _):
+            with pytest.raises(errors.StoreRejectedError) as caught:
+                await client.list(KIND)
+            assert caught.value.step == 'list'
+            assert caught.value.peer == 'store:80'
+
+    mock_clock.run(main)
+
+
 def test_watch_waits_and_resumes_after_last_revision():
     async def main():
         async with open_store() as (client, store, _):
