Close a connection whose socket options can't be set

A request to the store that failed since an option of its new socket could not be set left the descriptor open until a garbage collection: the stream was not yet known to the pool, which closes its connections.

Evidence: the test with an option that does not exist failed before; the descriptor of the stream was still open.

The backend closes the stream whatever the error is, and passes the error on.

--- a/packages/pumicestand/pumicestand/http_pool.py
+++ b/packages/pumicestand/pumicestand/http_pool.py
@@ -61,8 +61,12 @@
         :raises OSError: if the connection can't be opened
         """
         stream = await tcp_streams.open_stream(host, port)
-        for option in self._socket_options:
-            stream.setsockopt(*option)
+        try:
+            for option in self._socket_options:
+                stream.setsockopt(*option)
+        except BaseException:
+            await trio.aclose_forcefully(stream)
+            raise
         return stream
 
 
--- a/tests/pumicestand/test_http_pool.py
+++ b/tests/pumicestand/test_http_pool.py
@@ -3,6 +3,7 @@
 import contextlib
 import errno
 import functools
+import socket
 
 import pytest
 import trio
@@ -265,6 +266,30 @@
     trio.run(main)
 
 
+def test_connection_whose_options_can_not_be_set_is_closed(monkeypatch):
+    """Each try left a descriptor open until a garbage collection."""
+    streams = []
+    open_stream = http_pool.tcp_streams.open_stream
+
+    async def record_stream(host, port):
+        streams.append(await open_stream(host, port))
+        return streams[-1]
+
+    async def main():
+        (listener,) = await trio.open_tcp_listeners(0, host='127.0.0.1')
+        _, port = listener.socket.getsockname()
+        # There is no such option.
+        backend = http_pool.TcpBackend([(socket.IPPROTO_TCP, 9999, 1)])
+        pool = http_pool.HttpPool('127.0.0.1', port, 1, KEEPALIVE_S, backend)
+        async with listener:
+            with pytest.raises(http_pool.ConnectError):
+                await request(pool)
+        assert [stream.socket.fileno() for stream in streams] == [-1]
+
+    monkeypatch.setattr(http_pool.tcp_streams, 'open_stream', record_stream)
+    trio.run(main)
+
+
 def test_refused_connection_is_told_from_a_lost_response():
     async def main():
         class RefusingBackend:
