Log a shortage of connections at most once in 10 s

While a VM was short of descriptors, ports or memory, each call that could not be sent to the target wrote a line, as many as there are calls, which costs processor time just then and hides the other lines.

Evidence: the test with 20 calls, and two more a period later, failed before with 22 lines; now there are two, with counts of 1 and 20.

The line is throttled as those of failing steps and of failing accepts are; its `count` says for how many calls it stands.

--- a/packages/pumicestand-node/pumicestand_node/target_calls.py
+++ b/packages/pumicestand-node/pumicestand_node/target_calls.py
@@ -15,6 +15,7 @@
 from pumicestand import fingerprints
 from pumicestand import hop_messages
 from pumicestand import log
+from pumicestand import log_throttle
 from pumicestand import probing
 from pumicestand import rate_limits
 from pumicestand import refusals
@@ -93,6 +94,7 @@
         self._on_change = on_change
         self._queue = target_queue.TargetQueue()
         self._pool = target_exchange.TargetPool(clock, connect)
+        self._shortage_throttle = log_throttle.LogThrottle()
         # Ticket number to [event, whether the call may run].
         self._waiters = {}
         # Ticket of each waiting call by the identity of its object: clients
@@ -777,13 +779,7 @@
     def _handle_exchange_error(self, call, target, error):
         if error.is_shortage:
             # The target may be sound, and other nodes may have room.
-            log.logger.bind(event='connection-shortage').warning(
-                'call {} was not sent to target {} for want of resources on '
-                'this VM: {}',
-                call.request_id,
-                target.instance,
-                error,
-            )
+            self._log_shortage(call, target, error)
             return self._make_result(
                 call, Outcome.NOT_HANDED_ON, 'connection-shortage'
             )
@@ -816,6 +812,20 @@
         )
         return self._make_result(call, Outcome.UNKNOWN, 'answer-lost')
 
+    def _log_shortage(self, call, target, error):
+        """Log a call that was not sent, unless a line came shortly before."""
+        count = self._shortage_throttle.count(self._clock())
+        if not count:
+            return
+        log.logger.bind(event='connection-shortage', count=count).warning(
+            'call {} was not sent to target {} for want of resources on '
+            'this VM, {} calls since the last such line: {}',
+            call.request_id,
+            target.instance,
+            count,
+            error,
+        )
+
     def _record_crash(self, target):
         """Count a crash for each request whose response was lost with it."""
         fingerprints = self._suspects.record_crash(self._clock())
--- a/tests/pumicestand_node/test_target_exchange.py
+++ b/tests/pumicestand_node/test_target_exchange.py
@@ -8,6 +8,7 @@
 
 from pumicestand import hop_messages
 from pumicestand import log
+from pumicestand import log_throttle
 from pumicestand_node import target_exchange
 from tests import fakes
 from tests.pumicestand_node import test_mesh_calls
@@ -171,6 +172,41 @@
     test_target_faults.run_scripted(test, respond_or_lose)
 
 
+def test_a_shortage_costs_one_line_in_a_period_with_the_number_of_calls():
+    """Each call wrote a line while the VM was short of resources."""
+    records = []
+
+    async def fail(host, port):
+        raise OSError(errno.EMFILE, 'short')
+
+    async def run_calls(harness, count):
+        for _ in range(count):
+            result = await harness.targets.run(
+                test_target_faults.make_call('i1')
+            )
+            assert result.code == 'connection-shortage'
+
+    async def test(harness):
+        harness.targets._pool._connect = fail
+        await run_calls(harness, 20)
+        await trio.sleep(log_throttle.PERIOD_S)
+        harness.apply_heartbeat(2)
+        await run_calls(harness, 2)
+
+    sink = log.logger.add(lambda line: records.append(line.record))
+    try:
+        test_target_faults.run_scripted(test, respond)
+    finally:
+        log.logger.remove(sink)
+    counts = [
+        record['extra'].get('count')
+        for record in records
+        if record['extra'].get('event') == 'connection-shortage'
+    ]
+    # The 19 others of the first period count for the second line.
+    assert counts == [1, 20]
+
+
 def test_client_gets_a_refusal_at_once_while_descriptors_are_used_up():
     async def test(harness):
         async def fail(host, port):
