--- a/packages/pumicestand-node/pumicestand_node/mesh_node.py
+++ b/packages/pumicestand-node/pumicestand_node/mesh_node.py
@@ -40,8 +40,9 @@
 LOG_FLUSH_DELAY_S = 0.1
 TIMEOUT_CHECK_PERIOD_S = 0.5
 # Time for which a starting node tries to open a port: the process before it
-# may still be closing.
-PORT_TIMEOUT_S = 10.0
+# may still be closing, or a connection that another program had opened from
+# this port be in TIME_WAIT, which takes a minute.
+PORT_TIMEOUT_S = 75.0
 PORT_RETRY_DELAY_S = 0.1
 # Time after the start from which the node reports that it is ready although
 # it has not linked to all nodes listed in the store.
