--- a/packages/pumicestand/pumicestand/http_pool.py
+++ b/packages/pumicestand/pumicestand/http_pool.py
@@ -99,7 +99,9 @@
         self._reason = b''
         self._headers = []
         self._body = []
+        # Bytes read since the end of the head or the last ones of the body.
         self._head_bytes = 0
+        self._has_advanced = False
         self._received_bytes = 0
         self._has_head = False
         self._has_extra_data = False
@@ -134,8 +136,7 @@
                 raise ResponseError('the connection ended early')
             self.is_complete = True
             return
-        if not self._has_head:
-            self._head_bytes += len(data)
+        self._has_advanced = False
         self._received_bytes += len(data)
         if self._received_bytes > MAX_RESPONSE_BYTES:
             raise ResponseError(f'more than {MAX_RESPONSE_BYTES} bytes')
@@ -145,8 +146,14 @@
             if not self.is_complete:
                 raise ResponseError(str(error)) from error
             self._has_extra_data = True
-        if not self._has_head and self._head_bytes > MAX_HEAD_BYTES:
-            raise ResponseError(f'head of more than {MAX_HEAD_BYTES} bytes')
+        if self._has_advanced:
+            self._head_bytes = 0
+            return
+        self._head_bytes += len(data)
+        if self._head_bytes > MAX_HEAD_BYTES:
+            raise ResponseError(
+                f'head or trailers of more than {MAX_HEAD_BYTES} bytes'
+            )
 
     def _has_length(self):
         names = {name.lower() for name, _ in self._headers}
@@ -178,7 +185,7 @@
             self._reason = b''
             return
         self._status = status
-        self._has_head = True
+        self._has_head = self._has_advanced = True
         self._keep_alive = self._parser.should_keep_alive()
 
     def _check_is_one_response(self, value):
@@ -188,6 +195,7 @@
     def on_body(self, data):
         if not self.is_complete:
             self._body.append(data)
+            self._has_advanced = True
 
     def on_message_complete(self):
         if self._has_head:
--- a/tests/pumicestand/test_http_pool.py
+++ b/tests/pumicestand/test_http_pool.py
@@ -130,6 +130,8 @@
         b'HTTP/1.1 404 Not found\r\nserver: s' + OK,
         b'HTTP/1.1 101 Switching Protocols\r\nupgrade: x\r\n\r\n',
         b'HTTP/1.1 200 OK\r\nx: ' + b'y' * http_pool.MAX_HEAD_BYTES,
+        b'HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n0\r\nx: '
+        + b'y' * 200_000,
     ],
 )
 def test_broken_response_is_an_error_and_ends_the_connection(response):
