--- a/tests/pumicestand_platform/test_start_modules.py
+++ b/tests/pumicestand_platform/test_start_modules.py
@@ -68,6 +68,7 @@
 pumicestand_node.store_access pumicestand_node.supervision
 pumicestand_node.target_calls
 pumicestand_node.target_exchange pumicestand_node.target_responses
+pumicestand_node.unidentified_links
 pumicestand_platform pumicestand_platform.configuration
 pumicestand_platform.configuration_fields pumicestand_platform.control
 pumicestand_platform.generated_code pumicestand_platform.headers
