Have clients that send very small parts pause between their turns

What callers saw: while 200 clients sent chunks of one byte, a node answered 1 of 3 ordinary requests (a reading of that came with the issue).

Cause: a connection parsed all that it had read, up to 16 KB with 2,700 such chunks, before another task ran; and all of these connections were read in each round of the scheduler.

Change: a head or a body in chunks is parsed a kilobyte at a time. Parts are counted and not timed, as a process may be descheduled within a turn.

--- a/packages/pumicestand-node/pumicestand_node/client_connections.py
+++ b/packages/pumicestand-node/pumicestand_node/client_connections.py
@@ -16,6 +16,7 @@
 from pumicestand import client_progress
 from pumicestand import documents
 from pumicestand import refusals
+from pumicestand import turn_budget
 from pumicestand_node import client_requests
 from pumicestand_node import heads
 from pumicestand_node import socket_io
@@ -23,8 +24,8 @@
 
 READ_BYTES = 16_384
 HEAD_END = b'\r\n\r\n'
-# Bytes of a body without a length that are parsed at once, as requests may
-# follow it.
+# Bytes of a head, or of a body without a length, that are parsed at once: they
+# may have very many parts, and requests may follow them.
 STEP_BYTES = 1_024
 # Bytes of a response after which it is noticed that the client takes some.
 SEND_BYTES = 65_536
@@ -165,6 +166,7 @@
     :param max_pipelined: requests that are served while an earlier one is
     :param progress: `client_progress.ClientProgress` of all connections that
         share the budget
+    :param turns: `turn_budget.TurnBudget` of all connections
     """
 
     def __init__(
@@ -177,6 +179,7 @@
         budget=None,
         max_pipelined=MAX_PIPELINED_REQUESTS,
         progress=None,
+        turns=None,
     ):
         self._stream = stream
         self._serve = serve
@@ -191,6 +194,7 @@
         self._budget = budget or buffer_budget.BufferBudget()
         self._max_pipelined = max_pipelined
         self._progress = progress or client_progress.ClientProgress()
+        self._turns = turns or turn_budget.TurnBudget()
         self._parser = client_requests.RequestParser(
             self._start_request,
             self._signal_room,
@@ -569,6 +573,7 @@
                 self._record_progress(len(part))
                 self._count_held()
                 self._check_drained()
+                await self._take_turns()
 
     async def _receive(self):
         """Return bytes once there is room for a request; empty at the end.
@@ -606,10 +611,13 @@
         request = self._parser.request
         if request is None:
             end = data.find(HEAD_END)
+            if end >= STEP_BYTES or (end < 0 and len(data) > STEP_BYTES):
+                return _step_end(data)
             if end < 0:
                 return len(data)
             end += len(HEAD_END)
-            if data.find(HEAD_END, end) < 0:
+            rest = len(data) - end
+            if rest <= STEP_BYTES and data.find(HEAD_END, end) < 0:
                 # What follows the only head is at most its body.
                 return len(data)
             return end
@@ -737,6 +745,13 @@
         self._budget.add(held_bytes - self._counted_bytes)
         self._counted_bytes = held_bytes
 
+    async def _take_turns(self):
+        """Pause after very many parts, so that others get their turns."""
+        parts = self._parser.take_part_count()
+        pause_s = self._turns.pause_s(parts, self._clock())
+        if pause_s > 0:
+            await trio.sleep(pause_s)
+
     def _reject(self, refusal):
         """Refuse a request that breaks the protocol and accept no more.
 
@@ -925,6 +940,14 @@
     )
 
 
+def _step_end(data):
+    """Return where a step in a head ends, which is not within line ends."""
+    end = STEP_BYTES
+    while end < len(data) and data[end - 1] in b'\r\n':
+        end += 1
+    return end
+
+
 def _no_room(subject):
     return refusals.not_run(
         refusals.CallCode.OVERLOADED,
--- a/packages/pumicestand-node/pumicestand_node/client_port.py
+++ b/packages/pumicestand-node/pumicestand_node/client_port.py
@@ -10,6 +10,7 @@
 from pumicestand import documents
 from pumicestand import log
 from pumicestand import refusals
+from pumicestand import turn_budget
 from pumicestand_node import client_connections
 from pumicestand_node import heads
 
@@ -61,6 +62,7 @@
     :param max_pipelined: requests of a connection that are served while an
         earlier one is
     :param progress: `client_progress.ClientProgress` of all ports
+    :param turns: `turn_budget.TurnBudget` of all ports
     """
 
     def __init__(
@@ -75,6 +77,7 @@
         budget=None,
         max_pipelined=client_connections.MAX_PIPELINED_REQUESTS,
         progress=None,
+        turns=None,
     ):
         self._serve = serve
         self._on_refusal = on_refusal
@@ -86,6 +89,7 @@
         self._max_pipelined = max_pipelined
         self._budget = budget or buffer_budget.BufferBudget()
         self._progress = progress or client_progress.ClientProgress()
+        self._turns = turns or turn_budget.TurnBudget()
         self._connections = set()
         self._refused = set()
         # Idle connections in the order in which they are replaced, with the
@@ -131,6 +135,7 @@
             self._budget,
             self._max_pipelined,
             self._progress,
+            self._turns,
         )
 
     async def _run(self, connection, connections):
--- a/packages/pumicestand-node/pumicestand_node/client_requests.py
+++ b/packages/pumicestand-node/pumicestand_node/client_requests.py
@@ -180,6 +180,7 @@
         self._request = None
         self._has_read_body = False
         self.refusal = None
+        self._part_count = 0
         self.head_bytes = 0
         self.is_in_head = False
         self.parser = httptools.HttpRequestParser(self)
@@ -199,6 +200,11 @@
             return max(self.head_bytes, len(self._url) + self._headers.size)
         return 0 if self._request is None else self.head_bytes
 
+    def take_part_count(self):
+        """Return how many lines and chunks were read since the last call."""
+        count, self._part_count = self._part_count, 0
+        return count
+
     def discard_head(self):
         """Drop what is held of a head that will not be completed."""
         self._url = b''
@@ -232,6 +238,7 @@
         self._url += url
 
     def on_header(self, name, value):
+        self._part_count += 1
         if self.is_in_head:
             self._headers.append(name.lower(), value)
 
@@ -265,6 +272,7 @@
 
     def on_body(self, data):
         self._has_read_body = True
+        self._part_count += 1
         self._request.add_body(data)
 
     def on_message_complete(self):
--- a/packages/pumicestand-node/pumicestand_node/mesh_node.py
+++ b/packages/pumicestand-node/pumicestand_node/mesh_node.py
@@ -17,6 +17,7 @@
 from pumicestand import node_records
 from pumicestand import shutdown
 from pumicestand import targets
+from pumicestand import turn_budget
 from pumicestand_node import client_port
 from pumicestand_node import descriptors
 from pumicestand_node import freshness_agent
@@ -105,6 +106,7 @@
             buffer_budget.limit(settings.memory_bytes)
         )
         self._client_progress = client_progress.ClientProgress()
+        self._turns = turn_budget.TurnBudget()
         self._target_calls = target_calls.TargetCalls(
             self._mesh.target_watch,
             self._mesh.suspects,
@@ -168,6 +170,7 @@
             self._descriptors.max_refusals,
             budget=self._buffers,
             progress=self._client_progress,
+            turns=self._turns,
         )
         self._usage = port_usage.PortUsage(self._descriptors, self._buffers)
         self._usage.add('clients', self._client_port)
@@ -574,6 +577,7 @@
             budget=self._buffers,
             max_pipelined=0,
             progress=self._client_progress,
+            turns=self._turns,
         )
         self._usage.add(name, port)
         return port.serve
--- a/tests/pumicestand_node/test_slow_clients.py
+++ b/tests/pumicestand_node/test_slow_clients.py
@@ -232,3 +232,24 @@
             nursery.cancel_scope.cancel()
 
     mock_clock.run(main)
+
+
+def test_very_small_chunks_do_not_keep_others_from_their_turns():
+    """An ordinary request is served before all of them are parsed."""
+
+    async def test(port):
+        chunks = HEAD + b'transfer-encoding: chunked\r\n\r\n'
+        chunks += b'1\r\nx\r\n' * 2_500
+        ends = [trio.testing.memory_stream_pair() for _ in range(51)]
+        for client, _ in ends[1:]:
+            await client.send_all(chunks)
+        await ends[0][0].send_all(b'GET /x HTTP/1.1\r\nhost: h\r\n\r\n')
+        for _, node_end in ends:
+            port.nursery.start_soon(port.port.serve, node_end)
+        assert await ends[0][0].receive_some() == RESPONSE
+        # Each connection has had a few turns, of a kilobyte each.
+        assert port.count_received() < 25_000
+        await trio.sleep(20)
+        assert port.count_received() == 125_000
+
+    run(test, max_bytes=100_000_000)
