Count the bodies that other nodes send, and hold each once

Cause: a node bounded the bodies of its own clients only. What other nodes sent it was assembled without a bound, as parts and as a whole at the same time, and the senders copied the rest of a body to queue it. Before its hello, anybody could have a link buffer a frame of 4 MB. The responses of a target could take 32 MB whatever the memory was.

Change: the assembler counts what has arrived of a body, and promises the rest; the call counts it until its end. A body that does not fit is refused as not handed on, and one that its sender holds is asked for once there is room. A body is assembled in one bytearray and sent from it; the rest of a body whose call has ended is not sent. Frames before the hello have 256 KiB at most.

Ruled out: to have the sender alone count a body, as nine of them may send to one receiver.

--- a/packages/pumicestand-node/pumicestand_node/body_receiver.py
+++ b/packages/pumicestand-node/pumicestand_node/body_receiver.py
@@ -3,9 +3,12 @@
 import trio
 
 from pumicestand import body_transfers
+from pumicestand import buffer_budget
 
 # Least time between two checks of whether a body may be asked for.
 MIN_CHECK_S = 0.002
+# Period of the checks while a body waits for memory.
+ROOM_CHECK_S = 0.02
 
 
 class BodyReceiver:
@@ -13,14 +16,27 @@
 
     :param transfers: the `body_transfers.BodyTransfers` of this node
     :param clock: returns monotonic seconds
+    :param budget: `buffer_budget.BufferBudget` that bodies must fit into; who
+        asks for a body counts it
     """
 
-    def __init__(self, transfers, clock):
+    def __init__(self, transfers, clock, budget=None):
         self._transfers = transfers
         self._clock = clock
+        self._budget = budget or buffer_budget.BufferBudget()
+        # Bytes of bodies that may be asked for and are not counted yet.
+        self._admitted_bytes = 0
+        self._is_short_of_room = False
         # Number of a waiting transfer to the event that ends its wait.
         self._waiters = {}
 
+    def can_hold(self, size):
+        """Return whether a body fits into the memory of this node at all.
+
+        :param size: in bytes
+        """
+        return size <= self._budget.longest_body
+
     def expected_s(self, call):
         """Return the seconds until a call's body has arrived.
 
@@ -43,13 +59,18 @@
         )
 
     async def admit(self, transfer):
-        """Wait until a body may be asked for; return whether it is in time."""
+        """Wait until a body may be asked for; return whether it is in time.
+
+        The caller counts the body in the budget at once.
+        """
         self._transfers.offer(transfer)
         event = self._waiters[transfer.number] = trio.Event()
         try:
             self._carry_out_plan()
             while not event.is_set():
                 wait_s = self._transfers.next_check_s(self._clock())
+                if self._is_short_of_room:
+                    wait_s = min(wait_s, ROOM_CHECK_S)
                 with trio.move_on_after(max(MIN_CHECK_S, wait_s)):
                     await event.wait()
                 self._carry_out_plan()
@@ -58,6 +79,8 @@
             raise
         finally:
             self._waiters.pop(transfer.number, None)
+            if transfer.counts_until is not None:
+                self._admitted_bytes -= transfer.size
         return transfer.counts_until is not None
 
     def record_part(self, transfer, size):
@@ -74,7 +97,11 @@
         self._carry_out_plan()
 
     def _carry_out_plan(self):
-        plan = self._transfers.plan(self._clock())
+        plan = self._transfers.plan(
+            self._clock(), self._budget.room_bytes - self._admitted_bytes
+        )
+        self._is_short_of_room = plan.is_short_of_room
+        self._admitted_bytes += sum(t.size for t in plan.requested)
         for transfer in plan.requested + plan.overdue:
             event = self._waiters.get(transfer.number)
             if event is not None:
--- a/packages/pumicestand-node/pumicestand_node/frame_streams.py
+++ b/packages/pumicestand-node/pumicestand_node/frame_streams.py
@@ -10,6 +10,7 @@
 
 import trio
 
+from pumicestand import buffer_budget
 from pumicestand import errors
 from pumicestand import frame_compression
 from pumicestand import hop
@@ -34,11 +35,14 @@
 
     :param id: id of the call or result that it belongs to
     :param position: bytes of it that have been sent
+    :param budget: counts the body until `release`, None if something else
+        counts it
     """
 
     id: int
     body: bytes
     position: int = 0
+    budget: buffer_budget.BufferBudget | None = None
 
     @property
     def is_sent(self):
@@ -50,12 +54,18 @@
         chunk = bytes(self.body[start : self.position])
         return hop.encode(hop_messages.Part(self.id, chunk, self.is_sent))
 
+    def release(self):
+        """Count the body no longer."""
+        if self.budget is not None:
+            self.budget.remove(len(self.body))
+
 
 class FrameStream:
     """Sends and receives frames over a stream, with one task for each.
 
     Parts of bodies are sent after all other queued frames. ``is_cross_zone``
-    is whether the other node is known to be in another availability zone.
+    is whether the other node is known to be in another availability zone,
+    ``max_frame_bytes`` the size of the longest frame that is accepted.
 
     :param stream: trio stream to the other node
     :param peer: name of the other node, for errors
@@ -78,6 +88,7 @@
         self._scope = trio.CancelScope()
         self._compressor = None
         self._decompressor = None
+        self.max_frame_bytes = hop.MAX_FRAME_BYTES
         self.is_closed = False
         self.is_cross_zone = False
 
@@ -119,17 +130,33 @@
                 return
         self._enqueue(data)
 
-    def send_body(self, id_, body):
+    def send_body(self, id_, body, position=0, budget=None):
         """Queue a body, to be sent in parts after all other frames.
 
         :param id_: id of the call or result that it belongs to
+        :param position: bytes of it that were sent with the message
+        :param budget: `buffer_budget.BufferBudget` that counts the body while
+            it is queued, None if something else counts it
         """
-        if self.is_closed or not body:
+        if self.is_closed or position >= len(body):
             return
-        self._record_sent(body, 'Part')
-        self._bodies.append(_QueuedBody(id_, body))
+        self._meter.record_sent(
+            len(body) - position, self._clock(), 'Part', self.is_cross_zone
+        )
+        if budget is not None:
+            budget.add(len(body))
+        self._bodies.append(_QueuedBody(id_, body, position, budget))
         self._data_queued.set()
 
+    def discard_body(self, id_):
+        """Send no more of the body of a call that has ended.
+
+        The peer must not wait for the rest.
+        """
+        for queued in [q for q in self._bodies if q.id == id_]:
+            self._bodies.remove(queued)
+            queued.release()
+
     def _compress(self, data):
         """Return an encoded frame as it is sent, with its length prefix."""
         size = hop.LENGTH_PREFIX.size
@@ -184,6 +211,9 @@
             log.logger.warning('closing a link: {}', group.exceptions[0])
         finally:
             self.is_closed = True
+            for queued in self._bodies:
+                queued.release()
+            self._bodies.clear()
             # A reset would lose the results that were sent last.
             socket_io.discard_received(self._stream)
             await trio.aclose_forcefully(self._stream)
@@ -214,6 +244,7 @@
             data += queued.next_part()
             if queued.is_sent:
                 self._bodies.popleft()
+                queued.release()
         return data
 
     async def _read(self, on_message):
@@ -233,11 +264,11 @@
             while len(buffer) - position >= size:
                 (prefix,) = hop.LENGTH_PREFIX.unpack_from(buffer, position)
                 length = prefix & ~hop.COMPRESSED_FLAG
-                if length > hop.MAX_FRAME_BYTES:
+                if length > self.max_frame_bytes:
                     raise errors.InvalidFrameError(
                         errors.Code.FRAME_TOO_LARGE,
                         f'frame of {length} bytes exceeds the limit of '
-                        f'{hop.MAX_FRAME_BYTES} bytes',
+                        f'{self.max_frame_bytes} bytes',
                         peer=self._peer,
                     )
                 end = position + size + length
@@ -252,11 +283,12 @@
                 del buffer[:position]
 
 
-def send_with_parts(frames, message):
+def send_with_parts(frames, message, budget=None):
     """Send a call or a result, with a long body in parts.
 
     :param frames: `FrameStream`
     :param message: `hop_messages.Call` or `hop_messages.Result`
+    :param budget: see `FrameStream.send_body`
     """
     body = message.body
     if len(body) <= MAX_PART_BYTES:
@@ -265,10 +297,12 @@
     rest = len(body) - MAX_PART_BYTES
     frames.send(
         dataclasses.replace(
-            message, body=bytes(body[:MAX_PART_BYTES]), remaining_bytes=rest
+            message,
+            body=bytes(body[:MAX_PART_BYTES]),
+            remaining_bytes=rest,
         )
     )
-    frames.send_body(message.id, body[MAX_PART_BYTES:])
+    frames.send_body(message.id, body, MAX_PART_BYTES, budget)
 
 
 def send_without_body(frames, call):
@@ -285,9 +319,15 @@
 
 
 class BodyAssembler:
-    """Assembles the bodies of messages that arrive in parts."""
+    """Assembles the bodies of messages that arrive in parts.
+
+    :param budget: `buffer_budget.BufferBudget` that counts what has arrived of
+        bodies that are not complete, and the rest as promised
+    """
 
-    def __init__(self):
+    def __init__(self, budget=None):
+        self._budget = budget or buffer_budget.BufferBudget()
+        # Id to message and to what has arrived of its body.
         self._incomplete = {}
 
     def add_first(self, message):
@@ -297,7 +337,9 @@
         """
         if not message.remaining_bytes:
             return message
-        self._incomplete[message.id] = (message, [message.body])
+        self.discard(message.id)
+        self._incomplete[message.id] = (message, bytearray(message.body))
+        self._count(len(message.body), message.remaining_bytes)
         return None
 
     def add_part(self, part):
@@ -309,15 +351,35 @@
         entry = self._incomplete.get(part.id)
         if entry is None:
             return None
-        message, parts = entry
-        parts.append(part.body)
+        message, body = entry
+        promised_bytes = _promised_bytes(message, body)
+        body += part.body
+        self._count(
+            len(part.body), _promised_bytes(message, body) - promised_bytes
+        )
         if not part.is_last:
             return None
-        del self._incomplete[part.id]
-        return dataclasses.replace(
-            message, body=b''.join(parts), remaining_bytes=0
-        )
+        self.discard(part.id)
+        return dataclasses.replace(message, body=body, remaining_bytes=0)
 
     def discard(self, id_):
         """Discard the parts of a message that is no longer needed."""
-        self._incomplete.pop(id_, None)
+        entry = self._incomplete.pop(id_, None)
+        if entry is not None:
+            message, body = entry
+            self._count(-len(body), -_promised_bytes(message, body))
+
+    def discard_all(self):
+        """Discard the parts of all messages."""
+        for id_ in list(self._incomplete):
+            self.discard(id_)
+
+    def _count(self, held_bytes, promised_bytes):
+        self._budget.add(held_bytes)
+        self._budget.promise(promised_bytes)
+
+
+def _promised_bytes(message, body):
+    """Return how much of a message's body has not arrived, in bytes."""
+    size = len(message.body) + message.remaining_bytes
+    return max(0, size - len(body))
--- a/packages/pumicestand-node/pumicestand_node/link_server.py
+++ b/packages/pumicestand-node/pumicestand_node/link_server.py
@@ -4,6 +4,8 @@
 
 import trio
 
+from pumicestand import buffer_budget
+from pumicestand import hop
 from pumicestand import hop_messages
 from pumicestand import link_resumption
 from pumicestand import log
@@ -15,6 +17,8 @@
 # Period at which a server without a connection checks whether its calls have
 # ended, in seconds.
 DETACHED_CHECK_S = 0.5
+# Size of the longest frame before the hello, which anybody may send, in bytes.
+MAX_UNIDENTIFIED_FRAME_BYTES = 262_144
 
 
 class LinkServer:
@@ -35,6 +39,9 @@
         that is not about a call
     :param clock: returns monotonic seconds
     :param kept_results: `link_resumption.KeptResults` of this node
+    :param budget: `buffer_budget.BufferBudget` that counts the bodies of calls
+        from their first part to the end of the call, and those of results
+        until they are sent
     """
 
     def __init__(
@@ -46,15 +53,18 @@
         on_message,
         clock,
         kept_results=None,
+        budget=None,
     ):
         self.frames = frames
+        self.frames.max_frame_bytes = MAX_UNIDENTIFIED_FRAME_BYTES
         self._target_calls = target_calls
         self._bodies = bodies
         self._mesh = mesh
         self._on_message = on_message
         self._clock = clock
         self._nursery = None
-        self._assembler = frame_streams.BodyAssembler()
+        self._budget = budget or buffer_budget.BufferBudget()
+        self._assembler = frame_streams.BodyAssembler(self._budget)
         self._cancel_scopes = {}
         self._received_at = {}
         # Id of a call to the `body_transfers.Transfer` of its body, from the
@@ -145,6 +155,7 @@
         self.frames.stop()
         for id_ in list(self._received_at):
             self._discard_unstarted(id_)
+        self._assembler.discard_all()
 
     def _extend(self, seconds=link_resumption.KEEP_S):
         self._keep_until = self._clock() + seconds
@@ -256,6 +267,8 @@
                     self._nursery.start_soon(
                         self._request_body, message, scope
                     )
+                elif not self._has_room(message):
+                    self._refuse_unstarted(message.id, target_calls.OVERLOADED)
                 else:
                     self._start_call(self._assembler.add_first(message))
             case hop_messages.Part(id_, body, is_last):
@@ -272,6 +285,7 @@
                     server._withdraw(id_)
             case hop_messages.Hello(report, connection):
                 self.connection = connection
+                self.frames.max_frame_bytes = hop.MAX_FRAME_BYTES
                 self.peer_name = report.name
                 self.peer_incarnation = report.incarnation
                 self.is_cross_zone = report.zone != self._mesh.identity.zone
@@ -290,6 +304,11 @@
             case _:
                 self._on_message(self, message)
 
+    def _has_room(self, call):
+        """Return whether the rest of a call's body may be held."""
+        rest = call.remaining_bytes
+        return not rest or self._budget.has_room_for(rest, rest)
+
     def _cancel(self, id_):
         """End a call whose result is no longer waited for."""
         if id_ in self._received_at:
@@ -308,6 +327,9 @@
     async def _ask_for_body(self, call, scope):
         with scope:
             await trio.lowlevel.checkpoint_if_cancelled()
+            if not self._bodies.can_hold(call.remaining_bytes):
+                self._refuse_unstarted(call.id, target_calls.OVERLOADED)
+                return
             result = self._target_calls.refuse_before_body(
                 call, self._bodies.expected_s(call)
             )
@@ -382,7 +404,9 @@
     def _send_on_carrier(self, result):
         """Send a result with the load of the target and of this VM's link."""
         result.load = self._mesh.add_link_load(result.load, self._clock())
-        frame_streams.send_with_parts(self._carrier.frames, result)
+        frame_streams.send_with_parts(
+            self._carrier.frames, result, self._budget
+        )
 
     def _finish_transfer(self, id_):
         transfer = self._transfers.pop(id_, None)
@@ -407,6 +431,7 @@
         scope = self._cancel_scopes[call.id] = trio.CancelScope()
         self._running[call.id] = call
         self._received.record_start(call.id)
+        self._budget.add(len(call.body))
         self._nursery.start_soon(self._run_call, call, scope)
 
     async def _run_call(self, call, scope):
@@ -425,6 +450,8 @@
                 hop_messages.Outcome.UNKNOWN,
                 target_calls.INTERNAL_ERROR,
             )
+        finally:
+            self._budget.remove(len(call.body))
         self._received.record_end(call.id)
         self._running.pop(call.id, None)
         self._cancel_scopes.pop(call.id, None)
--- a/packages/pumicestand-node/pumicestand_node/links.py
+++ b/packages/pumicestand-node/pumicestand_node/links.py
@@ -57,12 +57,14 @@
     :param number: number in the `hop_messages.Hello` sent on it
     :param frames: `frame_streams.FrameStream`
     :param watch: `link_resumption.LinkWatch`
+    :param budget: `buffer_budget.BufferBudget` that counts the bodies of
+        results that arrive
     """
 
-    def __init__(self, number, frames, watch):
+    def __init__(self, number, frames, watch, budget):
         self.number = number
         self.frames = frames
-        self.assembler = frame_streams.BodyAssembler()
+        self.assembler = frame_streams.BodyAssembler(budget)
         self.watch = watch
         self.peer_incarnation = 0
         self.is_answered = trio.Event()
@@ -118,9 +120,14 @@
     :param clock: returns monotonic seconds
     :param rng: `random.Random`
     :param meter: `link_meter.LinkMeter` of this VM
+    :param budget: `buffer_budget.BufferBudget` that counts the bodies of
+        results that arrive
     """
 
-    def __init__(self, peer, make_hello, on_message, clock, rng, meter):
+    def __init__(
+        self, peer, make_hello, on_message, clock, rng, meter, budget=None
+    ):
+        self._budget = budget
         self._peer = peer
         self.address = (peer.host, peer.port)
         self._make_hello = make_hello
@@ -249,6 +256,7 @@
             hello.connection,
             frames,
             link_resumption.LinkWatch(self._clock(), self._round_trips),
+            self._budget,
         )
         if self._current is None:
             self._current = connection
@@ -289,6 +297,7 @@
 
     def _record_end(self, connection):
         """Record that a connection has ended."""
+        connection.assembler.discard_all()
         self._replaced.discard(connection)
         if connection is self._candidate:
             self._candidate = None
@@ -558,6 +567,7 @@
             if self._pending.pop(id_, None) is not None:
                 self._discard_parts(id_)
                 self._send_about(pending, hop_messages.Cancel(id_))
+            connection.frames.discard_body(id_)
         if pending.result is None and pending.held_body is not None:
             return _not_handed_on('link-lost')
         return pending.result
--- a/packages/pumicestand-node/pumicestand_node/mesh_links.py
+++ b/packages/pumicestand-node/pumicestand_node/mesh_links.py
@@ -13,6 +13,7 @@
 
 import trio
 
+from pumicestand import buffer_budget
 from pumicestand import fetches
 from pumicestand import hop
 from pumicestand import hop_messages
@@ -59,9 +60,20 @@
         the name of the peer that sent it
     :param clock: returns monotonic seconds
     :param rng: `random.Random`
+    :param budget: `buffer_budget.BufferBudget` that counts the bodies which
+        other nodes send
     """
 
-    def __init__(self, mesh, target_calls, on_configuration, clock, rng):
+    def __init__(
+        self,
+        mesh,
+        target_calls,
+        on_configuration,
+        clock,
+        rng,
+        budget=None,
+    ):
+        self._budget = budget or buffer_budget.BufferBudget()
         self._mesh = mesh
         self._target_calls = target_calls
         self._on_configuration = on_configuration
@@ -79,7 +91,9 @@
             rng.randrange(1, MAX_FIRST_CONNECTION)
         )
         self._kept_results = link_resumption.KeptResults()
-        self._bodies = body_receiver.BodyReceiver(mesh.body_transfers, clock)
+        self._bodies = body_receiver.BodyReceiver(
+            mesh.body_transfers, clock, self._budget
+        )
         self._selector = link_selection.LinkSelector(
             mesh.identity.name, mesh.identity.zone
         )
@@ -278,6 +292,7 @@
             self._clock,
             self._rng,
             self._mesh.link_meter,
+            self._budget,
         )
         self._links[peer.name] = link
         self._nursery.start_soon(link.run)
@@ -306,6 +321,7 @@
             self._handle_opener_message,
             self._clock,
             self._kept_results,
+            self._budget,
         )
         self._link_servers.add(server)
         self._unidentified.add(server)
--- a/packages/pumicestand-node/pumicestand_node/mesh_node.py
+++ b/packages/pumicestand-node/pumicestand_node/mesh_node.py
@@ -114,6 +114,7 @@
             self._clock,
             self._schedule_report,
             find_service=self._mesh.find_service,
+            budget=self._buffers,
         )
         self._links = mesh_links.MeshLinks(
             self._mesh,
@@ -121,6 +122,7 @@
             self._on_configuration,
             self._clock,
             self._rng,
+            self._buffers,
         )
         self._target_calls.on_leaving = self._on_target_leaving
         self._mesh.on_own_zone_changed = self._target_calls.set_evacuated
@@ -141,6 +143,7 @@
             self._clock,
             self._target_calls.record_nested,
             self._target_calls.record_nested_failure,
+            self._buffers,
         )
         self._store = mesh_store.MeshStore(
             self._mesh,
--- a/packages/pumicestand-node/pumicestand_node/outbound_calls.py
+++ b/packages/pumicestand-node/pumicestand_node/outbound_calls.py
@@ -12,6 +12,7 @@
 import trio
 
 from pumicestand import admission_by_room
+from pumicestand import buffer_budget
 from pumicestand import fingerprints
 from pumicestand import fleet as fleets
 from pumicestand import hop_messages
@@ -89,6 +90,8 @@
         on this VM makes while it runs another one
     :param record_nested_failure: called with the request id of the call that
         the target runs, when one that it made meanwhile has failed
+    :param budget: `buffer_budget.BufferBudget` that counts responses until
+        they are sent
     """
 
     def __init__(
@@ -100,6 +103,7 @@
         clock,
         record_nested=lambda service: None,
         record_nested_failure=lambda request_id: None,
+        budget=None,
     ):
         self._mesh = mesh
         self._headers = headers
@@ -107,6 +111,7 @@
         self._clock = clock
         self._record_nested = record_nested
         self._record_nested_failure = record_nested_failure
+        self._budget = budget or buffer_budget.BufferBudget()
         self._rng = random.Random()
         self._pickers = {}
         self._table = None
@@ -740,6 +745,11 @@
         return True
 
     async def _forward_response(self, call, result, request, connection):
+        size = len(result.headers) + len(result.body)
+        with self._budget.hold(size):
+            return await self._send_response(call, result, request, connection)
+
+    async def _send_response(self, call, result, request, connection):
         await connection.wait_for_turn()
         keep_alive = self._may_keep_alive(request, connection)
         self._update_averages(call, result)
--- a/packages/pumicestand-node/pumicestand_node/target_calls.py
+++ b/packages/pumicestand-node/pumicestand_node/target_calls.py
@@ -35,6 +35,8 @@
 # Code of calls that are refused since the target's zone is evacuated.
 EVACUATED = 'zone-evacuated'
 STOPPING = refusals.CallCode.STOPPING.value
+# Code of calls for which there is no room.
+OVERLOADED = 'overloaded'
 # Code of calls that ended with an error which nobody expected.
 INTERNAL_ERROR = 'internal-error'
 # Seconds for which no call is sent after the target refused a connection or
@@ -73,6 +75,8 @@
     :param on_change: called when the load must be reported immediately
     :param connect: coroutine function from host and port to a stream
     :param find_service: returns the `documents.Service` of a name, or None
+    :param budget: `buffer_budget.BufferBudget` that counts the responses that
+        are being read
     """
 
     def __init__(
@@ -84,6 +88,7 @@
         on_change,
         connect=tcp_streams.open_stream,
         find_service=lambda name: None,
+        budget=None,
     ):
         self._target_watch = target_watch
         self._find_service = find_service
@@ -93,7 +98,7 @@
         self._clock = clock
         self._on_change = on_change
         self._queue = target_queue.TargetQueue()
-        self._pool = target_exchange.TargetPool(clock, connect)
+        self._pool = target_exchange.TargetPool(clock, connect, budget)
         self._shortage_throttle = log_throttle.LogThrottle()
         # Ticket number to [event, whether the call may run].
         self._waiters = {}
@@ -404,7 +409,7 @@
             case target_queue.Refuse(retry_after_s):
                 self._record_shortage(call, now)
                 return self._make_result(
-                    call, Outcome.NOT_HANDED_ON, 'overloaded', retry_after_s
+                    call, Outcome.NOT_HANDED_ON, OVERLOADED, retry_after_s
                 )
             case target_queue.Wait():
                 self._waiting_tickets[id(call)] = ticket
@@ -441,7 +446,7 @@
         if refusal is None:
             return None
         return self._make_result(
-            call, Outcome.NOT_HANDED_ON, 'overloaded', refusal.retry_after
+            call, Outcome.NOT_HANDED_ON, OVERLOADED, refusal.retry_after
         )
 
     def latest_arrival(self, call):
--- a/packages/pumicestand-node/pumicestand_node/target_exchange.py
+++ b/packages/pumicestand-node/pumicestand_node/target_exchange.py
@@ -220,12 +220,13 @@
 
     :param clock: returns monotonic seconds
     :param connect: coroutine function from host and port to a stream
+    :param budget: `buffer_budget.BufferBudget` that counts the responses
     """
 
-    def __init__(self, clock, connect=tcp_streams.open_stream):
+    def __init__(self, clock, connect=tcp_streams.open_stream, budget=None):
         self._clock = clock
         self._connect = connect
-        self._buffers = response_buffers.ResponseBuffers()
+        self._buffers = response_buffers.ResponseBuffers(budget)
         self._address = None
         self._idle = []
         self._max_idle_s = float('inf')
@@ -328,7 +329,7 @@
 def _keep_alive_s(response):
     """Return for how many seconds a connection may be idle.
 
-    >>> headers = [(b'keep-alive', b'timeout=10')]
+    >>> headers = header_lines.HeaderLines([(b'keep-alive', b'timeout=10')])
     >>> _keep_alive_s(target_responses.Response(headers=headers))
     8.5
     """
--- a/packages/pumicestand/pumicestand/body_transfers.py
+++ b/packages/pumicestand/pumicestand/body_transfers.py
@@ -75,10 +75,12 @@
 
     :param requested: transfers whose bodies are to be asked for
     :param overdue: transfers to refuse, as their bodies would arrive too late
+    :param is_short_of_room: whether a transfer waits for memory
     """
 
     requested: tuple[Transfer, ...] = ()
     overdue: tuple[Transfer, ...] = ()
+    is_short_of_room: bool = False
 
 
 class BodyTransfers:
@@ -148,10 +150,12 @@
             if transfer in transfers:
                 transfers.remove(transfer)
 
-    def plan(self, now):
+    def plan(self, now, room_bytes=float('inf')):
         """Return the `Plan` and count what it requests as in transit.
 
         :param now: monotonic seconds
+        :param room_bytes: bytes of bodies that may be held besides those that
+            were requested before
         """
         self._forget_lost(now)
         overdue = tuple(t for t in self._waiting if now > t.start_by)
@@ -163,15 +167,20 @@
             t.size for t in self._in_transit
         )
         requested = []
+        is_short_of_room = False
         for transfer in waiting:
             if self._rate > 0 and free_bytes <= 0:
                 break
+            if transfer.size > room_bytes:
+                is_short_of_room = True
+                break
+            room_bytes -= transfer.size
             free_bytes -= transfer.size
             transfer.counts_until = now + self._max_transit_s(transfer.size)
             self._in_transit.append(transfer)
             requested.append(transfer)
         self._waiting = waiting[len(requested) :]
-        return Plan(tuple(requested), overdue)
+        return Plan(tuple(requested), overdue, is_short_of_room)
 
     def next_check_s(self, now):
         """Return the seconds until `plan` may have news; None if never.
