Do not complete a response by a reset that only the upload noticed

What callers saw: a 200 with a part of the target's body, as a whole response. A target that answers a long upload at once, without a length, and resets the connection while the upload is being written caused it.

Cause: the system reports a reset once. If the task that sends the upload gets it, its error was ignored, since the response says why the target stopped reading; the task that reads then finds the end of the stream, which ends a body without a length.

Change: the end of the stream ends such a body only if the whole request has been sent. Else the call has no response, and its outcome is unknown. The same holds where responses are streamed.

Ruled out: to look at the state of the connection at its end, which only some systems tell; between nodes a response has its length, so nothing changes there.

Evidence: test_early_responses fails on the code before, also with the system's own connections, closed and reset, in the first of 30 uploads of 8 MB each.

--- a/packages/pumicestand-node/pumicestand_node/target_connections.py
+++ b/packages/pumicestand-node/pumicestand_node/target_connections.py
@@ -219,7 +219,9 @@
                 return b''
             data = await self._receive()
             if not data:
-                if reader.is_close_delimited:
+                # Before the request is sent, the connection may have been
+                # reset, of which only the sending was told.
+                if reader.is_close_delimited and self.is_request_sent:
                     reader.is_complete = True
                     return b''
                 raise IncompleteResponseError(
--- a/packages/pumicestand-node/pumicestand_node/target_exchange.py
+++ b/packages/pumicestand-node/pumicestand_node/target_exchange.py
@@ -201,7 +201,10 @@
                 self._parser.feed(data)
                 return
             self._is_at_end = True
-            self._parser.end()
+            if self._is_body_sent:
+                self._parser.end()
+            # Else the connection may have been reset: the system reports that
+            # once, and sending may have got the report.
         except (httptools.HttpParserError, httptools.HttpParserUpgrade) as e:
             self._is_at_end = True
             if not self._parser.responses:
