--- a/packages/pumicestand-node/pumicestand_node/target_exchange.py
+++ b/packages/pumicestand-node/pumicestand_node/target_exchange.py
@@ -207,7 +207,9 @@
             # once, and sending may have got the report.
         except (httptools.HttpParserError, httptools.HttpParserUpgrade) as e:
             self._is_at_end = True
-            if not self._parser.responses:
+            if self._parser.responses:
+                self._parser.responses[-1].has_surplus = True
+            else:
                 raise ExchangeError(f'invalid response: {e}', True) from e
 
     async def close(self):
--- a/packages/pumicestand-node/pumicestand_node/target_responses.py
+++ b/packages/pumicestand-node/pumicestand_node/target_responses.py
@@ -15,6 +15,8 @@
 class Response:
     """One response of the target, complete once ``is_complete`` is set.
 
+    ``has_surplus`` is whether bytes that are no response followed it.
+
     :param headers: `header_lines.HeaderLines`
     """
 
@@ -25,6 +27,7 @@
     )
     body: list = dataclasses.field(default_factory=list)
     keep_alive: bool = False
+    has_surplus: bool = False
     has_head: bool = False
     is_complete: bool = False
 
--- a/packages/pumicestand/pumicestand/response_heads.py
+++ b/packages/pumicestand/pumicestand/response_heads.py
@@ -13,6 +13,11 @@
 STATUS_LINE = re.compile(rb'HTTP/\d\.\d \d{3}')
 # Statuses that a response may have.
 STATUSES = range(100, 600)
+# A status line of which only the start is there, at the end of a body.
+_STATUS_LINE_START = re.compile(
+    rb'(?:H|HT|HTT|HTTP|HTTP/|HTTP/\d|HTTP/\d\.|HTTP/\d\.\d'
+    rb'|HTTP/\d\.\d \d{0,2})\Z'
+)
 # Status lines in a body that may begin another response, and bytes of its head
 # within which a header is looked for.
 MAX_STATUS_LINES = 64
@@ -53,3 +58,27 @@
         if b'\r\n' + name + b':' in head.lower():
             return True
     return False
+
+
+def may_end_in_response(body):
+    """Return whether a body may end within the head of another response.
+
+    That is so of a body that was broken off and completed with the start of
+    the next response. Bytes that follow the body are then no response.
+
+    >>> may_end_in_response(b'a body that was broken offHTTP/1.1 200 OK\\r')
+    True
+    >>> may_end_in_response(b'a body that was broken offHT')
+    True
+    >>> may_end_in_response(b'HTTP/1.1 200 OK\\r\\n\\r\\nas the end')
+    False
+
+    :param body: as bytes
+    """
+    end = body[-MAX_SEARCHED_BYTES:]
+    if _STATUS_LINE_START.search(end):
+        return True
+    return any(
+        b'\r\n\r\n' not in end[line.start() :]
+        for line in STATUS_LINE.finditer(end)
+    )
