Remember calls without an answer, but not their bodies

Cause: a call that ended without an answer is remembered, so that its target may make calls of its own until the deadline; up to 1,024 such calls kept their bodies, of 20 MB or more, after the budget had ceased to count them.

Change: head and body are dropped; what nested calls need is kept.

Evidence: test_call_without_an_answer_is_remembered_without_its_body fails on the code before.

--- a/packages/pumicestand-node/pumicestand_node/target_calls.py
+++ b/packages/pumicestand-node/pumicestand_node/target_calls.py
@@ -578,7 +578,9 @@
             ):
                 break
             del self._abandoned_calls[id_]
-        self._abandoned_calls[call.request_id] = (call, deadline)
+        # It may be remembered for long after its body is counted no more.
+        kept = dataclasses.replace(call, body=b'', headers=b'')
+        self._abandoned_calls[call.request_id] = (kept, deadline)
 
     async def _exchange(self, call, ticket):
         target = self._target_watch.target
@@ -630,7 +632,10 @@
             id_ = response.header(name)
             if id_ in accepted:
                 response.body = [b''.join(response.body)]
-                if response_heads.holds_response(response.body[0], name):
+                if response_heads.holds_response(response.body[0], name) or (
+                    response.has_surplus
+                    and response_heads.may_end_in_response(response.body[0])
+                ):
                     raise target_exchange.ExchangeError(
                         'a response began in the body', True
                     )
--- a/tests/pumicestand_node/test_link_memory.py
+++ b/tests/pumicestand_node/test_link_memory.py
@@ -18,6 +18,7 @@
 from tests.pumicestand import mesh_fakes
 from tests.pumicestand import test_hop
 from tests.pumicestand_node import test_held_bodies
+from tests.pumicestand_node import test_target_faults
 
 SIZE = 100_000
 HELLO = hop_messages.Hello(mesh_fakes.make_report('peer'))
@@ -206,3 +207,23 @@
         assert budget.held_bytes == 0
 
     mock_clock.run(main)
+
+
+def test_call_without_an_answer_is_remembered_without_its_body():
+    """Its target may go on with it and make calls of its own."""
+
+    async def respond(stream, number, request_id):
+        await stream.aclose()
+        return False
+
+    async def test(harness):
+        call = dataclasses.replace(
+            test_target_faults.make_call('i1'), body=bytes(SIZE), is_retry=True
+        )
+        result = await harness.targets.run(call)
+        assert result.outcome is hop_messages.Outcome.UNKNOWN
+        parent = harness.targets.find_running('i1')
+        assert (parent.request_id, parent.is_retry) == ('i1', True)
+        assert parent.body == b''
+
+    test_target_faults.run_scripted(test, respond)
