Tell a node that starts anew the requests that crashed its target

Cause: the crashes at a target are counted by the node beside it only. A node that starts anew reports none, which replaced what the others knew.

Change: the others keep what an earlier start of a node has reported until it expires, count it further, and tell the node, as they do with the state of its target. It takes that over, with a new time until it expires, unless it knows more; an answer that it has seen meanwhile is kept.

Ruled out: a record in the store, which costs a write for each crash and is not there while the store is away.

New tests in test_suspects (all nodes restart in turn, up to three times) and test_mesh_links; the code before has no such functions.

--- a/packages/pumicestand-node/pumicestand_node/mesh_links.py
+++ b/packages/pumicestand-node/pumicestand_node/mesh_links.py
@@ -198,7 +198,7 @@
         self._check_liveness(self._links.values(), now)
         self._probe_silent_links(now)
         for name in self._mesh.fleet.remove_unreachable(now):
-            self._mesh.suspects.set_reported(name, ())
+            self._mesh.suspects.forget_reported(name)
             self._fetch_planner.remove_source(name)
             link = self._links.pop(name, None)
             if link is not None:
@@ -487,6 +487,8 @@
             case hop_messages.Relay(report):
                 if report.name == self._mesh.identity.name:
                     self._restore_target(report.target)
+                    if self._mesh.suspects.restore(report.suspects, now):
+                        self.schedule_report()
                     return
                 if not fleet.apply_relayed_report(report, now):
                     return
@@ -515,24 +517,31 @@
         """Apply a report that a node has sent itself, unless outdated."""
         if not self._mesh.fleet.apply_report(report, self._clock()):
             return
-        self._remind_of_target(report)
         self._apply_findings(report)
+        self._remind(report)
         self._fetch_planner.record_generation(
             report.name, report.zone, report.generation
         )
         self._fetch_configuration(self._clock())
 
-    def _remind_of_target(self, report):
-        """Tell a restarted node what it has reported of its target before.
+    def _remind(self, report):
+        """Tell a restarted node what it has reported before.
+
+        That is the state of its target, and requests that crashed targets.
 
         :param report: the latest `hop_messages.Report` of the node
         """
+        if report.name == self._mesh.identity.name:
+            return
         known = self._mesh.fleet.get(report.name).known_target
-        if report.name == self._mesh.identity.name or known == report.target:
+        lost = self._mesh.suspects.lost_by(report.name)
+        if known == report.target and not lost:
             return
         self.send_to(
             report.name,
-            hop_messages.Relay(dataclasses.replace(report, target=known)),
+            hop_messages.Relay(
+                dataclasses.replace(report, target=known, suspects=lost)
+            ),
         )
 
     def _restore_target(self, target):
@@ -550,7 +559,12 @@
             self._update_selection(self._clock())
             self.schedule_report()
         if report.name != mesh.identity.name:
-            mesh.suspects.set_reported(report.name, report.suspects)
+            mesh.suspects.set_reported(
+                report.name,
+                report.suspects,
+                report.incarnation,
+                self._clock(),
+            )
         for verdict in report.verdicts:
             if mesh.rollouts.apply_verdict(verdict, self._clock()):
                 mesh.decisions.note(
--- a/packages/pumicestand/pumicestand/suspects.py
+++ b/packages/pumicestand/pumicestand/suspects.py
@@ -4,6 +4,9 @@
 sends the counts to the other nodes with its reports. A request that has
 crashed targets often enough, and that no target has answered, is refused by
 all nodes until its crashes have expired.
+
+A node that starts anew knows nothing of earlier crashes. The others keep what
+it has reported before, count it further, and tell it.
 """
 
 import dataclasses
@@ -35,6 +38,32 @@
     expires_at: float = 0.0
 
 
+@dataclasses.dataclass(slots=True)
+class _Reporter:
+    """What another node has reported.
+
+    :param incarnation: number of its process start
+    :param counts: fingerprint to `_Count` of its last report
+    :param earlier: the same of earlier starts, until they expire
+    """
+
+    incarnation: int = 0
+    counts: dict = dataclasses.field(default_factory=dict)
+    earlier: dict = dataclasses.field(default_factory=dict)
+
+    def count(self, fingerprint):
+        """Return the `_Count` of a request over all starts."""
+        latest = self.counts.get(fingerprint, _NO_COUNT)
+        earlier = self.earlier.get(fingerprint, _NO_COUNT)
+        return _Count(
+            max(latest.crashes, earlier.crashes),
+            max(latest.answers, earlier.answers),
+        )
+
+
+_NO_COUNT = _Count()
+
+
 class Suspects:
     """The requests that are suspected of crashing targets.
 
@@ -105,15 +134,75 @@
             for fingerprint, count in self._own.items()
         )
 
-    def set_reported(self, node_name, suspects):
+    def set_reported(self, node_name, suspects, incarnation=0, now=0.0):
         """Replace the suspects that another node has reported.
 
+        Those of an earlier start of the node are kept until they expire.
+
         :param suspects: all `hop_messages.Suspect`s of that node
+        :param incarnation: number of the start of its process
+        :param now: monotonic seconds
+        """
+        reporter = self._reported.get(node_name)
+        if reporter is None:
+            if not suspects:
+                return
+            reporter = self._reported[node_name] = _Reporter(incarnation)
+        if incarnation != reporter.incarnation:
+            reporter.incarnation = incarnation
+            reporter.earlier |= reporter.counts
+        expires_at = now + SUSPECT_RETENTION_S
+        reporter.counts = {
+            suspect.fingerprint: _Count(
+                suspect.crashes, suspect.answers, expires_at
+            )
+            for suspect in suspects
+        }
+        reporter.earlier = {
+            fingerprint: count
+            for fingerprint, count in reporter.earlier.items()
+            if now < count.expires_at
+        }
+        if not reporter.counts and not reporter.earlier:
+            del self._reported[node_name]
+
+    def forget_reported(self, node_name):
+        """Forget what a node has reported that is gone."""
+        self._reported.pop(node_name, None)
+
+    def lost_by(self, node_name):
+        """Return the `hop_messages.Suspect`s that a node has lost.
+
+        It has reported them before its process started anew.
+        """
+        reporter = self._reported.get(node_name)
+        if reporter is None:
+            return ()
+        return tuple(
+            hop_messages.Suspect(fingerprint, count.crashes, count.answers)
+            for fingerprint, count in reporter.earlier.items()
+            if reporter.counts.get(fingerprint, _NO_COUNT).crashes
+            < count.crashes
+        )
+
+    def restore(self, suspects, now):
+        """Take over the crashes at this node before its process started.
+
+        :param suspects: `hop_messages.Suspect`s
+        :param now: monotonic seconds
+        :returns: whether any of them was not known
         """
-        if suspects:
-            self._reported[node_name] = suspects
-        else:
-            self._reported.pop(node_name, None)
+        is_changed = False
+        for suspect in suspects[:MAX_SUSPECTS]:
+            own = self._own.get(suspect.fingerprint, _NO_COUNT)
+            if suspect.crashes > own.crashes:
+                self._own[suspect.fingerprint] = _Count(
+                    suspect.crashes,
+                    max(suspect.answers, own.answers),
+                    now + SUSPECT_RETENTION_S,
+                )
+                is_changed = True
+        return is_changed
 
     def is_refused(self, fingerprint):
         """Return whether a request must not be run."""
@@ -123,8 +212,8 @@
     def refused_count(self):
         """Return how many requests must not be run now."""
         fingerprints = set(self._own)
-        for suspects in self._reported.values():
-            fingerprints.update(suspect.fingerprint for suspect in suspects)
+        for reporter in self._reported.values():
+            fingerprints.update(reporter.counts, reporter.earlier)
         return sum(
             self.is_refused(fingerprint) for fingerprint in fingerprints
         )
@@ -133,9 +222,8 @@
         """Return (crashes, answers) of a request over the fleet."""
         own = self._own.get(fingerprint) or _Count()
         crashes, answers = own.crashes, own.answers
-        for suspects in self._reported.values():
-            for suspect in suspects:
-                if suspect.fingerprint == fingerprint:
-                    crashes += suspect.crashes
-                    answers += suspect.answers
+        for reporter in self._reported.values():
+            count = reporter.count(fingerprint)
+            crashes += count.crashes
+            answers += count.answers
         return crashes, answers
--- a/tests/pumicestand/test_suspects.py
+++ b/tests/pumicestand/test_suspects.py
@@ -87,3 +87,75 @@
         if fingerprint % 50 == 49:
             node.record_crash(0.0)
     assert len(node.own_suspects(1.0)) == suspects.MAX_SUSPECTS
+
+
+class RestartedFleet(Fleet):
+    """A fleet whose nodes restart and are told what they have reported."""
+
+    def __init__(self, size):
+        super().__init__(size)
+        self.starts = [0] * size
+
+    def restart(self, number, now):
+        self.nodes[number] = suspects.Suspects()
+        self.starts[number] += 1
+        self.exchange_reports(now)
+        self.exchange_reports(now)
+
+    def exchange_reports(self, now):
+        for number, node in enumerate(self.nodes):
+            reported = node.own_suspects(now)
+            for other in self.nodes:
+                if other is node:
+                    continue
+                other.set_reported(
+                    str(number), reported, self.starts[number], now
+                )
+                node.restore(other.lost_by(str(number)), now)
+
+
+@pytest.mark.parametrize('rounds', [1, 3])
+def test_request_stays_refused_while_all_nodes_restart_in_turn(rounds):
+    fleet = RestartedFleet(4)
+    for crash in range(3):
+        fleet.crash(crash, [7], float(crash))
+    for step in range(4 * rounds):
+        now = 3.0 + step
+        fleet.restart(step % 4, now)
+        assert all(node.is_refused(7) for node in fleet.nodes)
+    now += suspects.SUSPECT_RETENTION_S + 1
+    fleet.exchange_reports(now)
+    fleet.exchange_reports(now)
+    assert not any(node.has_any for node in fleet.nodes)
+
+
+def test_answer_after_a_restart_clears_a_request():
+    fleet = RestartedFleet(3)
+    for crash in range(3):
+        fleet.crash(crash, [7, 8], float(crash))
+    fleet.restart(0, 4.0)
+    assert fleet.nodes[0].record_answer(8, 5.0)
+    fleet.exchange_reports(5.0)
+    for node in fleet.nodes:
+        assert node.is_refused(7)
+        assert not node.is_refused(8)
+
+
+def test_answer_before_a_node_is_reminded_is_kept():
+    node = suspects.Suspects()
+    node.record_lost(7, 0.0)
+    node.record_crash(0.0)
+    reminder = node.own_suspects(0.0)
+    restarted = suspects.Suspects()
+    restarted.record_lost(7, 1.0)
+    restarted._own[7] = suspects._Count(0, 1, 60.0)
+    assert restarted.restore(reminder, 2.0)
+    (suspect,) = restarted.own_suspects(2.0)
+    assert (suspect.crashes, suspect.answers) == (1, 1)
+
+
+def test_suspects_of_a_node_that_is_gone_are_forgotten():
+    fleet = RestartedFleet(2)
+    fleet.crash(0, [7], 0.0)
+    fleet.nodes[1].forget_reported('0')
+    assert not fleet.nodes[1].has_any
--- a/tests/pumicestand_node/test_mesh_links.py
+++ b/tests/pumicestand_node/test_mesh_links.py
@@ -707,6 +707,39 @@
     run_test(test)
 
 
+def test_restarted_node_is_told_the_requests_that_crashed_its_target(run_test):
+    """Nodes that restarted in turn let them through again."""
+
+    async def test(harness):
+        suspect = hop_messages.Suspect(7, 1, 0)
+        report = mesh_fakes.make_report('peer', suspects=(suspect,))
+        harness.links._apply_report(report)
+        assert 'Relay' not in message_types(harness.sent)
+        restarted = mesh_fakes.make_report('peer', incarnation=2)
+        harness.links._apply_report(restarted)
+        assert harness.sent[-1].report.suspects == (suspect,)
+        count = len(harness.sent)
+        told = mesh_fakes.make_report(
+            'peer', incarnation=2, sequence=2, suspects=(suspect,)
+        )
+        harness.links._apply_report(told)
+        assert len(harness.sent) == count
+
+    run_test(test)
+
+
+def test_node_takes_over_what_it_is_told_of_crashes(run_test):
+    async def test(harness):
+        suspect = hop_messages.Suspect(7, 3, 0)
+        report = mesh_fakes.make_report('own', suspects=(suspect,))
+        peer = harness.mesh.fleet.get_or_add('a-1', '10.0.0.2', 7000, 0.0)
+        harness.links._handle_message(peer, hop_messages.Relay(report))
+        assert harness.mesh.suspects.is_refused(7)
+        assert harness.mesh.suspects.own_suspects(0.0) == (suspect,)
+
+    run_test(test)
+
+
 class PortHarness(Harness):
     """A node whose port for links is served, checked as often as if idle."""
 
