Keep the answers of requests, too, when nodes start anew

A request that an answer has cleared is cleared by the count of one node, like its crashes. A node that started anew was told its crashes again, but not its answers, and a second start replaced what the others had kept of the first one.

Change: crashes and answers of all starts are merged by their maxima, and a node is told whatever it lacks of both.

Evidence: test_request_that_was_answered_stays_cleared_while_all_nodes_restart fails on the code before.

--- a/packages/pumicestand/pumicestand/suspects.py
+++ b/packages/pumicestand/pumicestand/suspects.py
@@ -37,6 +37,18 @@
     answers: int = 0
     expires_at: float = 0.0
 
+    def exceeds(self, other):
+        """Return whether it has crashes or answers that another lacks."""
+        return self.crashes > other.crashes or self.answers > other.answers
+
+    def merged(self, other):
+        """Return the `_Count` with the most of both."""
+        return _Count(
+            max(self.crashes, other.crashes),
+            max(self.answers, other.answers),
+            max(self.expires_at, other.expires_at),
+        )
+
 
 @dataclasses.dataclass(slots=True)
 class _Reporter:
@@ -54,11 +66,15 @@
     def count(self, fingerprint):
         """Return the `_Count` of a request over all starts."""
         latest = self.counts.get(fingerprint, _NO_COUNT)
-        earlier = self.earlier.get(fingerprint, _NO_COUNT)
-        return _Count(
-            max(latest.crashes, earlier.crashes),
-            max(latest.answers, earlier.answers),
-        )
+        return latest.merged(self.earlier.get(fingerprint, _NO_COUNT))
+
+    def start_anew(self, incarnation):
+        """Keep what was reported, as the process has started anew."""
+        self.incarnation = incarnation
+        self.earlier = {
+            fingerprint: self.count(fingerprint)
+            for fingerprint in self.counts.keys() | self.earlier.keys()
+        }
 
 
 _NO_COUNT = _Count()
@@ -149,8 +165,7 @@
                 return
             reporter = self._reported[node_name] = _Reporter(incarnation)
         if incarnation != reporter.incarnation:
-            reporter.incarnation = incarnation
-            reporter.earlier |= reporter.counts
+            reporter.start_anew(incarnation)
         expires_at = now + SUSPECT_RETENTION_S
         reporter.counts = {
             suspect.fingerprint: _Count(
@@ -181,12 +196,11 @@
         return tuple(
             hop_messages.Suspect(fingerprint, count.crashes, count.answers)
             for fingerprint, count in reporter.earlier.items()
-            if reporter.counts.get(fingerprint, _NO_COUNT).crashes
-            < count.crashes
+            if count.exceeds(reporter.counts.get(fingerprint, _NO_COUNT))
         )
 
     def restore(self, suspects, now):
-        """Take over the crashes at this node before its process started.
+        """Take over what this node has counted before its process started.
 
         :param suspects: `hop_messages.Suspect`s
         :param now: monotonic seconds
@@ -195,12 +209,11 @@
         is_changed = False
         for suspect in suspects[:MAX_SUSPECTS]:
             own = self._own.get(suspect.fingerprint, _NO_COUNT)
-            if suspect.crashes > own.crashes:
-                self._own[suspect.fingerprint] = _Count(
-                    suspect.crashes,
-                    max(suspect.answers, own.answers),
-                    now + SUSPECT_RETENTION_S,
-                )
+            earlier = _Count(
+                suspect.crashes, suspect.answers, now + SUSPECT_RETENTION_S
+            )
+            if earlier.exceeds(own):
+                self._own[suspect.fingerprint] = earlier.merged(own)
                 is_changed = True
         return is_changed
 
--- a/tests/pumicestand/test_suspects.py
+++ b/tests/pumicestand/test_suspects.py
@@ -159,3 +159,16 @@
     fleet.crash(0, [7], 0.0)
     fleet.nodes[1].forget_reported('0')
     assert not fleet.nodes[1].has_any
+
+
+def test_request_that_was_answered_stays_cleared_while_all_nodes_restart():
+    """Answers are counted by one node, like crashes."""
+    rng = random.Random(8)
+    fleet = RestartedFleet(4)
+    for crash in range(3):
+        fleet.crash(crash, [7], float(crash))
+    assert fleet.nodes[3].record_answer(7, 3.0)
+    fleet.exchange_reports(3.0)
+    for step in range(20):
+        fleet.restart(rng.randrange(4), 4.0 + step)
+        assert not any(node.is_refused(7) for node in fleet.nodes)
