Keep an answer for as long as crashes at other targets count

Cause: crashes and the answer that clears a request expire at the nodes that count them, each in its own time. Crashes that come later, or that a restarted node takes over, outlive the answer, and a request that targets had answered is refused for the rest of their time.

Change: an answer is kept while crashes of other nodes count. The crashes of the same entry still expire, so that two entries do not keep each other.

Evidence: test_answer_counts_for_as_long_as_crashes_at_other_targets fails on the code before.

--- a/packages/pumicestand/pumicestand/suspects.py
+++ b/packages/pumicestand/pumicestand/suspects.py
@@ -139,12 +139,17 @@
     def own_suspects(self, now):
         """Return the `hop_messages.Suspect`s of this node's target.
 
-        Expired ones are removed.
+        Expired ones are removed, but an answer is kept for as long as crashes
+        at other targets count: they may have expired later.
         """
         for fingerprint in [
             key for key, count in self._own.items() if count.expires_at <= now
         ]:
-            del self._own[fingerprint]
+            count = self._own[fingerprint]
+            if count.answers and self._reported_count(fingerprint).crashes:
+                count.crashes = 0
+            else:
+                del self._own[fingerprint]
         return tuple(
             hop_messages.Suspect(fingerprint, count.crashes, count.answers)
             for fingerprint, count in self._own.items()
@@ -233,10 +238,15 @@
 
     def _total(self, fingerprint):
         """Return (crashes, answers) of a request over the fleet."""
-        own = self._own.get(fingerprint) or _Count()
-        crashes, answers = own.crashes, own.answers
+        own = self._own.get(fingerprint, _NO_COUNT)
+        others = self._reported_count(fingerprint)
+        return own.crashes + others.crashes, own.answers + others.answers
+
+    def _reported_count(self, fingerprint):
+        """Return the `_Count` of a request at the targets of other nodes."""
+        total = _Count()
         for reporter in self._reported.values():
             count = reporter.count(fingerprint)
-            crashes += count.crashes
-            answers += count.answers
-        return crashes, answers
+            total.crashes += count.crashes
+            total.answers += count.answers
+        return total
--- a/tests/pumicestand/test_suspects.py
+++ b/tests/pumicestand/test_suspects.py
@@ -172,3 +172,20 @@
     for step in range(20):
         fleet.restart(rng.randrange(4), 4.0 + step)
         assert not any(node.is_refused(7) for node in fleet.nodes)
+
+
+def test_answer_counts_for_as_long_as_crashes_at_other_targets():
+    """A node that starts anew counts its crashes for a further time."""
+    fleet = RestartedFleet(3)
+    for crash in range(3):
+        fleet.crash(0, [7], float(crash))
+    assert fleet.nodes[1].record_answer(7, 3.0)
+    fleet.exchange_reports(3.0)
+    fleet.restart(0, 50.0)
+    answered_until = 3.0 + suspects.SUSPECT_RETENTION_S
+    for now in (answered_until, 100.0):
+        fleet.exchange_reports(now)
+        assert not any(node.is_refused(7) for node in fleet.nodes)
+    for now in (111.0, 112.0, 113.0):
+        fleet.exchange_reports(now)
+    assert not any(node.has_any for node in fleet.nodes)
