--- a/soak/crowds.py
+++ b/soak/crowds.py
@@ -75,18 +75,11 @@
         connecting = trio.CapacityLimiter(CONNECTS_AT_ONCE)
         async with trio.open_nursery() as sending:
             for _ in range(self.size):
-                await sending.start(
+                sending.start_soon(
                     self._run_client, address, connecting, nursery
                 )
 
-    async def _run_client(
-        self,
-        address,
-        connecting,
-        nursery,
-        task_status=trio.TASK_STATUS_IGNORED,
-    ):
-        task_status.started()
+    async def _run_client(self, address, connecting, nursery):
         async with connecting:
             try:
                 stream = await trio.open_tcp_stream(*address)
