--- a/packages/pumicestand-node/pumicestand_node/target_exchange.py
+++ b/packages/pumicestand-node/pumicestand_node/target_exchange.py
@@ -334,8 +334,9 @@
 def _keep_alive_s(response):
     """Return for how many seconds a connection may be idle.
 
-    >>> headers = header_lines.HeaderLines([(b'keep-alive', b'timeout=10')])
-    >>> _keep_alive_s(target_responses.Response(headers=headers))
+    >>> response = target_responses.Response()
+    >>> response.headers.append(b'keep-alive', b'timeout=10')
+    >>> _keep_alive_s(response)
     8.5
     """
     value = response.header(b'keep-alive') or b''
