--- a/packages/pumicestand-node/pumicestand_node/client_connections.py
+++ b/packages/pumicestand-node/pumicestand_node/client_connections.py
@@ -440,11 +440,7 @@
         if self._state not in _ACCEPTING:
             return 0
         self._reject(
-            refusals.not_run(
-                refusals.CallCode.OVERLOADED,
-                'the request made no progress while there was no room',
-                BODY_RETRY_AFTER_S,
-            )
+            _overloaded('the request made no progress while there was no room')
         )
         return 0
 
@@ -573,7 +569,9 @@
                 self._record_progress(len(part))
                 self._count_held()
                 self._check_drained()
-                await self._take_turns()
+                parts = self._parser.take_part_count()
+                if parts >= turn_budget.MIN_PARTS:
+                    await self._pause_after(parts)
 
     async def _receive(self):
         """Return bytes once there is room for a request; empty at the end.
@@ -662,7 +660,7 @@
             )
         if request is None:
             if parser.is_in_head and not self._has_room(1, 0):
-                return _no_room('a head')
+                return _overloaded('no room for a head')
             return None
         max_body_bytes = self._limits.body_bytes
         if request.size > max_body_bytes:
@@ -674,7 +672,7 @@
         is_admitted = request.head.body_length is not None
         if is_admitted or self._has_room(request.size, 0):
             return None
-        return _no_room(f'a body of {request.size} bytes')
+        return _overloaded(f'no room for a body of {request.size} bytes')
 
     def _admit(self, head):
         """Return a `refusals.Refusal` if a request can't be held, else None.
@@ -688,7 +686,7 @@
         cost = buffer_budget.request_cost(head.size, size)
         if self._has_room(1 if size is None else size, cost):
             return None
-        return _no_room(f'a body of {size or 0} bytes')
+        return _overloaded(f'no room for a body of {size or 0} bytes')
 
     def _enlarge_receive_buffer(self, request):
         """Have the system receive more of a long body, if there is room."""
@@ -745,12 +743,9 @@
         self._budget.add(held_bytes - self._counted_bytes)
         self._counted_bytes = held_bytes
 
-    async def _take_turns(self):
+    async def _pause_after(self, parts):
         """Pause after very many parts, so that others get their turns."""
-        parts = self._parser.take_part_count()
-        pause_s = self._turns.pause_s(parts, self._clock())
-        if pause_s > 0:
-            await trio.sleep(pause_s)
+        await trio.sleep(self._turns.pause_s(parts, self._clock()))
 
     def _reject(self, refusal):
         """Refuse a request that breaks the protocol and accept no more.
@@ -948,11 +943,9 @@
     return end
 
 
-def _no_room(subject):
+def _overloaded(detail):
     return refusals.not_run(
-        refusals.CallCode.OVERLOADED,
-        f'no room for {subject}',
-        BODY_RETRY_AFTER_S,
+        refusals.CallCode.OVERLOADED, detail, BODY_RETRY_AFTER_S
     )
 
 
--- a/packages/pumicestand-node/pumicestand_node/client_port.py
+++ b/packages/pumicestand-node/pumicestand_node/client_port.py
@@ -25,7 +25,7 @@
 MIN_IDLE_S = 1.0
 # Time for which a client takes no byte of a response before its connection is
 # closed to free memory.
-MIN_STALL_S = 1.0
+MIN_STALL_S = client_progress.MIN_STALL_S
 # Period in which the idle connections are listed once at most.
 LISTING_PERIOD_S = 0.02
 
--- a/packages/pumicestand-node/pumicestand_node/frame_streams.py
+++ b/packages/pumicestand-node/pumicestand_node/frame_streams.py
@@ -119,7 +119,7 @@
         if self.is_closed:
             return
         data = self._compress(data)
-        self._record_sent(data, kind)
+        self._record_sent(len(data), kind)
         if not self._is_writing and not self._frames and not self._bodies:
             try:
                 data = socket_io.send_nowait(self._stream, data)
@@ -140,9 +140,7 @@
         """
         if self.is_closed or position >= len(body):
             return
-        self._meter.record_sent(
-            len(body) - position, self._clock(), 'Part', self.is_cross_zone
-        )
+        self._record_sent(len(body) - position, 'Part')
         if budget is not None:
             budget.add(len(body))
         self._bodies.append(_QueuedBody(id_, body, position, budget))
@@ -175,10 +173,8 @@
             )
         return self._decompressor.decompress(frame)
 
-    def _record_sent(self, data, kind):
-        self._meter.record_sent(
-            len(data), self._clock(), kind, self.is_cross_zone
-        )
+    def _record_sent(self, size, kind):
+        self._meter.record_sent(size, self._clock(), kind, self.is_cross_zone)
 
     def _enqueue(self, data):
         """Queue an encoded frame; close the stream if too much is queued."""
--- a/packages/pumicestand-node/pumicestand_node/header_lines.py
+++ b/packages/pumicestand-node/pumicestand_node/header_lines.py
@@ -32,9 +32,9 @@
     def __iter__(self):
         if not self._count:
             return
-        lines = self._data.split(_LINE_END)
+        lines = bytes(self._data).split(_LINE_END)
         for line in lines[1:-1]:
-            name, _, value = bytes(line).partition(_SEPARATOR)
+            name, _, value = line.partition(_SEPARATOR)
             yield name, value
 
     def __eq__(self, other):
